core: decide fairly over the fleet, as a state machine without I/O

Cause: the whole path needs its decisions first; capacity spread over many routers has to be shared by one order. Before: nothing.

--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,309 @@
+// Package core decides: which request is served next, on which backend server,
+// and when one is refused. It is a deterministic state machine. Time, chance
+// and every message come in as events, and what is to be done comes out as
+// actions; it has no goroutine, no clock and no socket. The daemon drives one
+// core with real time, and tests drive several against one another.
+//
+// # How capacity is shared
+//
+// Each backend server is accounted for by one router, its owner, which every
+// router derives alike from the live routers (rendezvous hashing, inside the
+// backend server's data hall where a router lives there). A request waits at
+// the router that received it, its ingress router, so that the death of an owner
+// loses nothing. Ingress routers report to the owners, as state, how many
+// requests of each account wait and how many they have running on each backend
+// server. An owner with a free slot grants it to the account that is furthest
+// behind, at the router where that account's oldest request waits; that router
+// then talks to the backend server itself.
+//
+// An account's place in the order is its virtual service: tokens delivered so
+// far plus those expected of its running requests, over the fleet, divided by
+// its weight. Package ledger carries it, package estimate expects the rest of a
+// request. Grants that the ledger can't show yet are counted by the owner that
+// made them.
+//
+// # What is state and heals by itself
+//
+// A report holds the number of requests running on each backend server and the
+// highest grant sequence seen. The owner takes as occupied what the reports
+// say, plus the grants above the sequence seen that are younger than
+// grantExpiry. A lost report, a lost grant, a grant that came too late, and an
+// owner that is new or has no memory all come right with the next report, with
+// no message for any of these cases. Two owners of one backend server, as
+// during a cut, each subtract what the engine's own load report shows beyond
+// what they know.
+//
+// # Limits
+//
+// The order rests on a ledger that is up to a second old, and on reports that
+// are paced by a budget of bytes. An account can get ahead meanwhile by what
+// all owners can grant in that time; see docs/DESIGN.md for the bound.
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/core/estimate"
+	"github.com/tamarindstep/tamarindstep/core/ledger"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// Core is one router's decisions.
+type Core struct {
+	now      model.Time
+	config   *Config
+	random   *rand.Rand
+	members  *member.List
+	ledger   *ledger.Ledger
+	draining bool
+	actions  []Action
+	outbox   map[string]*wire.Datagram
+	sequence uint64
+
+	// As ingress router.
+	requests  map[RequestID]*request
+	queues    map[model.Key]*queue
+	waiting   []model.Key // of the queues in which a request waits, in order
+	deadlines deadlines
+	running   map[model.BackendID]int
+	refused   map[model.BackendID]*refusal
+	owners    map[string]*ownerLink
+	asks      map[model.PoolID]*ask
+	estimates map[kind]*estimate.Lengths
+	budget    bucket
+
+	// As owner.
+	backends  map[model.BackendID]*backend
+	sources   map[string]*source
+	demands   map[model.Key]*demand
+	poolOrder map[model.PoolID][]model.BackendID // owned, by pool
+	dirty     map[model.PoolID]bool              // pools in which a grant may be possible
+	lastGrant map[model.Key]uint64
+	grants    uint64
+
+	placement placement
+	watched   []model.BackendID // as in the last Watch
+}
+
+// New returns the core of a router that has just started. The seed drives all
+// of its random choices.
+func New(now model.Time, self member.Member, seed uint64) *Core {
+	random := rand.New(rand.NewPCG(seed, self.Boot))
+	c := &Core{
+		now:       now,
+		config:    &Config{},
+		random:    random,
+		members:   member.New(self, random),
+		ledger:    ledger.New(self.Name, now, random.Uint64),
+		outbox:    map[string]*wire.Datagram{},
+		requests:  map[RequestID]*request{},
+		queues:    map[model.Key]*queue{},
+		running:   map[model.BackendID]int{},
+		refused:   map[model.BackendID]*refusal{},
+		owners:    map[string]*ownerLink{},
+		asks:      map[model.PoolID]*ask{},
+		estimates: map[kind]*estimate.Lengths{},
+		budget:    bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
+		backends:  map[model.BackendID]*backend{},
+		sources:   map[string]*source{},
+		demands:   map[model.Key]*demand{},
+		poolOrder: map[model.PoolID][]model.BackendID{},
+		dirty:     map[model.PoolID]bool{},
+		lastGrant: map[model.Key]uint64{},
+	}
+	return c
+}
+
+// Step takes one event at a time that never goes back, and returns what is to
+// be done for it, in order.
+func (c *Core) Step(now model.Time, e Event) []Action {
+	c.now = max(c.now, now)
+	c.actions = nil
+	c.handle(e)
+	c.refreshPlacement()
+	c.expire()
+	c.probe()
+	c.grantAll()
+	c.exchangeLedger()
+	c.flushReports()
+	c.flushOutbox()
+	return c.actions
+}
+
+func (c *Core) handle(e Event) {
+	switch e := e.(type) {
+	case Tick:
+	case Configure:
+		c.configure(e.Config)
+	case Arrive:
+		c.arrive(e)
+	case Progress:
+		c.progress(e)
+	case Finish:
+		c.finish(e)
+	case Abandon:
+		c.abandon(e.ID)
+	case Receive:
+		c.receive(e.Datagram)
+	case Routers:
+		c.members.SetListed(c.now, e.Listed)
+	case Load:
+		c.load(e)
+	case Leaving:
+		c.leaving(e.Backends)
+	case Drain:
+		c.drain()
+	}
+}
+
+// Wake returns when the next Tick is due.
+func (c *Core) Wake() model.Time {
+	wake := min(c.members.Wake(), c.ledger.Wake(c.now), c.nextReport(), c.nextDeadline(), c.nextReady())
+	return max(wake, c.now+minWake)
+}
+
+// minWake is the shortest time between two ticks.
+const minWake = time.Millisecond
+
+func (c *Core) do(a Action) {
+	c.actions = append(c.actions, a)
+}
+
+func (c *Core) drain() {
+	c.draining = true
+	c.members.Leave()
+}
+
+// Idle tells whether no request waits or runs at this router.
+func (c *Core) Idle() bool { return len(c.requests) == 0 }
+
+func (c *Core) probe() {
+	for _, s := range c.members.Tick(c.now) {
+		c.sendProbe(s)
+	}
+	c.noteMemberChanges()
+}
+
+func (c *Core) noteMemberChanges() {
+	for _, change := range c.members.Changes() {
+		c.memberChanged(change)
+	}
+}
+
+func (c *Core) sendProbe(s member.Send) {
+	d := c.to(s.To)
+	d.Probe = s.Probe
+	d.Rumours = c.members.Rumours(s.To)
+}
+
+func (c *Core) memberChanged(change member.Change) {
+	if change.Restarted || change.Status == wire.Status_STATUS_DEAD {
+		c.forgetSource(change.Name)
+		delete(c.owners, change.Name)
+	}
+	c.do(MemberChanged{Change: change})
+}
+
+func (c *Core) exchangeLedger() {
+	for _, s := range c.ledger.Tick(c.now) {
+		c.sendLedger(s)
+	}
+}
+
+func (c *Core) sendLedger(s ledger.Send) {
+	d := c.to(s.To)
+	if s.Up != nil {
+		d.Up = s.Up
+	}
+	if s.Down != nil {
+		d.Down = s.Down
+	}
+}
+
+// receive takes a datagram's parts in an order in which the later ones can
+// rely on the earlier ones.
+func (c *Core) receive(d *wire.Datagram) {
+	if d.To != c.members.Self().Name || d.From == d.To {
+		return
+	}
+	c.members.Heard(c.now, d.From, d.Boot)
+	for _, r := range d.Rumours {
+		c.members.Learn(c.now, r)
+	}
+	c.noteMemberChanges()
+	if c.members.Get(d.From) == nil {
+		return
+	}
+	if d.Probe != nil {
+		for _, s := range c.members.Receive(c.now, d.From, d.Probe) {
+			c.sendProbe(s)
+		}
+	}
+	for _, f := range d.Free {
+		c.hint(d.From, model.PoolID(f.Pool), int(f.Slots))
+	}
+	if d.Report != nil {
+		c.takeReport(d.From, d.Report)
+	}
+	c.takeGrants(d.From, d.Boot, d.Grants)
+	if d.Up != nil {
+		c.ledgerReplies(c.ledger.ReceiveUp(c.now, d.From, d.Up))
+	}
+	if d.Down != nil {
+		c.ledgerReplies(c.ledger.ReceiveDown(c.now, d.From, d.Down))
+		c.dirtyAll()
+	}
+	if d.Generation > c.config.Generation {
+		c.do(GenerationSeen{From: d.From, Generation: d.Generation})
+	}
+}
+
+func (c *Core) ledgerReplies(sends []ledger.Send) {
+	for _, s := range sends {
+		c.sendLedger(s)
+	}
+}
+
+// to returns the datagram being put together for a router in this step.
+func (c *Core) to(name string) *wire.Datagram {
+	d := c.outbox[name]
+	if d == nil {
+		d = &wire.Datagram{To: name}
+		c.outbox[name] = d
+	}
+	return d
+}
+
+func (c *Core) flushOutbox() {
+	for _, name := range sortedKeys(c.outbox) {
+		d := c.outbox[name]
+		delete(c.outbox, name)
+		m := c.members.Get(name)
+		if m == nil {
+			continue
+		}
+		c.sequence++
+		d.From = c.members.Self().Name
+		d.Boot = c.members.Self().Boot
+		d.Sequence = c.sequence
+		d.Generation = c.config.Generation
+		if d.Probe != nil || len(d.Grants) > 0 {
+			d.Free = c.freeSlots()
+		}
+		c.do(Send{To: name, Address: m.Address, Datagram: d})
+	}
+}
+
+// configure puts a configuration in force; a lower generation never replaces a
+// higher one.
+func (c *Core) configure(config *Config) {
+	if config.Generation <= c.config.Generation {
+		return
+	}
+	c.config = config
+	c.placement.stale = true
+	c.refuseWithdrawn()
+}
--- /dev/null
+++ b/core/event.go
@@ -0,0 +1,146 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// Event is an input of the core. Each event type below is one.
+type Event interface{ event() }
+
+// Tick lets time pass; it is due when Core.Wake says.
+type Tick struct{}
+
+// Configure puts a configuration in force.
+type Configure struct{ Config *Config }
+
+// Arrive is a request that a caller has sent to this router.
+type Arrive struct {
+	ID      RequestID
+	Account model.AccountID
+	Pool    model.PoolID
+	Class   model.Class
+	Input   float64       // tokens of input
+	Wait    time.Duration // how long it may wait to be served
+}
+
+// Progress tells how many output tokens of a running request have flowed so far.
+type Progress struct {
+	ID     RequestID
+	Output float64
+}
+
+// Ending tells how a request that was dispatched has ended.
+type Ending uint8
+
+// The endings of a request.
+const (
+	// Done is a whole answer.
+	Done Ending = iota
+	// Broken is an answer that broke off, or a caller that left.
+	Broken
+	// NotSent is a request of which no byte was written to the backend server.
+	NotSent
+)
+
+// Finish ends a dispatched request.
+type Finish struct {
+	ID     RequestID
+	Output float64 // tokens of output in all
+	Ending Ending
+}
+
+// Abandon takes back a request that still waits, as its caller has left.
+type Abandon struct{ ID RequestID }
+
+// Receive is an authentic datagram from another router.
+type Receive struct{ Datagram *wire.Datagram }
+
+// Routers is the VM list's routers.
+type Routers struct{ Listed []member.Listed }
+
+// Load is a backend server's report of its own load.
+type Load struct {
+	Backend model.BackendID
+	Running int
+	Waiting int
+	Leaving bool
+	Failed  bool // no report could be had
+}
+
+// Leaving lists the backend servers that the VM list shows as leaving or gone.
+type Leaving struct{ Backends []model.BackendID }
+
+// Drain makes the router take no new work and hand over what it owns.
+type Drain struct{}
+
+func (Tick) event()      {}
+func (Configure) event() {}
+func (Arrive) event()    {}
+func (Progress) event()  {}
+func (Finish) event()    {}
+func (Abandon) event()   {}
+func (Receive) event()   {}
+func (Routers) event()   {}
+func (Load) event()      {}
+func (Leaving) event()   {}
+func (Drain) event()     {}
+
+// Action is an output of the core. Each action type below is one.
+type Action interface{ action() }
+
+// Dispatch sends a request to a backend server.
+type Dispatch struct {
+	ID      RequestID
+	Backend model.BackendID
+	Waited  time.Duration
+}
+
+// Refusal is why a request is refused.
+type Refusal string
+
+// The reasons for which the core refuses a request.
+const (
+	QueueFull   Refusal = "queue-full"
+	RateLimited Refusal = "rate-limited"
+	WaitedLong  Refusal = "wait-exceeded"
+	Draining    Refusal = "draining"
+	Unreachable Refusal = "backends-unreachable"
+	Withdrawn   Refusal = "account-withdrawn"
+)
+
+// Refuse refuses a request of which nothing was sent to a backend server.
+type Refuse struct {
+	ID         RequestID
+	Reason     Refusal
+	RetryAfter time.Duration
+}
+
+// Send sends a datagram to another router.
+type Send struct {
+	To       string
+	Address  string
+	Datagram *wire.Datagram
+}
+
+// Watch sets the backend servers whose load this router is to ask for.
+type Watch struct{ Backends []model.BackendID }
+
+// MemberChanged tells of a change of another router's status.
+type MemberChanged struct{ Change member.Change }
+
+// GenerationSeen tells that another router has a newer configuration in force.
+type GenerationSeen struct {
+	From       string
+	Generation uint64
+}
+
+func (Dispatch) action()       {}
+func (Refuse) action()         {}
+func (Send) action()           {}
+func (Watch) action()          {}
+func (MemberChanged) action()  {}
+func (GenerationSeen) action() {}
--- /dev/null
+++ b/core/fleet_test.go
@@ -0,0 +1,370 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// The fleet runs several cores against one another under virtual time, over a
+// link in memory that delays, loses, reorders and cuts as the test says. The
+// backend servers are counters: each request runs for as long as its length in
+// tokens takes.
+
+// item is something that happens at a time.
+type item struct {
+	at  model.Time
+	seq uint64
+	do  func()
+}
+
+type agenda []item
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at != a[j].at {
+		return a[i].at < a[j].at
+	}
+	return a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// node is one router of the fleet.
+type node struct {
+	name   string
+	hall   string
+	core   *Core
+	boot   uint64
+	down   bool
+	paused bool
+	held   []func() // what happened while paused
+	wakeAt model.Time
+	bytes  int64
+	sent   int64
+}
+
+// job is a request as the test knows it.
+type job struct {
+	id       RequestID
+	account  model.AccountID
+	pool     model.PoolID
+	class    model.Class
+	input    float64
+	output   float64
+	node     *node
+	arrived  model.Time
+	started  model.Time
+	backend  model.BackendID
+	running  bool
+	done     bool
+	refused  Refusal
+	waited   time.Duration
+	progress float64
+}
+
+// engine is the true state of a backend server.
+type engine struct {
+	running int
+	most    int
+	leaving bool
+	leftAt  model.Time
+	// lastNew is when it was last given a request.
+	lastNew model.Time
+}
+
+type fleet struct {
+	now      model.Time
+	seq      uint64
+	todo     agenda
+	random   *rand.Rand
+	config   *Config
+	nodes    []*node
+	byName   map[string]*node
+	engines  map[model.BackendID]*engine
+	jobs     map[RequestID]*job
+	nextID   RequestID
+	delay    time.Duration // one way, doubled at the most by chance
+	loss     float64
+	cut      func(a, b *node) bool
+	rate     float64 // tokens a second of one stream
+	steps    int64
+	onFinish func(*job)
+	onRefuse func(*job)
+	// service is the true service of each account in tokens, unweighted.
+	service map[model.AccountID]float64
+	// dispatched is called with each request that is sent to a backend server.
+	dispatched func(*job)
+	// tamper may change or drop a datagram on its way.
+	tamper func(*wire.Datagram) *wire.Datagram
+}
+
+const (
+	fleetTick     = 100 * time.Millisecond
+	progressEvery = 250 * time.Millisecond
+	loadEvery     = 500 * time.Millisecond
+)
+
+func newFleet(seed uint64, config *Config, halls []string) *fleet {
+	f := &fleet{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		config:  config,
+		byName:  map[string]*node{},
+		engines: map[model.BackendID]*engine{},
+		jobs:    map[RequestID]*job{},
+		delay:   500 * time.Microsecond,
+		rate:    50,
+		service: map[model.AccountID]float64{},
+	}
+	for _, id := range sortedKeys(config.Backends) {
+		f.engines[id] = &engine{}
+	}
+	for i, hall := range halls {
+		n := &node{name: fmt.Sprintf("router-%d", i+1), hall: hall}
+		f.nodes = append(f.nodes, n)
+		f.byName[n.name] = n
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.after(loadEvery, f.reportLoad)
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.todo, item{at: f.now + d, seq: f.seq, do: do})
+}
+
+// runUntil lets virtual time pass.
+func (f *fleet) runUntil(t model.Time) {
+	for len(f.todo) > 0 && f.todo[0].at <= t {
+		x := heap.Pop(&f.todo).(item)
+		f.now = x.at
+		x.do()
+	}
+	f.now = t
+}
+
+// start starts a router with no memory.
+func (f *fleet) start(n *node) {
+	n.boot = f.random.Uint64() | 1
+	n.down = false
+	n.wakeAt = 0
+	self := member.Member{Name: n.name, Address: n.name, DataHall: n.hall, Boot: n.boot}
+	n.core = New(f.now, self, f.random.Uint64())
+	f.step(n, Configure{Config: f.config})
+	var listed []member.Listed
+	for _, o := range f.nodes {
+		listed = append(listed, member.Listed{Name: o.name, Address: o.name, DataHall: o.hall})
+	}
+	f.step(n, Routers{Listed: listed})
+}
+
+// kill ends a router; its running requests end with it.
+func (f *fleet) kill(n *node) {
+	n.down = true
+	for _, id := range sortedKeys(f.jobs) {
+		if j := f.jobs[id]; j.node == n {
+			f.release(j)
+			delete(f.jobs, id)
+		}
+	}
+}
+
+func (f *fleet) step(n *node, e Event) {
+	if n.down {
+		return
+	}
+	if n.paused {
+		n.held = append(n.held, func() { f.step(n, e) })
+		return
+	}
+	f.steps++
+	for _, a := range n.core.Step(f.now, e) {
+		f.act(n, a)
+	}
+	f.schedule(n)
+}
+
+func (f *fleet) resume(n *node) {
+	n.paused = false
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+func (f *fleet) schedule(n *node) {
+	wake := max(n.core.Wake(), f.now+minWake)
+	if n.wakeAt > f.now && n.wakeAt <= wake {
+		return
+	}
+	n.wakeAt = wake
+	core := n.core
+	f.after(wake-f.now, func() {
+		if n.core == core && n.wakeAt == f.now {
+			n.wakeAt = 0
+			f.step(n, Tick{})
+		}
+	})
+}
+
+func (f *fleet) act(n *node, a Action) {
+	switch a := a.(type) {
+	case Send:
+		f.send(n, a)
+	case Dispatch:
+		f.dispatch(a)
+	case Refuse:
+		f.refuse(a)
+	}
+}
+
+func (f *fleet) refuse(a Refuse) {
+	j := f.jobs[a.ID]
+	if j == nil {
+		return
+	}
+	j.refused = a.Reason
+	delete(f.jobs, a.ID)
+	if f.onRefuse != nil {
+		f.onRefuse(j)
+	}
+}
+
+// wireOverhead is what IP, UDP and the authentication add to a datagram.
+const wireOverhead = 28 + 16
+
+func (f *fleet) send(n *node, a Send) {
+	to := f.byName[a.To]
+	n.sent++
+	n.bytes += int64(proto.Size(a.Datagram) + wireOverhead)
+	d := proto.Clone(a.Datagram).(*wire.Datagram)
+	if f.tamper != nil {
+		d = f.tamper(d)
+	}
+	if d == nil || to == nil || f.cut != nil && f.cut(n, to) || f.random.Float64() < f.loss {
+		return
+	}
+	delay := f.delay + time.Duration(f.random.Int64N(int64(f.delay)+1))
+	f.after(delay, func() {
+		if f.cut == nil || !f.cut(n, to) {
+			f.step(to, Receive{Datagram: d})
+		}
+	})
+}
+
+// submit sends a request to a router.
+func (f *fleet) submit(n *node, account model.AccountID, pool model.PoolID, class model.Class, input, output float64, wait time.Duration) *job {
+	f.nextID++
+	j := &job{
+		id: f.nextID, account: account, pool: pool, class: class,
+		input: input, output: output, node: n, arrived: f.now,
+	}
+	f.jobs[j.id] = j
+	f.step(n, Arrive{ID: j.id, Account: account, Pool: pool, Class: class, Input: input, Wait: wait})
+	return j
+}
+
+func (f *fleet) dispatch(a Dispatch) {
+	j := f.jobs[a.ID]
+	e := f.engines[a.Backend]
+	j.running = true
+	j.started = f.now
+	j.waited = f.now - j.arrived
+	j.backend = a.Backend
+	e.running++
+	e.most = max(e.most, e.running)
+	e.lastNew = f.now
+	f.service[j.account] += j.input
+	if f.dispatched != nil {
+		f.dispatched(j)
+	}
+	f.flow(j)
+}
+
+// flow lets a running request produce tokens until it ends.
+func (f *fleet) flow(j *job) {
+	left := j.output - j.progress
+	slice := progressEvery
+	if whole := time.Duration(left / f.rate * float64(time.Second)); whole < slice {
+		slice = whole
+	}
+	f.after(slice, func() {
+		if !j.running {
+			return
+		}
+		tokens := min(f.rate*slice.Seconds(), left)
+		j.progress += tokens
+		f.service[j.account] += tokens
+		if j.progress >= j.output-1e-6 {
+			f.end(j)
+			return
+		}
+		f.step(j.node, Progress{ID: j.id, Output: j.progress})
+		f.flow(j)
+	})
+}
+
+func (f *fleet) release(j *job) {
+	if j.running {
+		j.running = false
+		f.engines[j.backend].running--
+	}
+}
+
+func (f *fleet) end(j *job) {
+	f.release(j)
+	j.done = true
+	delete(f.jobs, j.id)
+	f.step(j.node, Finish{ID: j.id, Output: j.output, Ending: Done})
+	if f.onFinish != nil {
+		f.onFinish(j)
+	}
+}
+
+// reportLoad tells the owners the engines' load, half a period old.
+func (f *fleet) reportLoad() {
+	loads := map[model.BackendID]Load{}
+	for _, id := range sortedKeys(f.engines) {
+		e := f.engines[id]
+		slots := f.config.Backends[id].Slots
+		loads[id] = Load{
+			Backend: id, Running: min(e.running, slots), Waiting: max(e.running-slots, 0), Leaving: e.leaving,
+		}
+	}
+	f.after(loadEvery/2, func() {
+		for _, n := range f.nodes {
+			for _, id := range n.core.watched {
+				f.step(n, loads[id])
+			}
+		}
+	})
+	f.after(loadEvery, f.reportLoad)
+}
+
+// waiting returns the waiting requests of an account over the fleet.
+func (f *fleet) waiting(account model.AccountID) int {
+	count := 0
+	for _, j := range f.jobs {
+		if j.account == account && !j.running {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,506 @@
+// Package member keeps the list of live routers by probing, at a cost to each
+// router that doesn't grow with the fleet.
+//
+// Every period a router pings one other, in a shuffled round. Where no answer
+// comes it asks a few more to ping for it; where none of them gets through
+// either, the member is suspect, and after a while dead. What is learned rides
+// as rumours on the datagrams that are sent anyway, each a number of times
+// that grows with the logarithm of the fleet.
+//
+// A member's own word is ordered by its incarnation: the highest wins, and at
+// the same incarnation the worse status wins. A router that hears itself
+// called suspect or dead, or hears of an earlier process of its own name,
+// answers with a higher incarnation. A router that restarts with no memory
+// therefore catches up with its own past within one exchange.
+//
+// Limits. Members are found through the VM list, or by being pinged by one
+// that has it. A dead member stays in the list while the VM list has it, and
+// is pinged now and then, so that two halves of a cut fleet find each other
+// again. Agreement isn't promised: nothing that must hold rests on it.
+package member
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// The pace of failure detection.
+const (
+	Period        = 500 * time.Millisecond
+	ackTimeout    = 150 * time.Millisecond
+	suspectFor    = 1500 * time.Millisecond
+	helpers       = 3
+	rumoursAtOnce = 6
+	// deadEvery is how many periods pass between pings of a dead member.
+	deadEvery = 4
+)
+
+// Member is what a router holds of another, or of itself.
+type Member struct {
+	Name        string
+	Address     string // IP and port of its peer listener
+	DataHall    string
+	Boot        uint64 // random number of its process, 0 until heard of
+	Incarnation uint64
+	Status      wire.Status
+	since       model.Time // when the status was taken
+	listed      bool       // the VM list has it
+	heard       model.Time // when it was last heard itself
+	behind      bool       // it goes by an incarnation lower than the one held of it
+}
+
+// Alive tells whether work may be shared with the member.
+func (m *Member) Alive() bool {
+	return m.Status == wire.Status_STATUS_ALIVE || m.Status == wire.Status_STATUS_SUSPECT
+}
+
+// Reachable tells whether the member's process still runs, be it leaving.
+func (m *Member) Reachable() bool {
+	return m.Status != wire.Status_STATUS_DEAD
+}
+
+// Change is one change of a member's status, or its restart.
+type Change struct {
+	Name      string
+	Status    wire.Status
+	Restarted bool
+}
+
+// Send is a probe to be sent.
+type Send struct {
+	To    string
+	Probe *wire.Probe
+}
+
+// Listed is a router that the VM list has.
+type Listed struct {
+	Name     string
+	Address  string
+	DataHall string
+}
+
+type rumour struct {
+	name string
+	left int // sends left
+}
+
+type probing struct {
+	nonce    uint64
+	target   string
+	started  model.Time
+	helped   bool
+	answered bool
+}
+
+// relay is a ping made on another member's behalf.
+type relay struct {
+	requester string
+	nonce     uint64
+	target    string
+}
+
+// List is the membership machine. It does no I/O and reads no clock.
+type List struct {
+	self    Member
+	random  *rand.Rand
+	members map[string]*Member
+	names   []string // sorted, without self
+	round   []string
+	rumours []rumour
+	probe   *probing
+	relays  map[uint64]relay
+	nonce   uint64
+	next    model.Time
+	periods int
+	changes []Change
+	version uint64
+}
+
+// New returns the list of a router that knows of nobody else yet.
+func New(self Member, random *rand.Rand) *List {
+	return &List{
+		self:    self,
+		random:  random,
+		members: map[string]*Member{},
+		relays:  map[uint64]relay{},
+	}
+}
+
+// Self returns the router's own entry.
+func (l *List) Self() Member { return l.self }
+
+// Version increases whenever the set of live members changes.
+func (l *List) Version() uint64 { return l.version }
+
+// Names returns the other members' names in order, the dead ones included.
+func (l *List) Names() []string { return l.names }
+
+// Get returns the member of that name, or nil; self isn't a member.
+func (l *List) Get(name string) *Member { return l.members[name] }
+
+// Changes returns and forgets the changes since the last call.
+func (l *List) Changes() []Change {
+	out := l.changes
+	l.changes = nil
+	return out
+}
+
+// Live returns the live members and, unless it is leaving, the router itself,
+// ordered by name.
+func (l *List) Live() []*Member {
+	var out []*Member
+	for _, name := range l.names {
+		if m := l.members[name]; m.Alive() {
+			out = append(out, m)
+		}
+	}
+	if l.self.Alive() {
+		out = append(out, &l.self)
+	}
+	slices.SortFunc(out, func(a, b *Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Running returns every member whose process is held to run, and the router
+// itself: the live ones ordered by weight, then those that are leaving.
+func (l *List) Running() []*Member {
+	var out []*Member
+	for _, name := range l.names {
+		if m := l.members[name]; m.Reachable() {
+			out = append(out, m)
+		}
+	}
+	out = append(out, &l.self)
+	slices.SortFunc(out, func(a, b *Member) int {
+		if a.Alive() != b.Alive() {
+			return cmp.Compare(b2i(b.Alive()), b2i(a.Alive()))
+		}
+		return cmp.Or(cmp.Compare(model.Rendezvous(a.Name, treeSubject), model.Rendezvous(b.Name, treeSubject)), strings.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// treeSubject is what the routers' order is hashed with.
+const treeSubject = "tree"
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// SetListed takes the VM list's routers. A router the list has dropped is
+// forgotten once it is dead.
+func (l *List) SetListed(now model.Time, listed []Listed) {
+	for _, m := range l.members {
+		m.listed = false
+	}
+	for _, entry := range listed {
+		if entry.Name == l.self.Name {
+			continue
+		}
+		m := l.members[entry.Name]
+		if m == nil {
+			m = l.add(now, entry.Name, entry.Address, entry.DataHall)
+		}
+		if !m.Reachable() || m.Boot == 0 {
+			m.Address = entry.Address
+			m.DataHall = entry.DataHall
+		}
+		m.listed = true
+	}
+	l.forgetDropped()
+}
+
+func (l *List) add(now model.Time, name, address, hall string) *Member {
+	m := &Member{Name: name, Address: address, DataHall: hall, since: now}
+	l.members[name] = m
+	i, _ := slices.BinarySearch(l.names, name)
+	l.names = slices.Insert(l.names, i, name)
+	l.version++
+	l.changes = append(l.changes, Change{Name: name, Status: m.Status})
+	return m
+}
+
+func (l *List) forgetDropped() {
+	l.names = slices.DeleteFunc(l.names, func(name string) bool {
+		m := l.members[name]
+		drop := !m.listed && !m.Reachable()
+		if drop {
+			delete(l.members, name)
+		}
+		return drop
+	})
+}
+
+// Leave marks the router itself as leaving and spreads the word.
+func (l *List) Leave() {
+	if l.self.Status == wire.Status_STATUS_LEAVING {
+		return
+	}
+	l.self.Status = wire.Status_STATUS_LEAVING
+	l.self.Incarnation++
+	l.version++
+	l.spread(l.self.Name)
+}
+
+// Heard takes note of an authentic datagram from a member.
+func (l *List) Heard(now model.Time, from string, boot uint64) {
+	m := l.members[from]
+	if m == nil {
+		return
+	}
+	m.heard = now
+	if m.Boot == boot {
+		return
+	}
+	restarted := m.Boot != 0
+	m.Boot = boot
+	if restarted {
+		l.changes = append(l.changes, Change{Name: from, Status: m.Status, Restarted: true})
+		l.version++
+	}
+}
+
+// Receive takes a probe from a member and returns what to send for it.
+func (l *List) Receive(now model.Time, from string, p *wire.Probe) []Send {
+	switch p.Kind {
+	case wire.ProbeKind_PROBE_PING:
+		return []Send{{To: from, Probe: &wire.Probe{Kind: wire.ProbeKind_PROBE_ACK, Nonce: p.Nonce}}}
+	case wire.ProbeKind_PROBE_REQUEST:
+		return l.relayPing(from, p)
+	default:
+		return l.acknowledged(now, from, p)
+	}
+}
+
+func (l *List) relayPing(from string, p *wire.Probe) []Send {
+	if l.members[p.Target] == nil {
+		return nil
+	}
+	l.nonce++
+	l.relays[l.nonce] = relay{requester: from, nonce: p.Nonce, target: p.Target}
+	return []Send{{To: p.Target, Probe: &wire.Probe{Nonce: l.nonce}}}
+}
+
+func (l *List) acknowledged(now model.Time, from string, p *wire.Probe) []Send {
+	if r, ok := l.relays[p.Nonce]; ok && r.target == from {
+		delete(l.relays, p.Nonce)
+		ack := &wire.Probe{Kind: wire.ProbeKind_PROBE_ACK, Nonce: r.nonce, Target: from}
+		return []Send{{To: r.requester, Probe: ack}}
+	}
+	if l.probe == nil || l.probe.nonce != p.Nonce {
+		return nil
+	}
+	if from != l.probe.target && p.Target != l.probe.target {
+		return nil
+	}
+	l.probe.answered = true
+	l.revive(now, l.probe.target)
+	return nil
+}
+
+// revive clears a suspicion that a direct answer has disproved. A dead member
+// comes back with its own rumour, which has a higher incarnation.
+func (l *List) revive(now model.Time, name string) {
+	if m := l.members[name]; m != nil && m.Status == wire.Status_STATUS_SUSPECT {
+		l.set(now, m, wire.Status_STATUS_ALIVE)
+	}
+}
+
+func (l *List) set(now model.Time, m *Member, status wire.Status) {
+	was := m.Alive()
+	m.Status = status
+	m.since = now
+	l.spread(m.Name)
+	if was != m.Alive() {
+		l.version++
+	}
+	l.changes = append(l.changes, Change{Name: m.Name, Status: status})
+}
+
+// Tick advances time and returns the probes that are due.
+func (l *List) Tick(now model.Time) []Send {
+	l.buryDead(now)
+	out := l.askHelpers(now)
+	if now < l.next {
+		return out
+	}
+	l.next = now + Period
+	l.periods++
+	l.endProbe(now)
+	l.relays = map[uint64]relay{}
+	target := l.nextTarget()
+	if target == "" {
+		return out
+	}
+	l.nonce++
+	l.probe = &probing{nonce: l.nonce, target: target, started: now}
+	return append(out, Send{To: target, Probe: &wire.Probe{Nonce: l.nonce}})
+}
+
+// Wake returns when Tick has next something to do.
+func (l *List) Wake() model.Time {
+	if l.probe != nil && !l.probe.answered && !l.probe.helped {
+		return min(l.next, l.probe.started+ackTimeout)
+	}
+	return l.next
+}
+
+func (l *List) askHelpers(now model.Time) []Send {
+	p := l.probe
+	if p == nil || p.answered || p.helped || now < p.started+ackTimeout {
+		return nil
+	}
+	p.helped = true
+	var out []Send
+	for _, i := range l.random.Perm(len(l.names)) {
+		name := l.names[i]
+		if name == p.target || !l.members[name].Reachable() {
+			continue
+		}
+		request := &wire.Probe{Kind: wire.ProbeKind_PROBE_REQUEST, Nonce: p.nonce, Target: p.target}
+		out = append(out, Send{To: name, Probe: request})
+		if len(out) == helpers {
+			break
+		}
+	}
+	return out
+}
+
+func (l *List) endProbe(now model.Time) {
+	p := l.probe
+	l.probe = nil
+	if p == nil || p.answered {
+		return
+	}
+	m := l.members[p.target]
+	if m == nil {
+		return
+	}
+	switch m.Status {
+	case wire.Status_STATUS_ALIVE:
+		l.set(now, m, wire.Status_STATUS_SUSPECT)
+	case wire.Status_STATUS_LEAVING:
+		l.set(now, m, wire.Status_STATUS_DEAD)
+	}
+}
+
+func (l *List) buryDead(now model.Time) {
+	for _, name := range l.names {
+		m := l.members[name]
+		if m.Status == wire.Status_STATUS_SUSPECT && now >= m.since+suspectFor {
+			l.set(now, m, wire.Status_STATUS_DEAD)
+		}
+	}
+}
+
+func (l *List) nextTarget() string {
+	for range 2 {
+		for len(l.round) > 0 {
+			name := l.round[0]
+			l.round = l.round[1:]
+			m := l.members[name]
+			if m == nil {
+				continue
+			}
+			if m.Reachable() || l.periods%deadEvery == 0 {
+				return name
+			}
+		}
+		l.round = slices.Clone(l.names)
+		l.random.Shuffle(len(l.round), func(i, j int) { l.round[i], l.round[j] = l.round[j], l.round[i] })
+	}
+	return ""
+}
+
+func (l *List) spread(name string) {
+	l.rumours = slices.DeleteFunc(l.rumours, func(r rumour) bool { return r.name == name })
+	l.rumours = append(l.rumours, rumour{name: name, left: 4 * bits.Len(uint(len(l.names)+1))})
+}
+
+// Rumours returns what a datagram to that member should carry: fresh changes,
+// the router's own entry, and what it holds of the receiver wherever the
+// receiver should contradict it.
+func (l *List) Rumours(to string) []*wire.Rumour {
+	out := []*wire.Rumour{l.rumour(&l.self)}
+	if m := l.members[to]; m != nil && (m.behind || m.Status != wire.Status_STATUS_ALIVE) {
+		m.behind = false
+		out = append(out, l.rumour(m))
+	}
+	for i := range l.rumours {
+		r := &l.rumours[i]
+		m := l.members[r.name]
+		if m == nil || r.name == to || len(out) >= rumoursAtOnce {
+			continue
+		}
+		r.left--
+		out = append(out, l.rumour(m))
+	}
+	l.rumours = slices.DeleteFunc(l.rumours, func(r rumour) bool { return r.left <= 0 })
+	return out
+}
+
+func (l *List) rumour(m *Member) *wire.Rumour {
+	return &wire.Rumour{
+		Name: m.Name, Address: m.Address, DataHall: m.DataHall,
+		Boot: m.Boot, Incarnation: m.Incarnation, Status: m.Status,
+	}
+}
+
+// Learn takes a rumour.
+func (l *List) Learn(now model.Time, r *wire.Rumour) {
+	if r.Name == l.self.Name {
+		l.contradict(r)
+		return
+	}
+	m := l.members[r.Name]
+	if m == nil {
+		if r.Status == wire.Status_STATUS_DEAD {
+			return
+		}
+		m = l.add(now, r.Name, r.Address, r.DataHall)
+		m.Incarnation = r.Incarnation
+		m.Boot = r.Boot
+		l.take(now, m, r)
+		return
+	}
+	if r.Incarnation < m.Incarnation {
+		m.behind = true
+		return
+	}
+	if r.Incarnation == m.Incarnation && r.Status <= m.Status {
+		return
+	}
+	l.take(now, m, r)
+}
+
+func (l *List) take(now model.Time, m *Member, r *wire.Rumour) {
+	m.Incarnation = r.Incarnation
+	m.Address = r.Address
+	m.DataHall = r.DataHall
+	if r.Boot != 0 && m.Boot != r.Boot {
+		l.Heard(m.heard, m.Name, r.Boot)
+	}
+	if m.Status != r.Status {
+		l.set(now, m, r.Status)
+	}
+}
+
+// contradict answers a rumour about the router itself that isn't true, or is
+// about an earlier process of its name.
+func (l *List) contradict(r *wire.Rumour) {
+	stale := r.Boot != 0 && r.Boot != l.self.Boot
+	wrong := r.Status != l.self.Status && r.Status != wire.Status_STATUS_ALIVE
+	if (stale || wrong) && r.Incarnation >= l.self.Incarnation {
+		l.self.Incarnation = r.Incarnation + 1
+	}
+}
--- /dev/null
+++ b/core/placement.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tamarindstep/tamarindstep/core/ledger"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// maxOwners is the greatest number of owners of a pool to which an ingress
+// router reports what waits.
+const maxOwners = 8
+
+// placement is what follows from the live routers and the configuration.
+type placement struct {
+	stale   bool
+	version uint64
+	owner   map[model.BackendID]string
+	// reportTo holds, for each pool, the owners that this router reports to.
+	reportTo map[model.PoolID][]string
+	// ownedBy holds the backend servers of each owner.
+	ownedBy map[string][]model.BackendID
+}
+
+// refreshPlacement works out anew who owns what, where that may have changed.
+func (c *Core) refreshPlacement() {
+	if !c.placement.stale && c.placement.version == c.members.Version() {
+		return
+	}
+	live := c.members.Live()
+	c.placement = placement{
+		version:  c.members.Version(),
+		owner:    map[model.BackendID]string{},
+		reportTo: map[model.PoolID][]string{},
+		ownedBy:  map[string][]model.BackendID{},
+	}
+	c.arrangeTree()
+	if c.config.Policy == nil {
+		return
+	}
+	for _, id := range sortedKeys(c.config.Backends) {
+		c.place(id, live)
+	}
+	for pool, owners := range c.placement.reportTo {
+		c.placement.reportTo[pool] = c.nearestOwners(owners)
+	}
+	c.takeOwnership(live)
+	c.allReportsDue()
+}
+
+// arrangeTree orders the ledger's tree. A policy that doesn't order by the
+// fleet's service leaves each router alone.
+func (c *Core) arrangeTree() {
+	var order []ledger.Peer
+	if c.config.Policy == nil || c.config.Policy.Owned {
+		for _, m := range c.members.Running() {
+			order = append(order, ledger.Peer{Name: m.Name, Boot: m.Boot})
+		}
+	}
+	c.ledger.SetTree(c.now, order)
+}
+
+func (c *Core) place(id model.BackendID, live []*member.Member) {
+	b := c.config.Backends[id]
+	owner := c.members.Self().Name
+	if c.config.Policy.Owned {
+		owner = chooseOwner(b, live)
+	}
+	if owner == "" {
+		return
+	}
+	p := &c.placement
+	p.owner[id] = owner
+	p.ownedBy[owner] = append(p.ownedBy[owner], id)
+	if !slices.Contains(p.reportTo[b.Pool], owner) {
+		p.reportTo[b.Pool] = append(p.reportTo[b.Pool], owner)
+	}
+}
+
+// chooseOwner returns the owner of a backend server: of the live routers in its
+// data hall, or of all where none lives there, the one with the highest weight.
+func chooseOwner(b Backend, live []*member.Member) string {
+	best, bestNear, bestWeight := "", false, uint64(0)
+	for _, m := range live {
+		near := m.DataHall == b.DataHall
+		weight := model.Rendezvous(m.Name, b.Name)
+		better := best == "" || near && !bestNear || near == bestNear && weight > bestWeight
+		if better {
+			best, bestNear, bestWeight = m.Name, near, weight
+		}
+	}
+	return best
+}
+
+// nearestOwners keeps the owners that this router reports to: itself first,
+// those in its data hall next, and of these the ones of highest weight for it,
+// so that ingress routers spread over the owners.
+func (c *Core) nearestOwners(owners []string) []string {
+	self := c.members.Self()
+	rank := func(name string) int {
+		m := c.members.Get(name)
+		switch {
+		case name == self.Name:
+			return 0
+		case m != nil && m.DataHall == self.DataHall:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(owners, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(model.Rendezvous(self.Name, b), model.Rendezvous(self.Name, a)))
+	})
+	return owners[:min(len(owners), maxOwners)]
+}
+
+// takeOwnership starts accounting for the backend servers that are now this
+// router's, and stops for those that aren't.
+func (c *Core) takeOwnership(live []*member.Member) {
+	self := c.members.Self().Name
+	mine := c.placement.ownedBy[self]
+	for id := range c.backends {
+		if !slices.Contains(mine, id) {
+			delete(c.backends, id)
+		}
+	}
+	clear(c.poolOrder)
+	rank := slices.IndexFunc(live, func(m *member.Member) bool { return m.Name == self })
+	for _, id := range mine {
+		c.own(id, max(len(live), 1), max(rank, 0))
+	}
+	c.rebuildOwner()
+	if !slices.Equal(mine, c.watched) {
+		c.do(Watch{Backends: mine})
+		c.watched = mine
+	}
+}
--- /dev/null
+++ b/core/report.go
@@ -0,0 +1,334 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// reportGap is the shortest time between two reports to one owner.
+	reportGap = 2 * time.Millisecond
+	// softDelay is how long a change that no owner waits for may wait.
+	softDelay = 100 * time.Millisecond
+	// reportRefresh is how often a report that says anything is repeated.
+	reportRefresh = 500 * time.Millisecond
+	// reportBytesPerSecond paces the reports of one router to all owners.
+	reportBytesPerSecond = 5000
+	// datagramOverhead is what a datagram costs beside its parts, in bytes.
+	datagramOverhead = 90
+	// askFor is how long the one owner asked first has to grant.
+	askFor = 10 * time.Millisecond
+	// shallow is the number of waiting requests up to which each counts at once.
+	shallow = 4
+)
+
+// ownerLink is this router's link to an owner.
+type ownerLink struct {
+	boot     uint64 // of the process that the sequence seen belongs to
+	seen     uint64 // highest grant sequence seen
+	sequence uint64 // of the last report
+	sent     model.Time
+	due      model.Time // when the next report is due; never for none
+	spoke    bool       // the last report said anything
+}
+
+// ask is the one owner that is asked first for a pool's slots.
+type ask struct {
+	hints map[string]int // slots each owner could grant, as last heard
+	owner string         // asked alone, "" where all are told
+	until model.Time
+}
+
+// bucket paces a flow of bytes.
+type bucket struct {
+	rate, size, level float64
+	filled            model.Time
+}
+
+func (b *bucket) fill(now model.Time) {
+	b.level = min(b.level+(now-b.filled).Seconds()*b.rate, b.size)
+	b.filled = now
+}
+
+// ready returns when the level is above zero.
+func (b *bucket) ready(now model.Time) model.Time {
+	if b.level > 0 {
+		return now
+	}
+	return now + time.Duration(-b.level/b.rate*float64(time.Second)) + 1
+}
+
+func (c *Core) askOf(pool model.PoolID) *ask {
+	a := c.asks[pool]
+	if a == nil {
+		a = &ask{hints: map[string]int{}}
+		c.asks[pool] = a
+	}
+	return a
+}
+
+// hint takes an owner's word on the slots of a pool that it could grant.
+func (c *Core) hint(owner string, pool model.PoolID, slots int) {
+	c.askOf(pool).hints[owner] = slots
+}
+
+func (c *Core) linkTo(owner string) *ownerLink {
+	l := c.owners[owner]
+	if l == nil {
+		l = &ownerLink{due: never}
+		c.owners[owner] = l
+	}
+	return l
+}
+
+// reportDue makes a report to an owner due within the delay.
+func (c *Core) reportDue(owner string, delay time.Duration) {
+	if owner == "" || owner == c.members.Self().Name {
+		return
+	}
+	l := c.linkTo(owner)
+	earliest := c.now + delay
+	if l.sequence > 0 {
+		earliest = max(earliest, l.sent+reportGap)
+	}
+	l.due = min(l.due, earliest)
+}
+
+func (c *Core) allReportsDue() {
+	for _, owner := range sortedKeys(c.placement.ownedBy) {
+		c.reportDue(owner, 0)
+	}
+}
+
+// demandGrew tells the owners that may serve a request that it waits.
+func (c *Core) demandGrew(key model.Key, q *queue) {
+	c.noteBusy(key, q)
+	c.offerSelf(key, q)
+	delay := softDelay
+	if q.length() <= shallow {
+		delay = 0
+	}
+	c.chooseAsk(key.Pool)
+	for _, owner := range c.placement.reportTo[key.Pool] {
+		if c.asks[key.Pool].tells(c.now, owner) {
+			c.reportDue(owner, delay)
+		}
+	}
+}
+
+// tells tells whether what waits in the pool is reported to that owner.
+func (a *ask) tells(now model.Time, owner string) bool {
+	return a == nil || a.owner == "" || a.owner == owner || now >= a.until
+}
+
+// chooseAsk picks the owner to ask alone, where one is known to have a free
+// slot: telling all of them would bring a grant from each.
+func (c *Core) chooseAsk(pool model.PoolID) {
+	a := c.askOf(pool)
+	if a.owner != "" && c.now < a.until {
+		return
+	}
+	a.owner = ""
+	most := 0
+	for _, owner := range c.placement.reportTo[pool] {
+		if n := a.hints[owner]; n > most && owner != c.members.Self().Name {
+			a.owner, most = owner, n
+		}
+	}
+	if a.owner != "" {
+		a.hints[a.owner]--
+		a.until = c.now + askFor
+	}
+}
+
+// demandShrank lets the owners know, at leisure, that less waits.
+func (c *Core) demandShrank(key model.Key, q *queue) {
+	c.noteBusy(key, q)
+	c.offerSelf(key, q)
+	for _, owner := range c.placement.reportTo[key.Pool] {
+		if c.asks[key.Pool].tells(c.now, owner) {
+			c.reportDue(owner, softDelay)
+		}
+	}
+}
+
+// noteBusy records in the ledger what the account has waiting and running.
+func (c *Core) noteBusy(key model.Key, q *queue) {
+	c.trackWaiting(key, q)
+	c.ledger.SetBusy(c.now, key, q.length() > 0, q.running)
+}
+
+// slotFreed tells the owner of a backend server that a request there has ended.
+func (c *Core) slotFreed(id model.BackendID) {
+	owner := c.placement.owner[id]
+	if owner == c.members.Self().Name {
+		c.backendDirty(id)
+		return
+	}
+	c.reportDue(owner, 0)
+}
+
+// flushReports sends the reports that are due, as far as the budget allows.
+func (c *Core) flushReports() {
+	c.endAsks()
+	c.budget.fill(c.now)
+	for _, owner := range sortedKeys(c.owners) {
+		l := c.owners[owner]
+		if l.spoke && l.due > l.sent+reportRefresh {
+			l.due = l.sent + reportRefresh
+		}
+		if l.due > c.now || c.members.Get(owner) == nil {
+			continue
+		}
+		if c.budget.level <= 0 {
+			return
+		}
+		c.sendReport(owner, l)
+	}
+}
+
+// endAsks tells all owners where the one asked first hasn't granted in time.
+func (c *Core) endAsks() {
+	for _, pool := range sortedKeys(c.asks) {
+		a := c.asks[pool]
+		if a.owner == "" || c.now < a.until {
+			continue
+		}
+		a.owner = ""
+		if !c.poolWaits(pool) {
+			continue
+		}
+		for _, owner := range c.placement.reportTo[pool] {
+			c.reportDue(owner, 0)
+		}
+	}
+}
+
+func (c *Core) poolWaits(pool model.PoolID) bool {
+	return slices.ContainsFunc(c.waiting, func(key model.Key) bool { return key.Pool == pool })
+}
+
+func (c *Core) sendReport(owner string, l *ownerLink) {
+	l.sequence++
+	l.sent = c.now
+	l.due = never
+	report := &wire.Report{
+		Sequence:  l.sequence,
+		OwnerBoot: l.boot,
+		Seen:      l.seen,
+		Holds:     c.holds(owner),
+		Demands:   c.demandsFor(owner),
+	}
+	l.spoke = len(report.Holds) > 0 || len(report.Demands) > 0
+	c.budget.level -= float64(proto.Size(report) + datagramOverhead)
+	c.to(owner).Report = report
+}
+
+func (c *Core) holds(owner string) []*wire.Hold {
+	var out []*wire.Hold
+	for _, id := range c.placement.ownedBy[owner] {
+		refused := c.refuses(id)
+		if c.running[id] == 0 && !refused {
+			continue
+		}
+		out = append(out, &wire.Hold{Backend: uint32(id), Running: uint32(c.running[id]), Refused: refused})
+	}
+	return out
+}
+
+func (c *Core) demandsFor(owner string) []*wire.Demand {
+	var out []*wire.Demand
+	for _, key := range c.waiting {
+		q := c.queues[key]
+		if !c.asks[key.Pool].tells(c.now, owner) {
+			continue
+		}
+		if !slices.Contains(c.placement.reportTo[key.Pool], owner) {
+			continue
+		}
+		out = append(out, &wire.Demand{
+			Pool: uint32(key.Pool), Account: uint32(key.Account),
+			Interactive: uint32(len(q.waiting[model.Interactive])),
+			Batch:       uint32(len(q.waiting[model.Batch])),
+			OldestMs:    uint32((c.now - q.oldest(c.now)).Milliseconds()),
+		})
+	}
+	return out
+}
+
+// trackWaiting keeps the ordered list of the queues in which a request waits.
+func (c *Core) trackWaiting(key model.Key, q *queue) {
+	i, found := slices.BinarySearchFunc(c.waiting, key, compareKeys)
+	switch {
+	case q.length() > 0 && !found:
+		c.waiting = slices.Insert(c.waiting, i, key)
+	case q.length() == 0 && found:
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+	}
+}
+
+func compareKeys(a, b model.Key) int {
+	switch {
+	case a.Less(b):
+		return -1
+	case b.Less(a):
+		return 1
+	}
+	return 0
+}
+
+// nextReport returns when a report or the end of an ask is due.
+func (c *Core) nextReport() model.Time {
+	wake := never
+	for _, l := range c.owners {
+		due := l.due
+		if l.spoke {
+			due = min(due, l.sent+reportRefresh)
+		}
+		wake = min(wake, due)
+	}
+	wake = max(wake, c.budget.ready(c.now))
+	for _, a := range c.asks {
+		if a.owner != "" {
+			wake = min(wake, a.until)
+		}
+	}
+	return wake
+}
+
+// takeGrants uses grants from an owner, and gives back at once, by the next
+// report, those for which nothing waits.
+func (c *Core) takeGrants(owner string, boot uint64, grants []*wire.Grant) {
+	if len(grants) == 0 {
+		return
+	}
+	l := c.linkTo(owner)
+	if l.boot != boot {
+		l.boot = boot
+		l.seen = 0
+	}
+	for _, g := range grants {
+		if g.Sequence <= l.seen {
+			continue
+		}
+		l.seen = g.Sequence
+		if !c.useGrant(owner, g) {
+			c.reportDue(owner, 0)
+		}
+	}
+	c.reportDue(owner, softDelay)
+}
+
+func (c *Core) useGrant(owner string, g *wire.Grant) bool {
+	id := model.BackendID(g.Backend)
+	b, ok := c.config.Backends[id]
+	if !ok || c.refuses(id) || c.placement.owner[id] != owner {
+		return false
+	}
+	key := model.Key{Pool: b.Pool, Account: model.AccountID(g.Account)}
+	return c.dispatch(key, id)
+}
--- /dev/null
+++ b/policy/fleetfair/fleetfair.go
@@ -0,0 +1,26 @@
+// Package fleetfair is the policy that shares each pool fairly over the whole
+// fleet. Each backend server has an owner, a router that grants its slots to
+// whichever router has the account that is furthest behind.
+package fleetfair
+
+import "github.com/tamarindstep/tamarindstep/policy"
+
+// catchUpTokens is some ten of the largest requests.
+const catchUpTokens = 100_000
+
+// Policy is the documented policy.
+var Policy = &policy.Policy{
+	Name: "fleet-fair",
+	Doc: policy.Doc{
+		Title: "Fair shares over the whole fleet",
+		Text: "The slots of each backend server are granted by the router that owns it, " +
+			"to the waiting client account with the least service over the fleet: tokens " +
+			"delivered plus those still expected of its running requests, divided by its weight.",
+		Since: "0.1",
+	},
+	Owned:         true,
+	Order:         policy.ByFleetService,
+	Slots:         func(s policy.Share) int { return s.Slots },
+	FollowLoad:    true,
+	CatchUpTokens: catchUpTokens,
+}
