--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# make demo and make test need nothing but Go, a C compiler, curl and bash.
+
+GO ?= go
+TOOLS := $(CURDIR)/bin/tools
+REVIVE := $(TOOLS)/revive
+
+.PHONY: build demo test lint unit bench proto clean
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	demo/run.sh
+
+test: lint unit
+
+# unit runs every test with the race detector on and fixed seeds.
+unit:
+	$(GO) test -race -timeout 9m ./... -args -rapid.seed=1
+
+lint: $(REVIVE)
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || (gofmt -l $$(git ls-files '*.go'); false)
+	$(GO) vet ./...
+	$(REVIVE) -config revive.toml -set_exit_status -exclude wire/... ./...
+
+$(REVIVE):
+	GOBIN=$(TOOLS) $(GO) install github.com/mgechev/revive@v1.13.0
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 60m ./...
+
+proto:
+	protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative wire/peer.proto
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/tamarindctl/main.go
@@ -0,0 +1,12 @@
+// Command tamarindctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/tamarindstep/tamarindstep/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Main())
+}
--- /dev/null
+++ b/config/check/ts2004/ts2004.go
@@ -0,0 +1,58 @@
+// Package ts2004 finds where a number is out of its range.
+package ts2004
+
+import (
+	"fmt"
+
+	"github.com/tamarindstep/tamarindstep/config/check"
+	"github.com/tamarindstep/tamarindstep/finding"
+)
+
+// Check is the documented check.
+var Check = &check.Check{
+	Code: "TS2004",
+	Doc: check.Doc{
+		Title:    "a number is out of its range",
+		Text:     "Weights lie between 0.01 and 1000, slots between 1 and 4096, and limits, costs and waits are not negative.",
+		Since:    "0.1",
+		Severity: finding.Error,
+	},
+	Run: run,
+}
+
+const (
+	minWeight = 0.01
+	maxWeight = 1000
+	maxSlots  = 4096
+)
+
+func run(p *check.Pass) {
+	for i, a := range p.File.Accounts {
+		path := fmt.Sprintf("accounts[%d]", i)
+		if a.Weight != 0 && (a.Weight < minWeight || a.Weight > maxWeight) {
+			p.Report(path+".weight", "weight %v is not between %v and %v", a.Weight, minWeight, maxWeight)
+		}
+		notNegative(p, path+".limits.concurrent", float64(a.Limits.Concurrent))
+		notNegative(p, path+".limits.queue", float64(a.Limits.Queue))
+		notNegative(p, path+".limits.requests-per-minute", a.Limits.RequestsPerMinute)
+	}
+	for i, pool := range p.File.Pools {
+		path := fmt.Sprintf("pools[%d]", i)
+		notNegative(p, path+".expected-output", pool.ExpectedOutput)
+		notNegative(p, path+".call-cost", pool.CallCost)
+		for j, b := range pool.Backends {
+			if b.Slots < 1 || b.Slots > maxSlots {
+				p.Report(fmt.Sprintf("%s.backends[%d].slots", path, j), "%d slots is not between 1 and %d", b.Slots, maxSlots)
+			}
+		}
+	}
+	for i, r := range p.File.Routes {
+		notNegative(p, fmt.Sprintf("routes[%d].wait", i), float64(r.Wait))
+	}
+}
+
+func notNegative(p *check.Pass, path string, v float64) {
+	if v < 0 {
+		p.Report(path, "a negative number")
+	}
+}
--- /dev/null
+++ b/config/check/ts2005/ts2005.go
@@ -0,0 +1,34 @@
+// Package ts2005 finds where a key isn't given as its hash.
+package ts2005
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/tamarindstep/tamarindstep/config/check"
+	"github.com/tamarindstep/tamarindstep/finding"
+)
+
+// Check is the documented check.
+var Check = &check.Check{
+	Code: "TS2005",
+	Doc: check.Doc{
+		Title:    "a key isn't given as its hash",
+		Text:     "The file holds no keys, only their hashes, as sha256: and 64 hexadecimal digits.",
+		Since:    "0.1",
+		Severity: finding.Error,
+	},
+	Run: run,
+}
+
+var hash = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+
+func run(p *check.Pass) {
+	for i, a := range p.File.Accounts {
+		for j, k := range a.Keys {
+			if !hash.MatchString(k) {
+				p.Report(fmt.Sprintf("accounts[%d].keys[%d]", i, j), "a key is given as sha256: and 64 hexadecimal digits")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,102 @@
+// Package config holds the operators' files: their types, their strict
+// reading, what they amount to for the routers, and how two of them differ.
+package config
+
+import (
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/finding"
+	"github.com/tamarindstep/tamarindstep/internal/strictyaml"
+)
+
+// Version is the version of the file format.
+const Version = 1
+
+// MaxSize is the size of the largest file, in bytes: as much as the platform's
+// store holds in one value, with room for what goes with it.
+const MaxSize = 1000 << 10
+
+// File is an operators' file. It is the whole configuration.
+type File struct {
+	Version  int       `yaml:"version,required" json:"version"`
+	Policy   string    `yaml:"policy" json:"policy,omitempty"`
+	Accounts []Account `yaml:"accounts,required" json:"accounts"`
+	Pools    []Pool    `yaml:"pools,required" json:"pools"`
+	Routes   []Route   `yaml:"routes,required" json:"routes"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name   string   `yaml:"name,required" json:"name"`
+	Weight float64  `yaml:"weight" json:"weight,omitempty"` // 1 where not given
+	Keys   []string `yaml:"keys,required" json:"keys"`      // sha256:HEX of each key
+	Limits Limits   `yaml:"limits" json:"limits,omitzero"`
+}
+
+// Limits are an account's limits; 0 is none.
+type Limits struct {
+	// Concurrent is the number of requests running over the fleet.
+	Concurrent int `yaml:"concurrent" json:"concurrent,omitempty"`
+	// Queue is the number of requests waiting at one router.
+	Queue int `yaml:"queue" json:"queue,omitempty"`
+	// RequestsPerMinute is the rate of requests at one router.
+	RequestsPerMinute float64 `yaml:"requests-per-minute" json:"requests-per-minute,omitempty"`
+}
+
+// The kinds of a pool.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// Pool is a set of backend servers that can stand in for one another.
+type Pool struct {
+	Name string `yaml:"name,required" json:"name"`
+	Kind string `yaml:"kind,required" json:"kind"`
+	// ExpectedOutput is the output expected of a request until some have
+	// finished, in tokens.
+	ExpectedOutput float64 `yaml:"expected-output" json:"expected-output,omitempty"`
+	// CallCost is what one call of a service counts for, in tokens.
+	CallCost float64   `yaml:"call-cost" json:"call-cost,omitempty"`
+	Backends []Backend `yaml:"backends" json:"backends,omitempty"`
+}
+
+// Backend is a backend server.
+type Backend struct {
+	Name     string `yaml:"name,required" json:"name"`
+	Address  string `yaml:"address,required" json:"address"` // IP and port
+	DataHall string `yaml:"data-hall,required" json:"data-hall"`
+	Slots    int    `yaml:"slots,required" json:"slots"` // requests it runs at once
+}
+
+// The ways to treat keyed requests while the store is out.
+const (
+	ClaimsRequired   = "required"
+	ClaimsBestEffort = "best-effort"
+)
+
+// Route says which requests go to which pool, and how.
+type Route struct {
+	Name string `yaml:"name,required" json:"name"`
+	// Model or Service is what the request names; exactly one is given.
+	Model   string `yaml:"model" json:"model,omitempty"`
+	Service string `yaml:"service" json:"service,omitempty"`
+	// Path is the beginning of the service's paths that the route takes.
+	Path  string `yaml:"path" json:"path,omitempty"`
+	Pool  string `yaml:"pool,required" json:"pool"`
+	Class string `yaml:"class" json:"class,omitempty"` // interactive where not given
+	// Repeatable tells whether a request may be sent again after it may have run.
+	Repeatable bool `yaml:"repeatable" json:"repeatable,omitempty"`
+	// Claims tells what happens to a keyed request while the store is out.
+	Claims string `yaml:"claims" json:"claims,omitempty"`
+	// Wait is how long a request may wait where its caller doesn't say.
+	Wait time.Duration `yaml:"wait" json:"wait,omitempty"`
+}
+
+// Read reads a file and returns it with the places of its values and what is
+// wrong with its form.
+func Read(name string, data []byte) (*File, strictyaml.Places, finding.List) {
+	f := &File{}
+	places, findings := strictyaml.Read(name, data, f)
+	return f, places, findings
+}
--- a/core/core.go
+++ b/core/core.go
@@ -61,7 +61,6 @@
 	draining bool
 	actions  []Action
 	outbox   map[string]*wire.Datagram
-	sequence uint64
 
 	// As ingress router.
 	requests  map[RequestID]*request
@@ -86,6 +85,7 @@
 
 	placement placement
 	watched   []model.BackendID // as in the last Watch
+	watching  bool              // the store, as in the last WatchStore
 }
 
 // New returns the core of a router that has just started. The seed drives all
@@ -93,6 +93,7 @@
 func New(now model.Time, self member.Member, seed uint64) *Core {
 	random := rand.New(rand.NewPCG(seed, self.Boot))
 	c := &Core{
+		placement: placement{stale: true},
 		now:       now,
 		config:    &Config{},
 		random:    random,
@@ -257,7 +258,7 @@
 		c.dirtyAll()
 	}
 	if d.Generation > c.config.Generation {
-		c.do(GenerationSeen{From: d.From, Generation: d.Generation})
+		c.do(GenerationSeen{From: d.From, Address: c.members.Get(d.From).Address, Generation: d.Generation})
 	}
 }
 
@@ -285,10 +286,8 @@
 		if m == nil {
 			continue
 		}
-		c.sequence++
 		d.From = c.members.Self().Name
 		d.Boot = c.members.Self().Boot
-		d.Sequence = c.sequence
 		d.Generation = c.config.Generation
 		if d.Probe != nil || len(d.Grants) > 0 {
 			d.Free = c.freeSlots()
@@ -306,4 +305,25 @@
 	c.config = config
 	c.placement.stale = true
 	c.refuseWithdrawn()
+	c.announce()
+}
+
+// announceTo is how many routers are told at once of a new configuration; with
+// each of them telling as many, the fleet knows within a few exchanges.
+const announceTo = 4
+
+// announce tells some routers, chosen by chance, that a configuration is in
+// force here: every datagram carries its generation.
+func (c *Core) announce() {
+	names := c.members.Names()
+	told := 0
+	for _, i := range c.random.Perm(len(names)) {
+		if told == announceTo {
+			return
+		}
+		if c.members.Get(names[i]).Reachable() {
+			c.to(names[i])
+			told++
+		}
+	}
 }
--- a/core/event.go
+++ b/core/event.go
@@ -44,6 +44,8 @@
 	Broken
 	// NotSent is a request of which no byte was written to the backend server.
 	NotSent
+	// Cancelled is a request of which nothing was sent and nothing will be.
+	Cancelled
 )
 
 // Finish ends a dispatched request.
@@ -135,12 +137,18 @@
 // GenerationSeen tells that another router has a newer configuration in force.
 type GenerationSeen struct {
 	From       string
+	Address    string
 	Generation uint64
 }
 
+// WatchStore tells whether this router is one of the few in its data hall that
+// watch the store for the configuration.
+type WatchStore struct{ Watch bool }
+
 func (Dispatch) action()       {}
 func (Refuse) action()         {}
 func (Send) action()           {}
 func (Watch) action()          {}
 func (MemberChanged) action()  {}
 func (GenerationSeen) action() {}
+func (WatchStore) action()     {}
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -284,7 +284,11 @@
 		c.tryAgain(r, q)
 		return
 	}
-	c.chargeTokens(r, r.input+e.Output)
+	if e.Ending == Cancelled {
+		c.chargeTokens(r, 0)
+	} else {
+		c.chargeTokens(r, r.input+e.Output)
+	}
 	if e.Ending == Done {
 		c.lengths(r).Observe(e.Output)
 		delete(c.refused, r.backend)
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -363,6 +363,9 @@
 	return l.virtual(a)
 }
 
+// Keys returns every account and pool that the ledger knows of, in order.
+func (l *Ledger) Keys() []model.Key { return l.order }
+
 // Own returns the service given to an account at this router since its start.
 func (l *Ledger) Own(key model.Key) model.Service {
 	if a := l.accounts[key]; a != nil {
--- a/core/placement.go
+++ b/core/placement.go
@@ -37,6 +37,7 @@
 		ownedBy:  map[string][]model.BackendID{},
 	}
 	c.arrangeTree()
+	c.chooseWatchers(live)
 	if c.config.Policy == nil {
 		return
 	}
@@ -62,6 +63,28 @@
 	c.ledger.SetTree(c.now, order)
 }
 
+// watchersPerHall is how many routers of a data hall watch the store; they tell
+// the others.
+const watchersPerHall = 2
+
+// chooseWatchers finds whether this router is one of those in its data hall
+// that watch the store.
+func (c *Core) chooseWatchers(live []*member.Member) {
+	self := c.members.Self()
+	mine := model.Rendezvous(self.Name, "store")
+	before := 0
+	for _, m := range live {
+		if m.DataHall == self.DataHall && model.Rendezvous(m.Name, "store") > mine {
+			before++
+		}
+	}
+	watch := before < watchersPerHall
+	if watch != c.watching {
+		c.watching = watch
+		c.do(WatchStore{Watch: watch})
+	}
+}
+
 func (c *Core) place(id model.BackendID, live []*member.Member) {
 	b := c.config.Backends[id]
 	owner := c.members.Self().Name
@@ -137,3 +160,21 @@
 		c.watched = mine
 	}
 }
+
+// Responsible returns the address of the live router that a subject falls to by
+// rendezvous hashing, "" where that is this router.
+func (c *Core) Responsible(subject string) string {
+	self := c.members.Self()
+	address, weight := "", uint64(0)
+	for _, m := range c.members.Live() {
+		w := model.Rendezvous(m.Name, subject)
+		if w < weight {
+			continue
+		}
+		address, weight = m.Address, w
+		if m.Name == self.Name {
+			address = ""
+		}
+	}
+	return address
+}
--- /dev/null
+++ b/core/view.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/policy"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// View fills in what operators are shown of this router.
+func (c *Core) View(out *wire.StatusResponse) {
+	self := c.members.Self()
+	out.Name = self.Name
+	out.DataHall = self.DataHall
+	out.Draining = c.draining
+	out.Generation = c.config.Generation
+	if c.config.Policy != nil {
+		out.Policy = c.config.Policy.Name
+	}
+	for _, m := range append([]*member.Member{&self}, c.others()...) {
+		out.Members = append(out.Members, &wire.Rumour{
+			Name: m.Name, Address: m.Address, DataHall: m.DataHall, Incarnation: m.Incarnation, Status: m.Status,
+		})
+	}
+	c.viewBackends(out)
+	c.viewAccounts(out)
+}
+
+func (c *Core) others() []*member.Member {
+	var out []*member.Member
+	for _, name := range c.members.Names() {
+		out = append(out, c.members.Get(name))
+	}
+	return out
+}
+
+func (c *Core) viewBackends(out *wire.StatusResponse) {
+	for _, id := range sortedKeys(c.backends) {
+		b := c.backends[id]
+		slots := b.slots
+		if slots == policy.Unlimited {
+			slots = c.config.Backends[id].Slots
+		}
+		out.Backends = append(out.Backends, &wire.BackendStatus{
+			Name: c.config.Backends[id].Name, Pool: c.config.Pools[b.pool].Name,
+			Slots: uint32(slots), Limit: uint32(min(b.limit, slots)), Occupied: uint32(c.occupied(b)),
+			Leaving: b.load.Leaving || b.load.Failed || c.refuses(id),
+		})
+	}
+}
+
+func (c *Core) viewAccounts(out *wire.StatusResponse) {
+	for _, key := range c.ledger.Keys() {
+		account, known := c.config.Accounts[key.Account]
+		if !known {
+			continue
+		}
+		status := &wire.AccountStatus{
+			Name: account.Name, Pool: c.config.Pools[key.Pool].Name,
+			DeliveredTokens: int64(c.ledger.Own(key).Tokens() * account.Weight),
+			VirtualService:  int64(c.ledger.Virtual(key).Tokens()),
+			Backlogged:      c.ledger.Backlogged(key),
+		}
+		if q := c.queues[key]; q != nil {
+			status.Waiting = uint32(q.length())
+			status.Running = uint32(q.running)
+		}
+		out.Accounts = append(out.Accounts, status)
+	}
+}
+
+// Generation returns the generation of the configuration in force.
+func (c *Core) Generation() uint64 { return c.config.Generation }
+
+// Live returns how many routers are live, this one included.
+func (c *Core) Live() int { return len(c.members.Live()) }
+
+// Address returns the peer address of a live router, "" for none.
+func (c *Core) Address(name string) string {
+	if m := c.members.Get(name); m != nil && m.Reachable() {
+		return m.Address
+	}
+	return ""
+}
--- /dev/null
+++ b/ctl/print.go
@@ -0,0 +1,78 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/tamarindstep/tamarindstep/admin"
+	"github.com/tamarindstep/tamarindstep/finding"
+	"github.com/tamarindstep/tamarindstep/status"
+)
+
+func readStatus(r *reply) (status.Fleet, error) {
+	var out status.Fleet
+	_, err := r.into(&out)
+	return out, err
+}
+
+// table writes rows in columns; the first is the head.
+func table(w io.Writer, rows [][]any) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(t, "\t")
+			}
+			fmt.Fprint(t, cell)
+		}
+		fmt.Fprintln(t)
+	}
+	_ = t.Flush()
+}
+
+func printDiff(w io.Writer, out admin.Compared) {
+	if len(out.Changes) == 0 {
+		fmt.Fprintf(w, "no difference from generation %d\n", out.Generation)
+		return
+	}
+	for _, c := range out.Changes {
+		fmt.Fprintln(w, c)
+	}
+}
+
+func printApplied(w io.Writer, out admin.Applied) {
+	_ = finding.Text(w, out.Findings)
+	fmt.Fprintf(w, "generation %d is accepted\n", out.Generation)
+}
+
+func printPolicies(w io.Writer, out []admin.Policy) {
+	for _, p := range out {
+		mark := ""
+		if p.InForce {
+			mark = " (in force)"
+		}
+		fmt.Fprintf(w, "%s%s, since %s: %s\n    %s\n", p.Name, mark, p.Since, p.Title, p.Text)
+	}
+}
+
+func printStatus(w io.Writer, f status.Fleet) {
+	rows := [][]any{{"ROUTER", "DATA HALL", "STATUS", "READY", "GENERATION", "POLICY", "ERROR"}}
+	for _, r := range f.Routers {
+		rows = append(rows, []any{r.Name, r.DataHall, r.Status, r.Ready, r.Generation, r.Policy, r.Error})
+	}
+	table(w, rows)
+	fmt.Fprintln(w)
+	rows = [][]any{{"BACKEND SERVER", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING"}}
+	for _, b := range f.Backends {
+		rows = append(rows, []any{b.Name, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving})
+	}
+	table(w, rows)
+	fmt.Fprintln(w)
+	rows = [][]any{{"ACCOUNT", "POOL", "SERVICE", "WAITING", "RUNNING", "BACKLOGGED", "GAP"}}
+	for _, a := range f.Accounts {
+		rows = append(rows, []any{a.Name, a.Pool, a.Delivered, a.Waiting, a.Running, a.Backlogged, a.Gap})
+	}
+	table(w, rows)
+	fmt.Fprintf(w, "\ngeneration %d, gap %d tokens\n", f.Generation, f.GapTokens)
+}
--- /dev/null
+++ b/finding/finding.go
@@ -0,0 +1,107 @@
+// Package finding holds what is wrong with something an operator wrote, with
+// its place, so that all of it can be reported together.
+package finding
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Severity tells whether a finding stops the work.
+type Severity string
+
+// The severities. An error stops what was asked; a warning doesn't.
+const (
+	Error   Severity = "error"
+	Warning Severity = "warning"
+)
+
+// Position is a place in a file, or the name of a setting.
+type Position struct {
+	File   string `json:"file"` // or the setting's name
+	Line   int    `json:"line,omitempty"`
+	Column int    `json:"column,omitempty"`
+}
+
+// String returns the position as FILE:LINE:COLUMN, or the bare name.
+func (p Position) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+}
+
+// Finding is one thing that is wrong.
+type Finding struct {
+	Code     string   `json:"code"` // stable; see the table in docs/OPERATORS.md
+	Severity Severity `json:"severity"`
+	Position Position `json:"position"`
+	Message  string   `json:"message"`
+}
+
+// List is a report of findings. It is an error where it holds one.
+type List []Finding
+
+// Sort orders the findings by place, then code.
+func (l List) Sort() {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(
+			cmp.Compare(a.Position.File, b.Position.File),
+			cmp.Compare(a.Position.Line, b.Position.Line),
+			cmp.Compare(a.Position.Column, b.Position.Column),
+			cmp.Compare(a.Code, b.Code),
+		)
+	})
+}
+
+// Failed tells whether any finding is an error.
+func (l List) Failed() bool {
+	return slices.ContainsFunc(l, func(f Finding) bool { return f.Severity == Error })
+}
+
+// Error returns all findings, a line each.
+func (l List) Error() string {
+	var b strings.Builder
+	_ = Text(&b, l)
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+// Err returns the list where it holds an error, else nil.
+func (l List) Err() error {
+	if l.Failed() {
+		return l
+	}
+	return nil
+}
+
+// Formatter writes a report.
+type Formatter func(io.Writer, List) error
+
+// Formatters holds the formatters by name.
+var Formatters = map[string]Formatter{"text": Text, "json": JSON}
+
+// Text writes one line for each finding.
+func Text(w io.Writer, l List) error {
+	for _, f := range l {
+		if _, err := fmt.Fprintf(w, "%s: %s: %s (%s)\n", f.Position, f.Severity, f.Message, f.Code); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// JSON writes one object that holds all findings.
+func JSON(w io.Writer, l List) error {
+	if l == nil {
+		l = List{}
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(struct {
+		Findings List `json:"findings"`
+	}{l})
+}
--- /dev/null
+++ b/front/call.go
@@ -0,0 +1,205 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// The headers that callers may set.
+const (
+	waitHeader        = "Tamarindstep-Wait"
+	classHeader       = "Tamarindstep-Class"
+	idempotencyHeader = "Idempotency-Key"
+	requestIDHeader   = "X-Request-Id"
+)
+
+const (
+	maxWait           = time.Hour
+	maxIdempotencyKey = 255
+	// bytesPerToken is how many bytes of text a token is taken for.
+	bytesPerToken = 4.0
+	servicePrefix = "/services/"
+)
+
+// call is a caller's request, understood.
+type call struct {
+	id         string
+	account    model.AccountID
+	name       string // of the account
+	route      *config.CompiledRoute
+	class      model.Class
+	input      float64 // tokens
+	wait       time.Duration
+	key        string // of idempotency, "" for none
+	path       string // at the backend server
+	body       []byte
+	eventsWish bool // the answer is to be streamed
+}
+
+// repeatable tells whether the request may be sent again after it may have run.
+func (c *call) repeatable() bool { return c.route.Repeatable && c.key == "" }
+
+// problem is a refusal with what is particular about it.
+type problem struct {
+	refusal *Refusal
+	detail  string
+}
+
+// understand reads a caller's request.
+func understand(ctx *fasthttp.RequestCtx, c *config.InForce) (*call, *problem) {
+	key, _ := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	account, ok := c.AccountOf(key)
+	if !ok {
+		return nil, &problem{refusal: UnknownKey}
+	}
+	out := &call{account: account, name: c.Core.Accounts[account].Name, body: ctx.Request.Body()}
+	path := string(ctx.Path())
+	var p *problem
+	if rest, ok := strings.CutPrefix(path, servicePrefix); ok {
+		p = out.readService(ctx, c, rest)
+	} else {
+		p = out.readCompletion(ctx, c, path)
+	}
+	if p != nil {
+		return nil, p
+	}
+	return out, out.readHeaders(&ctx.Request.Header)
+}
+
+func (c *call) readService(ctx *fasthttp.RequestCtx, conf *config.InForce, rest string) *problem {
+	service, path, _ := strings.Cut(rest, "/")
+	c.path = "/" + path
+	c.route = conf.ServiceRoute(service, c.path)
+	if c.route == nil {
+		return &problem{UnknownService, fmt.Sprintf("%q, %q", service, c.path)}
+	}
+	if query := ctx.QueryArgs().QueryString(); len(query) > 0 {
+		c.path += "?" + string(query)
+	}
+	c.input = c.route.CallCost
+	return nil
+}
+
+// completion is the part of an OpenAI-style request that matters here.
+type completion struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+func (c *call) readCompletion(ctx *fasthttp.RequestCtx, conf *config.InForce, path string) *problem {
+	if !ctx.IsPost() {
+		return &problem{UnknownPath, path}
+	}
+	var in completion
+	if err := json.Unmarshal(c.body, &in); err != nil {
+		return &problem{MalformedBody, jsonPlace(c.body, err)}
+	}
+	switch {
+	case in.Model == "":
+		return &problem{MalformedBody, `field "model" is missing`}
+	case strings.HasSuffix(path, "/chat/completions") && len(in.Messages) == 0:
+		return &problem{MalformedBody, `field "messages" is missing`}
+	case strings.HasSuffix(path, "/v1/completions") && len(in.Prompt) == 0:
+		return &problem{MalformedBody, `field "prompt" is missing`}
+	}
+	c.route = conf.ModelRoute(in.Model)
+	if c.route == nil {
+		return &problem{UnknownModel, fmt.Sprintf("%q", in.Model)}
+	}
+	c.path = path
+	c.eventsWish = in.Stream
+	c.input = float64(len(in.Prompt)+len(in.Messages)) / bytesPerToken
+	return nil
+}
+
+// jsonPlace tells where a body stops being JSON, by line and column.
+func jsonPlace(body []byte, err error) string {
+	offset := int64(len(body))
+	switch e := err.(type) {
+	case *json.SyntaxError:
+		offset = e.Offset
+	case *json.UnmarshalTypeError:
+		offset = e.Offset
+	}
+	before := string(body[:min(offset, int64(len(body)))])
+	line := strings.Count(before, "\n") + 1
+	column := len(before) - strings.LastIndex(before, "\n") - 1
+	return fmt.Sprintf("line %d, column %d: %v", line, max(column, 1), err)
+}
+
+func (c *call) readHeaders(h *fasthttp.RequestHeader) *problem {
+	c.class = c.route.Class
+	c.wait = c.route.Wait
+	switch class := string(h.Peek(classHeader)); class {
+	case "":
+	case model.Interactive.String():
+		c.class = max(c.class, model.Interactive)
+	case model.Batch.String():
+		c.class = model.Batch
+	default:
+		return &problem{BadClass, fmt.Sprintf("%q", class)}
+	}
+	if wait := string(h.Peek(waitHeader)); wait != "" {
+		d, err := time.ParseDuration(wait)
+		if err != nil || d <= 0 || d > maxWait {
+			return &problem{BadDeadline, fmt.Sprintf("%q", wait)}
+		}
+		c.wait = d
+	}
+	c.key = string(h.Peek(idempotencyHeader))
+	if len(c.key) > maxIdempotencyKey {
+		return &problem{refusal: BadKey}
+	}
+	c.id = string(h.Peek(requestIDHeader))
+	if c.id == "" {
+		c.id = newRequestID()
+	}
+	return nil
+}
+
+// backendRequest returns the request as it is sent to a backend server.
+func (c *call) backendRequest(ctx *fasthttp.RequestCtx, engine bool) (*fasthttp.Request, error) {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethodBytes(ctx.Method())
+	req.SetRequestURI(c.path)
+	req.Header.SetHost("backend")
+	req.Header.Set(requestIDHeader, c.id)
+	req.Header.SetContentTypeBytes(ctx.Request.Header.ContentType())
+	if accept := ctx.Request.Header.Peek(fasthttp.HeaderAccept); len(accept) > 0 {
+		req.Header.SetBytesV(fasthttp.HeaderAccept, accept)
+	}
+	body := c.body
+	if engine {
+		var err error
+		if body, err = withPriority(body, c.class); err != nil {
+			fasthttp.ReleaseRequest(req)
+			return nil, err
+		}
+	}
+	req.SetBody(body)
+	return req, nil
+}
+
+// withPriority sets the field by which engines order their queue; the lowest
+// goes first.
+func withPriority(body []byte, class model.Class) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	priority, err := json.Marshal(int(class))
+	if err != nil {
+		return nil, err
+	}
+	fields["priority"] = priority
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/front/refusal.go
@@ -0,0 +1,105 @@
+package front
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/core"
+)
+
+// OutcomeHeader tells the caller of a refused request whether it was run.
+const OutcomeHeader = "Tamarindstep-Outcome"
+
+// The outcomes of a refused request.
+const (
+	NotRun  = "not-run" // no byte of it was written to a backend server
+	Unknown = "unknown" // it may have been run
+)
+
+// Refusal is a kind of refusal, as docs/OPERATORS.md lists them.
+type Refusal struct {
+	Code    string
+	Status  int
+	Outcome string
+	Message string
+}
+
+// The refusals.
+var (
+	UnknownKey     = &Refusal{"unknown-key", 401, NotRun, "the key belongs to no client account"}
+	UnknownModel   = &Refusal{"unknown-model", 404, NotRun, "no route takes the model"}
+	UnknownService = &Refusal{"unknown-service", 404, NotRun, "no route takes the service and path"}
+	UnknownPath    = &Refusal{"unknown-path", 404, NotRun, "nothing is served there"}
+	MalformedBody  = &Refusal{"malformed-body", 400, NotRun, "the body can't be read"}
+	BodyTooLarge   = &Refusal{"body-too-large", 413, NotRun, "the body is too large"}
+	BadDeadline    = &Refusal{"bad-deadline", 400, NotRun, "the header Tamarindstep-Wait isn't a duration such as 30s, of at most 1h"}
+	BadClass       = &Refusal{"bad-class", 400, NotRun, "the header Tamarindstep-Class is neither interactive nor batch"}
+	BadKey         = &Refusal{"bad-idempotency-key", 400, NotRun, "the header Idempotency-Key has more than 255 characters"}
+	NotReady       = &Refusal{"not-ready", 503, NotRun, "the router has no configuration yet"}
+
+	QueueFull    = &Refusal{"queue-full", 429, NotRun, "the client account has as many requests waiting as it may"}
+	RateLimited  = &Refusal{"rate-limited", 429, NotRun, "the client account has sent as many requests as it may"}
+	WaitExceeded = &Refusal{"wait-exceeded", 503, NotRun, "the request has waited as long as it may"}
+	Draining     = &Refusal{"draining", 503, NotRun, "the router is stopping; another will take the request"}
+	Unreachable  = &Refusal{"backends-unreachable", 503, NotRun, "no backend server could be reached"}
+	Withdrawn    = &Refusal{"account-withdrawn", 403, NotRun, "the configuration no longer has the client account or the pool"}
+
+	ClaimUnavailable = &Refusal{"claim-unavailable", 503, NotRun, "the request may not be repeated, and its key can't be claimed now"}
+	AlreadyClaimed   = &Refusal{"already-claimed", 409, Unknown, "a request with this key has been taken before"}
+	BackendBroke     = &Refusal{"backend-broke", 502, Unknown, "the backend server broke off after the request was sent"}
+)
+
+// refusals lists all refusals.
+var refusals = []*Refusal{
+	UnknownKey, UnknownModel, UnknownService, UnknownPath, MalformedBody, BodyTooLarge, BadDeadline,
+	BadClass, BadKey, NotReady, QueueFull, RateLimited, WaitExceeded, Draining, Unreachable,
+	Withdrawn, ClaimUnavailable, AlreadyClaimed, BackendBroke,
+}
+
+// Refusals returns every kind of refusal.
+func Refusals() []*Refusal { return refusals }
+
+// ofCore returns the refusal for the core's reason.
+func ofCore(reason core.Refusal) *Refusal {
+	for _, r := range refusals {
+		if r.Code == string(reason) {
+			return r
+		}
+	}
+	return Unreachable
+}
+
+type errorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+}
+
+// minRetryAfter is the least a refused caller is asked to wait.
+const minRetryAfter = time.Second
+
+// write answers a request with the refusal.
+func (r *Refusal) write(ctx *fasthttp.RequestCtx, detail string, retryAfter time.Duration) {
+	message := r.Message
+	if detail != "" {
+		message += ": " + detail
+	}
+	body, err := json.Marshal(struct {
+		Error errorBody `json:"error"`
+	}{errorBody{Message: message, Type: "tamarindstep_refusal", Code: r.Code, Outcome: r.Outcome}})
+	if err != nil {
+		body = nil
+	}
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(r.Status)
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(OutcomeHeader, r.Outcome)
+	seconds := int(math.Ceil(max(retryAfter, minRetryAfter).Seconds()))
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/front/serve.go
@@ -0,0 +1,274 @@
+package front
+
+import (
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/tamarindstep/tamarindstep/claim"
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/internal/socket"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+)
+
+const (
+	// maxSends is how often a request that may be repeated is sent.
+	maxSends = 3
+	// lookEvery is how often a waiting request's caller is looked at.
+	lookEvery = 500 * time.Millisecond
+	// maxHeld is the size up to which an answer that isn't streamed is held
+	// until it is whole, in bytes.
+	maxHeld     = 1 << 20
+	firstBuffer = 4096
+)
+
+// attempt is one request on its way through the router.
+type attempt struct {
+	service *Service
+	ctx     *fasthttp.RequestCtx
+	call    *call
+	trace   context.Context
+	span    trace.Span
+	began   time.Time
+	held    *scheduler.Request
+	claimed bool
+	streams bool // the answer is being handed on after the handler has returned
+	holder  claim.Holder
+	sends   int
+}
+
+// serve carries a request through: it waits for a backend server, claims its
+// key, is sent, and its answer is relayed.
+func (s *Service) serve(ctx *fasthttp.RequestCtx, c *call) {
+	a := &attempt{service: s, ctx: ctx, call: c, began: time.Now(), holder: claim.NewHolder()}
+	a.trace, a.span = s.traces.Begin(s.traces.Extract(context.Background(), &ctx.Request.Header), "request", trace.SpanKindServer)
+	a.span.SetAttributes(attribute.String("account", c.name), attribute.String("route", c.route.Name))
+	ctx.Response.Header.Set(requestIDHeader, c.id)
+	a.submit()
+	for {
+		d, left := a.wait()
+		if left {
+			a.end("caller-left")
+			return
+		}
+		if !d.Dispatched {
+			a.unclaim()
+			a.refuse(ofCore(d.Refusal), "", d.RetryAfter)
+			return
+		}
+		if a.claim() && a.send(d) {
+			return
+		}
+		if a.held == nil {
+			return
+		}
+	}
+}
+
+func (a *attempt) submit() {
+	a.held = a.service.scheduler.Submit(core.Arrive{
+		Account: a.call.account, Pool: a.call.route.Pool, Class: a.call.class,
+		Input: a.call.input, Wait: a.call.wait - time.Since(a.began),
+	})
+}
+
+// wait waits for the core's decision, and tells whether the caller left first.
+func (a *attempt) wait() (scheduler.Decision, bool) {
+	_, span := a.service.traces.Begin(a.trace, "wait", trace.SpanKindInternal)
+	defer span.End()
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case d := <-a.held.Decisions:
+			return d, false
+		case <-ticker.C:
+			if socket.Look(a.ctx.Conn()) != socket.Ended {
+				continue
+			}
+			a.held.Abandon()
+			a.held.Finish(0, core.Cancelled)
+			a.unclaim()
+			a.ctx.SetConnectionClose()
+			return scheduler.Decision{}, true
+		}
+	}
+}
+
+// claim claims the request's key, where it has one, before anything is sent. It
+// returns false where the request was refused for it.
+func (a *attempt) claim() bool {
+	if a.call.key == "" || a.claimed {
+		return true
+	}
+	_, span := a.service.traces.Begin(a.trace, "claim", trace.SpanKindInternal)
+	result := a.service.claims.Claim(a.trace, claim.KeyOf(a.call.account, a.call.key), a.holder)
+	span.SetAttributes(attribute.Stringer("result", result))
+	span.End()
+	switch {
+	case result == claim.Held:
+		a.claimed = true
+		return true
+	case result == claim.Unavailable && a.call.route.BestEffort:
+		return true
+	}
+	a.held.Finish(0, core.Cancelled)
+	a.held = nil
+	if result == claim.Taken {
+		a.refuse(AlreadyClaimed, "", 0)
+		return false
+	}
+	a.service.claims.Release(claim.KeyOf(a.call.account, a.call.key), a.holder)
+	a.refuse(ClaimUnavailable, "", 0)
+	return false
+}
+
+// unclaim gives the key back after nothing was sent for it.
+func (a *attempt) unclaim() {
+	if a.claimed && a.sends == 0 {
+		a.service.claims.Release(claim.KeyOf(a.call.account, a.call.key), a.holder)
+		a.claimed = false
+	}
+}
+
+// send sends the request to the backend server that was decided on. It returns
+// false where the request waits again.
+func (a *attempt) send(d scheduler.Decision) bool {
+	s := a.service
+	c := s.generation.InForce()
+	backend := c.Core.Backends[d.Backend]
+	policy := c.Core.Policy.Name
+	s.metrics.Front.Wait.WithLabelValues(a.call.name, a.call.class.String(), policy).Observe(d.Waited.Seconds())
+	ctx, span := s.traces.Begin(a.trace, "backend", trace.SpanKindClient)
+	span.SetAttributes(attribute.String("backend", backend.Name))
+	defer span.End()
+	req, err := a.call.backendRequest(a.ctx, c.Core.Pools[a.call.route.Pool].FollowLoad)
+	if err != nil {
+		a.held.Finish(0, core.Cancelled)
+		a.unclaim()
+		a.refuse(MalformedBody, err.Error(), 0)
+		return true
+	}
+	defer fasthttp.ReleaseRequest(req)
+	s.traces.Inject(ctx, &req.Header)
+	answer, err := s.back.Send(context.WithoutCancel(ctx), c.AddressOf(d.Backend), req)
+	if exchange.NotSent(err) {
+		span.SetStatus(codes.Error, err.Error())
+		a.held.Retry()
+		return false
+	}
+	a.sends++
+	s.metrics.Share.Dispatched.WithLabelValues(a.call.name, backend.Name, policy).Inc()
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		return a.brokeOff(err)
+	}
+	return a.relay(answer)
+}
+
+// brokeOff handles a backend server that broke off before any of its answer
+// went to the caller. It returns false where the request waits again.
+func (a *attempt) brokeOff(cause error) bool {
+	a.held.Finish(0, core.Broken)
+	if a.call.repeatable() && a.sends < maxSends {
+		a.submit()
+		return false
+	}
+	a.refuse(BackendBroke, cause.Error(), 0)
+	return true
+}
+
+// relay hands the answer on to the caller. It returns false where the request
+// waits again, as the answer broke off before any of it was handed on.
+func (a *attempt) relay(answer *exchange.Answer) bool {
+	events := strings.HasPrefix(string(answer.Header.ContentType()), "text/event-stream")
+	r := &relay{answer: answer, meter: meter{events: events}, told: time.Now(), progress: a.held.Progress}
+	r.finish = a.finished
+	size := firstBuffer
+	if !events {
+		size = maxHeld
+	}
+	r.head, r.headErr = readHead(answer, size, events)
+	if r.headErr != nil && r.headErr != io.EOF {
+		cause := r.headErr
+		r.finished = true
+		answer.Close()
+		return a.brokeOff(cause)
+	}
+	if !events && r.headErr == io.EOF {
+		r.meter.takeUsage(r.head)
+	}
+	a.service.metrics.Front.First.WithLabelValues(a.call.route.Name).Observe(time.Since(a.began).Seconds())
+	a.answerHead(answer)
+	length := answer.Header.ContentLength()
+	if !events && r.headErr == io.EOF {
+		body := r.head
+		r.end(core.Done)
+		a.ctx.SetBody(body)
+		return true
+	}
+	a.streams = true
+	a.service.open.Add(1)
+	a.ctx.SetBodyStream(r, max(length, -1))
+	return true
+}
+
+func (a *attempt) answerHead(answer *exchange.Answer) {
+	a.ctx.SetStatusCode(answer.StatusCode())
+	a.ctx.SetContentType(string(answer.Header.ContentType()))
+	if after := answer.Header.Peek(fasthttp.HeaderRetryAfter); len(after) > 0 {
+		a.ctx.Response.Header.SetBytesV(fasthttp.HeaderRetryAfter, after)
+	}
+}
+
+// readHead reads the beginning of an answer: of a stream of events what comes
+// first, of any other as much as there is, up to size.
+func readHead(answer *exchange.Answer, size int, events bool) ([]byte, error) {
+	buffer := make([]byte, 0, min(size, firstBuffer))
+	for len(buffer) < size {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		n, err := answer.Read(buffer[len(buffer):min(cap(buffer), size)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil || events && n > 0 {
+			return buffer, err
+		}
+	}
+	return buffer, nil
+}
+
+// finished is called once the answer has been handed on, or has broken off.
+func (a *attempt) finished(tokens float64, ending core.Ending) {
+	a.held.Finish(tokens, ending)
+	s := a.service
+	if a.streams {
+		defer s.open.Add(-1)
+	}
+	c := s.generation.InForce()
+	s.metrics.Share.Tokens.WithLabelValues(a.call.name, a.call.route.Name, c.Core.Policy.Name).Add(tokens + a.call.input)
+	if ending == core.Done {
+		a.end("done")
+		return
+	}
+	a.span.SetStatus(codes.Error, "broken off")
+	a.end("broken")
+}
+
+func (a *attempt) refuse(r *Refusal, detail string, retryAfter time.Duration) {
+	a.span.SetStatus(codes.Error, r.Code)
+	a.service.refuse(a.ctx, r, detail, retryAfter)
+	a.end(r.Code)
+}
+
+func (a *attempt) end(outcome string) {
+	a.span.End()
+	a.service.metrics.Front.Requests.WithLabelValues(a.call.name, a.call.route.Name, outcome).Inc()
+}
--- /dev/null
+++ b/generation/generation.go
@@ -0,0 +1,397 @@
+// Package generation brings every accepted configuration into force, and takes
+// new ones from the operators into the platform's store.
+//
+// The store holds one document. An apply swaps it for the next generation,
+// only if the generation it builds on is still there, with the apply's own
+// identifier inside: where the swap's answer is lost, reading back tells
+// whether it took effect. A few routers of each data hall watch the store; the
+// others see the generation in the datagrams and fetch the document from
+// whoever has it. No router ever goes back to a lower generation.
+//
+// A router that starts reads the store. While the store is out it asks the other
+// routers, takes the highest generation any of them has, and serves only once
+// more than half of those in the VM list have answered: an accepted
+// configuration is in force at all but those that were cut off.
+//
+// A router that is cut off from the store and from the others goes on serving
+// with what it has: refusing would turn every outage of the store into one of
+// the fleet.
+package generation
+
+import (
+	"context"
+	"crypto/rand"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/config/check/checks"
+	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/peer"
+	"github.com/tamarindstep/tamarindstep/platform"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// ServiceName is the name that the service is found by.
+const ServiceName = "generation"
+
+// Key is where the store holds the configuration.
+const Key = "tamarindstep/configuration"
+
+const (
+	retryPause   = 250 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+	applyTimeout = 10 * time.Second
+)
+
+// The errors of an apply.
+var (
+	namespace = errorx.NewNamespace("generation")
+	// Conflict is the error for an apply that builds on a generation that isn't
+	// the last any more.
+	Conflict = namespace.NewType("conflict")
+	// Unknown is the error for an apply of which it isn't known whether it took
+	// hold. The same apply, with the same identifier, may be made again.
+	Unknown = namespace.NewType("unknown")
+)
+
+// Peers lists the routers that can be asked, by name and address.
+type Peers interface {
+	Routers() map[string]string
+}
+
+// Service keeps the configuration in force.
+type Service struct {
+	store   platform.Store
+	log     zerolog.Logger
+	metrics *telemetry.Platform
+
+	scheduler *scheduler.Service
+	calls     *peer.Service
+	peers     Peers
+
+	inForce atomic.Pointer[config.InForce]
+	ready   atomic.Bool
+
+	mu       sync.Mutex
+	document *wire.Document
+	revision int64 // of the document in the store, 0 where it came from a router
+	fetching bool
+
+	watch  chan bool
+	cancel context.CancelFunc
+	run    context.Context
+	ended  sync.WaitGroup
+}
+
+// New returns the service.
+func New(store platform.Store, log zerolog.Logger, metrics *telemetry.Platform) *Service {
+	return &Service{store: store, log: log, metrics: metrics, watch: make(chan bool, 16)}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{peer.ServiceName, scheduler.ServiceName, "fleet"}
+}
+
+// Start implements kernel.Service. It doesn't wait for a configuration.
+func (s *Service) Start(ctx context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.scheduler, err = kernel.Lookup[*scheduler.Service](k, scheduler.ServiceName); err != nil {
+		return err
+	}
+	if s.calls, err = kernel.Lookup[*peer.Service](k, peer.ServiceName); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[Peers](k, "fleet"); err != nil {
+		return err
+	}
+	s.run, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	s.scheduler.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted})
+	s.ended.Add(2)
+	go s.begin()
+	go s.followStore()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.ended.Wait()
+	return nil
+}
+
+// InForce returns the configuration in force, or nil.
+func (s *Service) InForce() *config.InForce { return s.inForce.Load() }
+
+// Ready tells whether the configuration in force is known to be recent.
+func (s *Service) Ready() bool { return s.ready.Load() && s.InForce() != nil }
+
+// Document returns the document in force, or nil.
+func (s *Service) Document() *wire.Document {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.document
+}
+
+// begin gets the first configuration: from the store, or while that is out from
+// the other routers.
+func (s *Service) begin() {
+	defer s.ended.Done()
+	for s.run.Err() == nil && !s.ready.Load() {
+		if s.readStore() || s.askRouters() {
+			s.ready.Store(true)
+			return
+		}
+		s.pause()
+	}
+}
+
+func (s *Service) pause() {
+	select {
+	case <-s.run.Done():
+	case <-time.After(retryPause):
+	}
+}
+
+// readStore reads the store and tells whether it answered.
+func (s *Service) readStore() bool {
+	s.metrics.StoreCalls.WithLabelValues("get").Inc()
+	v, err := s.store.Get(s.run, Key)
+	if err != nil {
+		s.metrics.StoreFailures.WithLabelValues("get").Inc()
+		return false
+	}
+	s.installValue(v)
+	return true
+}
+
+// askRouters takes the highest generation that any router has, and tells
+// whether more than half of the others answered.
+func (s *Service) askRouters() bool {
+	others := s.peers.Routers()
+	answered := 0
+	for _, address := range others {
+		if s.fetch(address) == nil {
+			answered++
+		}
+	}
+	return s.InForce() != nil && 2*answered > len(others)
+}
+
+// fetch brings a router's document into force here, if it is newer.
+func (s *Service) fetch(address string) error {
+	ctx, cancel := context.WithTimeout(s.run, fetchTimeout)
+	defer cancel()
+	return s.calls.Call(ctx, address, func(ctx context.Context, c wire.DRPCPeerClient) error {
+		out, err := c.Fetch(ctx, &wire.FetchRequest{Generation: s.Document().GetGeneration()})
+		if err != nil {
+			return err
+		}
+		if out.Document != nil {
+			s.install(out.Document, 0)
+		}
+		return nil
+	})
+}
+
+// Fetch answers another router.
+func (s *Service) Fetch(_ context.Context, in *wire.FetchRequest) (*wire.FetchResponse, error) {
+	d := s.Document()
+	if d.GetGeneration() <= in.Generation {
+		return &wire.FetchResponse{}, nil
+	}
+	return &wire.FetchResponse{Document: d}, nil
+}
+
+// generationSeen fetches a newer configuration from the router that has it.
+func (s *Service) generationSeen(address string, generation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fetching || generation <= s.document.GetGeneration() || s.run.Err() != nil {
+		return
+	}
+	s.fetching = true
+	s.ended.Add(1)
+	go func() {
+		defer s.ended.Done()
+		_ = s.fetch(address)
+		s.mu.Lock()
+		s.fetching = false
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Service) watchWanted(watch bool) {
+	select {
+	case s.watch <- watch:
+	case <-s.run.Done():
+	}
+}
+
+// followStore watches the store while this router is one of those that do.
+func (s *Service) followStore() {
+	defer s.ended.Done()
+	stop := func() {}
+	for {
+		select {
+		case <-s.run.Done():
+			stop()
+			return
+		case watch := <-s.watch:
+			stop()
+			stop = func() {}
+			if watch {
+				ctx, cancel := context.WithCancel(s.run)
+				stop = cancel
+				s.ended.Add(1)
+				go s.watchStore(ctx)
+			}
+		}
+	}
+}
+
+func (s *Service) watchStore(ctx context.Context) {
+	defer s.ended.Done()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		revision := s.revision
+		s.mu.Unlock()
+		s.metrics.StoreCalls.WithLabelValues("watch").Inc()
+		v, err := s.store.Wait(ctx, Key, revision)
+		if err != nil {
+			s.metrics.StoreFailures.WithLabelValues("watch").Inc()
+			s.pause()
+			continue
+		}
+		s.installValue(v)
+	}
+}
+
+func (s *Service) installValue(v platform.Value) {
+	if v.Revision == 0 {
+		return
+	}
+	d := &wire.Document{}
+	if err := proto.Unmarshal(v.Data, d); err != nil {
+		s.log.Error().Err(err).Msg("the store's configuration can't be read")
+		return
+	}
+	s.install(d, v.Revision)
+}
+
+// install brings a document into force, if it is newer than what is.
+func (s *Service) install(d *wire.Document, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, revision)
+	if d.Generation <= s.document.GetGeneration() {
+		return
+	}
+	text, err := config.DocumentText(d)
+	if err != nil {
+		s.log.Error().Err(err).Msg("a configuration can't be read")
+		return
+	}
+	f, findings := checks.File("configuration", text)
+	if findings.Failed() {
+		s.log.Error().Err(findings).Uint64("generation", d.Generation).Msg("a configuration isn't valid here")
+		return
+	}
+	s.document = d
+	c := config.Compile(d.Generation, f)
+	s.inForce.Store(c)
+	s.scheduler.Configure(c)
+	s.metrics.Generation.Set(float64(d.Generation))
+	s.log.Info().Uint64("generation", d.Generation).Str("policy", c.Core.Policy.Name).Msg("configuration in force")
+}
+
+// Apply is a request to put a new configuration in force.
+type Apply struct {
+	ID   string // the same for every try of one apply
+	Base uint64 // the generation that it builds on
+	Text []byte
+}
+
+// NewApplyID returns an identifier that no other apply has.
+func NewApplyID() string { return rand.Text() }
+
+// Apply swaps the configuration in the store, and returns its generation. It
+// is accepted once the store has it. Findings are returned as an error.
+func (s *Service) Apply(ctx context.Context, a Apply) (uint64, error) {
+	_, findings := checks.File("configuration", a.Text)
+	if err := findings.Err(); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	sent := false
+	for {
+		generation, done, err := s.tryApply(ctx, a, &sent)
+		if done {
+			return generation, err
+		}
+		select {
+		case <-ctx.Done():
+			if sent {
+				return 0, Unknown.New("the store's answer is lost and it can't be read back")
+			}
+			return 0, platform.Unavailable.Wrap(err, "nothing was applied")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// tryApply reads the store and swaps. done tells whether the outcome is known.
+// A swap whose answer was lost is settled by the next try: either the apply's
+// identifier is there, or the swap is made again on the same revision, which
+// only one of the two can win.
+func (s *Service) tryApply(ctx context.Context, a Apply, sent *bool) (generation uint64, done bool, err error) {
+	s.metrics.StoreCalls.WithLabelValues("get").Inc()
+	v, err := s.store.Get(ctx, Key)
+	if err != nil {
+		return 0, false, err
+	}
+	before := &wire.Document{}
+	if err := proto.Unmarshal(v.Data, before); err != nil {
+		return 0, true, config.Corrupt.Wrap(err, "the store's configuration can't be read")
+	}
+	if slices.Contains(before.Applies, a.ID) {
+		s.installValue(v)
+		return before.Generation, true, nil
+	}
+	if before.Generation != a.Base {
+		return 0, true, Conflict.New("the last generation is %d, not %d", before.Generation, a.Base)
+	}
+	after, err := config.NewDocument(before, a.ID, a.Text)
+	if err != nil {
+		return 0, true, err
+	}
+	data, err := proto.Marshal(after)
+	if err != nil {
+		return 0, true, err
+	}
+	s.metrics.StoreCalls.WithLabelValues("swap").Inc()
+	next, swapped, err := s.store.Swap(ctx, Key, v.Revision, data)
+	if err != nil {
+		s.metrics.StoreFailures.WithLabelValues("swap").Inc()
+		*sent = *sent || errorx.IsOfType(err, platform.Ambiguous)
+		return 0, false, err
+	}
+	if !swapped {
+		return 0, false, nil
+	}
+	s.installValue(next)
+	return after.Generation, true, nil
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Store stands in for the key-value service: the part of etcd's JSON API that
+// the routers use, with every call counted.
+type Store struct {
+	faulty
+
+	mu       sync.Mutex
+	revision int64
+	values   map[string]storeValue
+	changed  chan struct{}
+	calls    StoreCalls
+}
+
+type storeValue struct {
+	data     []byte
+	revision int64
+}
+
+// StoreCalls counts the calls of a store.
+type StoreCalls struct {
+	Reads   int `json:"reads"`
+	Writes  int `json:"writes"`
+	Watches int `json:"watches"` // begun
+	Waiting int `json:"waiting"` // watches that wait now
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{values: map[string]storeValue{}, changed: make(chan struct{})}
+}
+
+// Calls returns the calls counted so far.
+func (s *Store) Calls() StoreCalls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetFaults sets the failures that the store shows.
+func (s *Store) SetFaults(f Faults) {
+	s.faulty.mu.Lock()
+	defer s.faulty.mu.Unlock()
+	s.faulty.faults = f
+	if f.Out {
+		s.endWatches()
+	}
+}
+
+// Handle answers one call.
+func (s *Store) Handle(ctx *fasthttp.RequestCtx) {
+	if s.handleFaults(ctx) {
+		if s.get().Out {
+			s.endWatches()
+		}
+		return
+	}
+	if string(ctx.Path()) == "/standin/calls" {
+		writeJSON(ctx, s.Calls())
+		return
+	}
+	faults := s.get()
+	if faults.Out {
+		dropConnection(ctx)
+		return
+	}
+	switch string(ctx.Path()) {
+	case "/v3/kv/range":
+		s.handleRange(ctx)
+	case "/v3/kv/txn":
+		s.handleTxn(ctx)
+	case "/v3/watch":
+		s.handleWatch(ctx)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+	slow(faults)
+}
+
+type storeKV struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision string `json:"mod_revision"`
+}
+
+func (s *Store) lookup(key []byte) []storeKV {
+	v, ok := s.values[string(key)]
+	if !ok {
+		return nil
+	}
+	return []storeKV{{Key: key, Value: v.data, ModRevision: strconv.FormatInt(v.revision, 10)}}
+}
+
+func (s *Store) header() map[string]string {
+	return map[string]string{"revision": strconv.FormatInt(s.revision, 10)}
+}
+
+func (s *Store) handleRange(ctx *fasthttp.RequestCtx) {
+	var in struct {
+		Key []byte `json:"key"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Reads++
+	writeJSON(ctx, map[string]any{"header": s.header(), "kvs": s.lookup(in.Key)})
+}
+
+type storeTxn struct {
+	Compare []struct {
+		Key         []byte `json:"key"`
+		ModRevision string `json:"mod_revision"`
+	} `json:"compare"`
+	Success []struct {
+		Put struct {
+			Key   []byte `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"request_put"`
+	} `json:"success"`
+}
+
+func (s *Store) handleTxn(ctx *fasthttp.RequestCtx) {
+	var in storeTxn
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil || len(in.Compare) != 1 || len(in.Success) != 1 {
+		ctx.Error("a transaction is one comparison and one put here", fasthttp.StatusBadRequest)
+		return
+	}
+	succeeded, found := s.swap(in)
+	if succeeded && s.loseAnswer() {
+		dropConnection(ctx)
+		return
+	}
+	out := map[string]any{"succeeded": succeeded}
+	s.mu.Lock()
+	out["header"] = s.header()
+	s.mu.Unlock()
+	if !succeeded {
+		out["responses"] = []any{map[string]any{"response_range": map[string]any{"kvs": found}}}
+	}
+	writeJSON(ctx, out)
+}
+
+// swap carries out a transaction; where it fails it returns what is there.
+func (s *Store) swap(in storeTxn) (bool, []storeKV) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Writes++
+	key := string(in.Compare[0].Key)
+	expected := in.Compare[0].ModRevision
+	if expected != strconv.FormatInt(s.values[key].revision, 10) {
+		return false, s.lookup(in.Compare[0].Key)
+	}
+	s.revision++
+	put := in.Success[0].Put
+	s.values[string(put.Key)] = storeValue{data: put.Value, revision: s.revision}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true, nil
+}
+
+// endWatches ends the watches that wait, as an outage does.
+func (s *Store) endWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) handleWatch(ctx *fasthttp.RequestCtx) {
+	var in struct {
+		Create struct {
+			Key           []byte `json:"key"`
+			StartRevision string `json:"start_revision"`
+		} `json:"create_request"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	start, _ := strconv.ParseInt(in.Create.StartRevision, 10, 64)
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		s.watch(w, in.Create.Key, start)
+	})
+}
+
+// watch writes each change of a key, a line each, until the caller leaves or
+// the store goes out.
+func (s *Store) watch(w *bufio.Writer, key []byte, start int64) {
+	s.mu.Lock()
+	s.calls.Watches++
+	s.calls.Waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.calls.Waiting--
+		s.mu.Unlock()
+	}()
+	fmt.Fprintln(w, `{"result":{"created":true}}`)
+	for w.Flush() == nil && !s.get().Out {
+		s.mu.Lock()
+		v, changed := s.values[string(key)], s.changed
+		s.mu.Unlock()
+		if v.revision >= start && v.revision > 0 {
+			kv := storeKV{Key: key, Value: v.data, ModRevision: strconv.FormatInt(v.revision, 10)}
+			line, _ := json.Marshal(map[string]any{"result": map[string]any{"events": []any{map[string]any{"kv": kv}}}})
+			fmt.Fprintf(w, "%s\n", line)
+			start = v.revision + 1
+			continue
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/internal/standin/vmlist.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/platform"
+)
+
+// VMList stands in for the platform's list of VMs, which lags.
+type VMList struct {
+	faulty
+
+	lag time.Duration
+	mu  sync.Mutex
+	vms []platform.VM
+}
+
+// NewVMList returns an empty list whose changes show after lag.
+func NewVMList(lag time.Duration) *VMList {
+	return &VMList{lag: lag}
+}
+
+// Set replaces the list, once the lag has passed.
+func (l *VMList) Set(vms []platform.VM) {
+	time.AfterFunc(l.lag, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.vms = vms
+	})
+}
+
+// Handle answers one call: GET /vms reads the list, POST /vms replaces it.
+func (l *VMList) Handle(ctx *fasthttp.RequestCtx) {
+	if l.handleFaults(ctx) {
+		return
+	}
+	faults := l.get()
+	if faults.Out {
+		dropConnection(ctx)
+		return
+	}
+	slow(faults)
+	if ctx.IsPost() {
+		l.post(ctx)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	writeJSON(ctx, map[string]any{"vms": l.vms})
+}
+
+func (l *VMList) post(ctx *fasthttp.RequestCtx) {
+	var in struct {
+		VMs []platform.VM `json:"vms"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	l.Set(in.VMs)
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,265 @@
+// Package peer carries what routers tell each other: datagrams over UDP, and
+// calls over TCP on the same port. Both are proved with the peer key.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// ServiceName is the name that the service is found by.
+const ServiceName = "peer"
+
+// Settings are what the service is made with.
+type Settings struct {
+	Name   string
+	Boot   uint64
+	Listen string // IP and port, for both UDP and TCP
+	Key    []byte
+}
+
+// Service is the routers' link to one another.
+type Service struct {
+	settings Settings
+	metrics  *telemetry.Peer
+
+	mu      sync.Mutex
+	session *session
+	receive func(*wire.Datagram)
+	known   map[string]string // address by name, as last sent to
+
+	engine  gnet.Engine
+	booted  chan error
+	out     *net.UDPConn
+	calls   net.Listener
+	handler wire.DRPCPeerServer
+	cancel  context.CancelFunc
+	ended   sync.WaitGroup
+}
+
+// New returns the service.
+func New(settings Settings, metrics *telemetry.Peer) *Service {
+	return &Service{
+		settings: settings,
+		metrics:  metrics,
+		session:  newSession(settings.Name, settings.Boot, settings.Key),
+		known:    map[string]string{},
+		booted:   make(chan error, 2),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// OnDatagram sets what takes the datagrams; before it is set they are dropped.
+func (s *Service) OnDatagram(receive func(*wire.Datagram)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receive = receive
+}
+
+// HandleCalls sets what answers the other routers' calls. It must be set
+// before any call can come, and callers wait until it is.
+func (s *Service) HandleCalls(handler wire.DRPCPeerServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handler = handler
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
+	var err error
+	s.calls, err = net.Listen("tcp", s.settings.Listen)
+	if err != nil {
+		return err
+	}
+	s.out, err = net.ListenUDP("udp", &net.UDPAddr{})
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.cancel = cancel
+	s.ended.Add(2)
+	go s.listenDatagrams()
+	go s.acceptCalls(run)
+	return <-s.booted
+}
+
+func (s *Service) listenDatagrams() {
+	defer s.ended.Done()
+	s.booted <- gnet.Run(&events{service: s}, "udp://"+s.settings.Listen,
+		gnet.WithMulticore(false), gnet.WithLogLevel(logging.FatalLevel))
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	err := s.engine.Stop(ctx)
+	_ = s.calls.Close()
+	_ = s.out.Close()
+	s.ended.Wait()
+	return err
+}
+
+// events takes gnet's calls.
+type events struct {
+	gnet.BuiltinEventEngine
+	service *Service
+}
+
+// OnBoot implements gnet.EventHandler.
+func (e *events) OnBoot(engine gnet.Engine) gnet.Action {
+	e.service.engine = engine
+	e.service.booted <- nil
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler: it takes one datagram.
+func (e *events) OnTraffic(c gnet.Conn) gnet.Action {
+	b, err := c.Next(-1)
+	if err == nil {
+		e.service.take(b, c.RemoteAddr())
+	}
+	return gnet.None
+}
+
+func (s *Service) take(b []byte, from net.Addr) {
+	s.metrics.ReceivedBytes.Add(float64(len(b)))
+	s.mu.Lock()
+	taken, reply, err := s.session.open(b)
+	var out []byte
+	var to string
+	if reply != nil {
+		out, to = s.sealReply(reply, from)
+	}
+	receive := s.receive
+	s.mu.Unlock()
+	if err != nil {
+		s.metrics.Refused.Inc()
+	}
+	if out != nil && to != "" {
+		s.write(to, out)
+	}
+	if taken != nil && receive != nil {
+		receive(taken)
+	}
+}
+
+// sealReply seals a greeting, or a datagram that was missed, and tells where it
+// goes. The caller holds the lock.
+func (s *Service) sealReply(reply *wire.Datagram, from net.Addr) (out []byte, to string) {
+	to = s.known[reply.To]
+	var err error
+	if reply.Sequence == 0 {
+		out, err = s.session.sealGreeting(reply)
+		if to == "" {
+			to = from.String()
+		}
+	} else {
+		out, err = s.session.seal(reply)
+	}
+	if err != nil {
+		return nil, ""
+	}
+	return out, to
+}
+
+// Send sends a datagram to the router it names, at an IP and port.
+func (s *Service) Send(address string, d *wire.Datagram) {
+	s.mu.Lock()
+	s.known[d.To] = address
+	b, err := s.session.seal(d)
+	s.mu.Unlock()
+	if err != nil {
+		s.metrics.Refused.Inc()
+		return
+	}
+	s.write(address, b)
+}
+
+func (s *Service) write(address string, b []byte) {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		s.metrics.SendFailures.Inc()
+		return
+	}
+	if _, err := s.out.WriteToUDP(b, to); err != nil {
+		s.metrics.SendFailures.Inc()
+		return
+	}
+	s.metrics.SentBytes.Add(float64(len(b)))
+	s.metrics.SentDatagrams.Inc()
+}
+
+// acceptCalls serves the other routers' calls.
+func (s *Service) acceptCalls(ctx context.Context) {
+	defer s.ended.Done()
+	for {
+		c, err := s.calls.Accept()
+		if err != nil {
+			return
+		}
+		s.ended.Add(1)
+		go s.serveCalls(ctx, c)
+	}
+}
+
+func (s *Service) serveCalls(ctx context.Context, c net.Conn) {
+	defer s.ended.Done()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	defer func() { _ = c.Close() }()
+	if err := shakeHands(c, s.settings.Key, roleAcceptor, roleDialer); err != nil {
+		s.metrics.Refused.Inc()
+		return
+	}
+	s.mu.Lock()
+	handler := s.handler
+	s.mu.Unlock()
+	if handler == nil {
+		return
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, handler); err != nil {
+		return
+	}
+	_ = drpcserver.New(mux).ServeOne(ctx, c)
+}
+
+// dialTimeout bounds the making of a connection to another router.
+const dialTimeout = time.Second
+
+// Call makes a connection to the router at an IP and port, and hands its client
+// to do.
+func (s *Service) Call(ctx context.Context, address string, do func(context.Context, wire.DRPCPeerClient) error) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Unreached.Wrap(err, "no connection to %s", address)
+	}
+	if err := shakeHands(raw, s.settings.Key, roleDialer, roleAcceptor); err != nil {
+		_ = raw.Close()
+		return Unreached.Wrap(err, "no handshake with %s", address)
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	return do(ctx, wire.NewDRPCPeerClient(conn))
+}
+
+// Unreached is the error for a call that another router never got.
+var Unreached = namespace.NewType("unreached")
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,281 @@
+// Package scheduler drives the decision core with real time, real datagrams
+// and real requests. It holds no decision of its own.
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/peer"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// ServiceName is the name that the service is found by.
+const ServiceName = "scheduler"
+
+// queueSize is how many events may wait for the core.
+const queueSize = 4096
+
+// Decision is the core's answer for a request: either a backend server or a
+// refusal.
+type Decision struct {
+	Dispatched bool
+	Backend    model.BackendID
+	Waited     time.Duration
+	Refusal    core.Refusal
+	RetryAfter time.Duration
+}
+
+// Observer is told of what the core wants from another service. Its functions,
+// any of which may be nil, are called from the core's goroutine and must not
+// block.
+type Observer struct {
+	// Loads is given the backend servers whose load is to be asked for.
+	Loads func(backends []model.BackendID)
+	// Generation is given the address of a router with a newer configuration.
+	Generation func(address string, generation uint64)
+	// Store tells whether the store is to be watched.
+	Store func(watch bool)
+}
+
+// Service drives the core.
+type Service struct {
+	self    member.Member
+	log     zerolog.Logger
+	metrics *telemetry.Metrics
+	events  chan core.Event
+	ask     chan func(*core.Core)
+	began   time.Time
+	peers   *peer.Service
+
+	mu        sync.Mutex
+	nextID    core.RequestID
+	waiters   map[core.RequestID]chan Decision
+	observers []Observer
+
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// New returns the service of a router.
+func New(self member.Member, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
+	return &Service{
+		self:    self,
+		log:     log,
+		metrics: metrics,
+		events:  make(chan core.Event, queueSize),
+		ask:     make(chan func(*core.Core)),
+		began:   time.Now(),
+		waiters: map[core.RequestID]chan Decision{},
+		ended:   make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return []string{peer.ServiceName} }
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context, k *kernel.Kernel) error {
+	peers, err := kernel.Lookup[*peer.Service](k, peer.ServiceName)
+	if err != nil {
+		return err
+	}
+	s.peers = peers
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.cancel = cancel
+	go s.run(run)
+	peers.OnDatagram(func(d *wire.Datagram) { s.Tell(core.Receive{Datagram: d}) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.peers.OnDatagram(nil)
+	s.cancel()
+	<-s.ended
+	return nil
+}
+
+// Observe adds an observer; it must be done before events come.
+func (s *Service) Observe(o Observer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observers = append(s.observers, o)
+}
+
+// Tell gives the core an event.
+func (s *Service) Tell(e core.Event) {
+	select {
+	case s.events <- e:
+	case <-s.ended:
+	}
+}
+
+// Look runs a function on the core, between two events, and waits for it. The
+// function must only read.
+func (s *Service) Look(look func(*core.Core)) {
+	done := make(chan struct{})
+	select {
+	case s.ask <- func(c *core.Core) { look(c); close(done) }:
+		<-done
+	case <-s.ended:
+	}
+}
+
+// Configure puts a configuration in force.
+func (s *Service) Configure(c *config.InForce) {
+	s.Tell(core.Configure{Config: c.Core})
+}
+
+// now is the time since the service was made, by the monotonic clock.
+func (s *Service) now() model.Time { return time.Since(s.began) }
+
+func (s *Service) run(ctx context.Context) {
+	defer close(s.ended)
+	c := core.New(s.now(), s.self, rand.Uint64())
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.events:
+			s.step(c, e)
+		case look := <-s.ask:
+			look(c)
+		case <-timer.C:
+			s.step(c, core.Tick{})
+		}
+		timer.Reset(max(c.Wake()-s.now(), 0))
+	}
+}
+
+func (s *Service) step(c *core.Core, e core.Event) {
+	began := time.Now()
+	actions := c.Step(s.now(), e)
+	s.metrics.Share.StepTime.Add(time.Since(began).Seconds())
+	s.metrics.Share.Steps.Inc()
+	for _, a := range actions {
+		s.act(a)
+	}
+}
+
+func (s *Service) act(a core.Action) {
+	switch a := a.(type) {
+	case core.Dispatch:
+		s.decide(a.ID, Decision{Dispatched: true, Backend: a.Backend, Waited: a.Waited})
+	case core.Refuse:
+		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter})
+	case core.Send:
+		s.peers.Send(a.Address, a.Datagram)
+	case core.Watch:
+		s.metrics.Share.Owned.Set(float64(len(a.Backends)))
+		s.eachObserver(func(o Observer) {
+			if o.Loads != nil {
+				o.Loads(a.Backends)
+			}
+		})
+	case core.WatchStore:
+		s.eachObserver(func(o Observer) {
+			if o.Store != nil {
+				o.Store(a.Watch)
+			}
+		})
+	case core.GenerationSeen:
+		s.eachObserver(func(o Observer) {
+			if o.Generation != nil {
+				o.Generation(a.Address, a.Generation)
+			}
+		})
+	case core.MemberChanged:
+		s.logChange(a.Change)
+	}
+}
+
+func (s *Service) eachObserver(tell func(Observer)) {
+	s.mu.Lock()
+	observers := s.observers
+	s.mu.Unlock()
+	for _, o := range observers {
+		tell(o)
+	}
+}
+
+func (s *Service) logChange(change member.Change) {
+	s.log.Info().Str("router", change.Name).Stringer("status", change.Status).
+		Bool("restarted", change.Restarted).Msg("router changed")
+}
+
+func (s *Service) decide(id core.RequestID, d Decision) {
+	s.mu.Lock()
+	waiter := s.waiters[id]
+	if !d.Dispatched {
+		delete(s.waiters, id)
+	}
+	s.mu.Unlock()
+	if waiter != nil {
+		waiter <- d
+	}
+}
+
+// Request is a request's hold on the core.
+type Request struct {
+	service *Service
+	id      core.RequestID
+	// Decisions gives the core's decision, and another after each NotSent.
+	Decisions chan Decision
+}
+
+// Submit lets a request wait for a backend server.
+func (s *Service) Submit(a core.Arrive) *Request {
+	s.mu.Lock()
+	s.nextID++
+	a.ID = s.nextID
+	r := &Request{service: s, id: a.ID, Decisions: make(chan Decision, 1)}
+	s.waiters[a.ID] = r.Decisions
+	s.mu.Unlock()
+	s.Tell(a)
+	return r
+}
+
+// Progress tells how many tokens of output have flowed.
+func (r *Request) Progress(output float64) {
+	r.service.Tell(core.Progress{ID: r.id, Output: output})
+}
+
+// Retry gives the request back after nothing of it was sent; the next decision
+// follows.
+func (r *Request) Retry() {
+	r.service.Tell(core.Finish{ID: r.id, Ending: core.NotSent})
+}
+
+// Finish ends the request.
+func (r *Request) Finish(output float64, ending core.Ending) {
+	r.forget()
+	r.service.Tell(core.Finish{ID: r.id, Output: output, Ending: ending})
+}
+
+// Abandon takes the request back while it waits.
+func (r *Request) Abandon() {
+	r.forget()
+	r.service.Tell(core.Abandon{ID: r.id})
+}
+
+func (r *Request) forget() {
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	delete(r.service.waiters, r.id)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,128 @@
+// Package settings reads a program's settings from flags and environment
+// variables, and checks all of them at once.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/spf13/pflag"
+	"github.com/spf13/viper"
+
+	"github.com/tamarindstep/tamarindstep/finding"
+)
+
+// EnvPrefix begins the environment variable of each flag: the flag
+// --caller-listen is TAMARINDSTEP_CALLER_LISTEN.
+const EnvPrefix = "TAMARINDSTEP"
+
+// The codes of the findings.
+const (
+	CodeMissing = "TS3000"
+	CodeAddress = "TS3001"
+	CodeFile    = "TS3002"
+	CodeWord    = "TS3003"
+	CodeName    = "TS3004"
+)
+
+var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Reader reads settings and collects what is wrong with them.
+type Reader struct {
+	values   *viper.Viper
+	findings finding.List
+}
+
+// NewReader returns a reader of the flags, and of the environment where a flag
+// isn't given.
+func NewReader(flags *pflag.FlagSet) (*Reader, error) {
+	v := viper.New()
+	v.SetEnvPrefix(EnvPrefix)
+	v.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	v.AutomaticEnv()
+	if err := v.BindPFlags(flags); err != nil {
+		return nil, err
+	}
+	return &Reader{values: v}, nil
+}
+
+// Err returns all findings, or nil.
+func (r *Reader) Err() error {
+	r.findings.Sort()
+	return r.findings.Err()
+}
+
+func (r *Reader) add(code, flag, format string, args ...any) {
+	r.findings = append(r.findings, finding.Finding{
+		Code: code, Severity: finding.Error,
+		Position: finding.Position{File: "--" + flag}, Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// Text returns a setting that may be empty.
+func (r *Reader) Text(flag string) string { return r.values.GetString(flag) }
+
+func (r *Reader) required(flag string) (string, bool) {
+	v := r.values.GetString(flag)
+	if v == "" {
+		env := EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+		r.add(CodeMissing, flag, "must be given, as a flag or as %s", env)
+	}
+	return v, v != ""
+}
+
+// Name returns a setting that must be a name.
+func (r *Reader) Name(flag string) string {
+	v, ok := r.required(flag)
+	if ok && !name.MatchString(v) {
+		r.add(CodeName, flag, "%q isn't a name of letters, digits, dots, dashes and underscores", v)
+	}
+	return v
+}
+
+// Address returns a setting that must be an IP and port.
+func (r *Reader) Address(flag string) string {
+	v, ok := r.required(flag)
+	if !ok {
+		return v
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		r.add(CodeAddress, flag, "%q isn't an IP and port", v)
+	}
+	return v
+}
+
+// Secret returns the contents, less white space around them, of the file that a
+// setting names.
+func (r *Reader) Secret(flag string) string {
+	path, ok := r.required(flag)
+	if !ok {
+		return ""
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		r.add(CodeFile, flag, "can't be read: %v", err)
+		return ""
+	}
+	secret := strings.TrimSpace(string(data))
+	if len(secret) < minSecret {
+		r.add(CodeFile, flag, "%q holds less than %d characters", path, minSecret)
+	}
+	return secret
+}
+
+// minSecret is the size of the shortest secret, in bytes.
+const minSecret = 16
+
+// Word returns a setting that must be one of the words.
+func (r *Reader) Word(flag string, words ...string) string {
+	v := r.values.GetString(flag)
+	if !slices.Contains(words, v) {
+		r.add(CodeWord, flag, "%q is not one of: %s", v, strings.Join(words, ", "))
+	}
+	return v
+}
--- /dev/null
+++ b/status/status.go
@@ -0,0 +1,283 @@
+// Package status answers the calls that routers make to each other, and puts
+// their answers together into one picture of the fleet.
+package status
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/claim"
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/fleet"
+	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/peer"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// ServiceName is the name that the service is found by.
+const ServiceName = "status"
+
+const callTimeout = 2 * time.Second
+
+// Service answers and asks.
+type Service struct {
+	self      string
+	drain     func()
+	scheduler *scheduler.Service
+	gens      *generation.Service
+	claims    *claim.Service
+	peers     *peer.Service
+	fleet     *fleet.Service
+}
+
+// New returns the service; drain is called when an operator asks the router to
+// stop.
+func New(self string, drain func()) *Service { return &Service{self: self, drain: drain} }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{
+		scheduler.ServiceName, generation.ServiceName, claim.ServiceName, peer.ServiceName, fleet.ServiceName,
+	}
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.scheduler, err = kernel.Lookup[*scheduler.Service](k, scheduler.ServiceName); err != nil {
+		return err
+	}
+	if s.gens, err = kernel.Lookup[*generation.Service](k, generation.ServiceName); err != nil {
+		return err
+	}
+	if s.claims, err = kernel.Lookup[*claim.Service](k, claim.ServiceName); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[*peer.Service](k, peer.ServiceName); err != nil {
+		return err
+	}
+	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
+		return err
+	}
+	s.peers.HandleCalls(s)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Fetch implements wire.DRPCPeerServer.
+func (s *Service) Fetch(ctx context.Context, in *wire.FetchRequest) (*wire.FetchResponse, error) {
+	return s.gens.Fetch(ctx, in)
+}
+
+// Claim implements wire.DRPCPeerServer.
+func (s *Service) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	return s.claims.Answer(ctx, in)
+}
+
+// Status implements wire.DRPCPeerServer.
+func (s *Service) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	out := &wire.StatusResponse{Ready: s.gens.Ready()}
+	s.scheduler.Look(func(c *core.Core) { c.View(out) })
+	return out, nil
+}
+
+// Drain implements wire.DRPCPeerServer.
+func (s *Service) Drain(context.Context, *wire.DrainRequest) (*wire.DrainResponse, error) {
+	s.drain()
+	return &wire.DrainResponse{}, nil
+}
+
+// DrainRouter lets the named router stop, be it this one or another.
+func (s *Service) DrainRouter(ctx context.Context, name string) error {
+	if name == s.self {
+		s.drain()
+		return nil
+	}
+	var address string
+	s.scheduler.Look(func(c *core.Core) { address = c.Address(name) })
+	if address == "" {
+		return peer.Unreached.New("no live router is named %q", name)
+	}
+	return s.peers.Call(ctx, address, func(ctx context.Context, c wire.DRPCPeerClient) error {
+		_, err := c.Drain(ctx, &wire.DrainRequest{})
+		return err
+	})
+}
+
+// Fleet is the state of the fleet as one router could gather it.
+type Fleet struct {
+	Routers    []Router  `json:"routers"`
+	Backends   []Backend `json:"backends"`
+	Accounts   []Account `json:"accounts"`
+	GapTokens  int64     `json:"gap_tokens"` // between the backlogged accounts of a pool, the widest
+	Generation uint64    `json:"generation"` // the highest in force anywhere
+}
+
+// Router is one router.
+type Router struct {
+	Name       string `json:"name"`
+	DataHall   string `json:"data_hall"`
+	Status     string `json:"status"`
+	Generation uint64 `json:"generation"`
+	Ready      bool   `json:"ready"`
+	Policy     string `json:"policy"`
+	Error      string `json:"error,omitempty"` // why it couldn't be asked
+}
+
+// Backend is one backend server, as its owner has it.
+type Backend struct {
+	Name     string `json:"name"`
+	Pool     string `json:"pool"`
+	Owner    string `json:"owner"`
+	Slots    uint32 `json:"slots"`
+	Limit    uint32 `json:"limit"`
+	Occupied uint32 `json:"occupied"`
+	Leaving  bool   `json:"leaving"`
+}
+
+// Account is one client account in one pool, over the fleet.
+type Account struct {
+	Name           string `json:"name"`
+	Pool           string `json:"pool"`
+	Delivered      int64  `json:"delivered_tokens"` // since each router's start
+	VirtualService int64  `json:"virtual_service"`
+	Waiting        uint32 `json:"waiting"`
+	Running        uint32 `json:"running"`
+	Backlogged     bool   `json:"backlogged"`
+	Gap            int64  `json:"gap_tokens"` // ahead of the least backlogged
+}
+
+// Gather asks every router and puts the answers together.
+func (s *Service) Gather(ctx context.Context) Fleet {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	own, _ := s.Status(ctx, nil)
+	answers := []*wire.StatusResponse{own}
+	routers := []Router{routerOf(own, wire.Status_STATUS_ALIVE)}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for _, m := range own.Members[1:] {
+		if m.Status == wire.Status_STATUS_DEAD {
+			routers = append(routers, Router{Name: m.Name, DataHall: m.DataHall, Status: statusWord(m.Status)})
+			continue
+		}
+		asking.Go(func() {
+			answer, err := s.ask(ctx, m.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				routers = append(routers, Router{Name: m.Name, DataHall: m.DataHall, Status: statusWord(m.Status), Error: err.Error()})
+				return
+			}
+			answers = append(answers, answer)
+			routers = append(routers, routerOf(answer, m.Status))
+		})
+	}
+	asking.Wait()
+	return assemble(routers, answers)
+}
+
+func (s *Service) ask(ctx context.Context, address string) (*wire.StatusResponse, error) {
+	var out *wire.StatusResponse
+	err := s.peers.Call(ctx, address, func(ctx context.Context, c wire.DRPCPeerClient) error {
+		var err error
+		out, err = c.Status(ctx, &wire.StatusRequest{})
+		return err
+	})
+	return out, err
+}
+
+func statusWord(s wire.Status) string {
+	return map[wire.Status]string{
+		wire.Status_STATUS_ALIVE: "live", wire.Status_STATUS_SUSPECT: "suspect",
+		wire.Status_STATUS_LEAVING: "leaving", wire.Status_STATUS_DEAD: "dead",
+	}[s]
+}
+
+func routerOf(r *wire.StatusResponse, held wire.Status) Router {
+	if r.Draining {
+		held = wire.Status_STATUS_LEAVING
+	}
+	return Router{
+		Name: r.Name, DataHall: r.DataHall, Status: statusWord(held),
+		Generation: r.Generation, Ready: r.Ready, Policy: r.Policy,
+	}
+}
+
+func assemble(routers []Router, answers []*wire.StatusResponse) Fleet {
+	f := Fleet{Routers: routers}
+	slices.SortFunc(f.Routers, func(a, b Router) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(answers, func(a, b *wire.StatusResponse) int { return cmp.Compare(a.Name, b.Name) })
+	for _, a := range answers {
+		f.Generation = max(f.Generation, a.Generation)
+		for _, b := range a.Backends {
+			f.Backends = append(f.Backends, Backend{
+				Name: b.Name, Pool: b.Pool, Owner: a.Name, Slots: b.Slots, Limit: b.Limit,
+				Occupied: b.Occupied, Leaving: b.Leaving,
+			})
+		}
+	}
+	slices.SortFunc(f.Backends, func(a, b Backend) int { return cmp.Compare(a.Name+a.Owner, b.Name+b.Owner) })
+	f.Accounts = sumAccounts(answers)
+	f.GapTokens = fillGaps(f.Accounts)
+	return f
+}
+
+// sumAccounts adds up each account's parts at the routers; what is known over
+// the fleet is taken from the router that has seen the most.
+func sumAccounts(answers []*wire.StatusResponse) []Account {
+	type key struct{ pool, name string }
+	sums := map[key]*Account{}
+	for _, answer := range answers {
+		for _, a := range answer.Accounts {
+			k := key{a.Pool, a.Name}
+			if sums[k] == nil {
+				sums[k] = &Account{Name: a.Name, Pool: a.Pool}
+			}
+			sum := sums[k]
+			sum.Delivered += a.DeliveredTokens
+			sum.Waiting += a.Waiting
+			sum.Running += a.Running
+			sum.VirtualService = max(sum.VirtualService, a.VirtualService)
+			sum.Backlogged = sum.Backlogged || a.Waiting > 0
+		}
+	}
+	var out []Account
+	for _, a := range sums {
+		out = append(out, *a)
+	}
+	slices.SortFunc(out, func(a, b Account) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// fillGaps sets how far each backlogged account is ahead of the least of its
+// pool, and returns the widest gap.
+func fillGaps(accounts []Account) int64 {
+	least := map[string]int64{}
+	for _, a := range accounts {
+		if v, ok := least[a.Pool]; a.Backlogged && (!ok || a.VirtualService < v) {
+			least[a.Pool] = a.VirtualService
+		}
+	}
+	var widest int64
+	for i := range accounts {
+		a := &accounts[i]
+		if a.Backlogged {
+			a.Gap = a.VirtualService - least[a.Pool]
+			widest = max(widest, a.Gap)
+		}
+	}
+	return widest
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,123 @@
+// Package telemetry holds the counters of the program and its traces.
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const prefix = "tamarindstep"
+
+// Metrics are all counters of a router.
+type Metrics struct {
+	Registry *prometheus.Registry
+	Peer     *Peer
+	Front    *Front
+	Share    *Share
+	Platform *Platform
+}
+
+// Peer counts what goes between routers.
+type Peer struct {
+	SentBytes     prometheus.Counter
+	SentDatagrams prometheus.Counter
+	ReceivedBytes prometheus.Counter
+	Refused       prometheus.Counter
+	SendFailures  prometheus.Counter
+}
+
+// Front counts the callers' requests.
+type Front struct {
+	Requests *prometheus.CounterVec   // by account, route, outcome
+	Refusals *prometheus.CounterVec   // by code
+	Wait     *prometheus.HistogramVec // seconds, by account, class, policy
+	First    *prometheus.HistogramVec // seconds to the first byte, by route
+	Open     prometheus.Gauge
+}
+
+// Share counts the decisions.
+type Share struct {
+	Dispatched *prometheus.CounterVec // by account, backend, policy
+	Tokens     *prometheus.CounterVec // by account, pool, policy
+	StepTime   prometheus.Counter     // seconds
+	Steps      prometheus.Counter
+	Members    prometheus.Gauge
+	Owned      prometheus.Gauge
+}
+
+// Platform counts the use of the platform.
+type Platform struct {
+	StoreCalls    *prometheus.CounterVec // by call
+	StoreFailures *prometheus.CounterVec // by call
+	Claims        *prometheus.CounterVec // by result
+	Generation    prometheus.Gauge
+}
+
+// waitBuckets reach from a millisecond to some minutes, in seconds.
+var waitBuckets = prometheus.ExponentialBuckets(0.001, 2, 19)
+
+// NewMetrics returns a router's counters, registered.
+func NewMetrics() *Metrics {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	f := factory{r}
+	return &Metrics{
+		Registry: r,
+		Peer: &Peer{
+			SentBytes:     f.counter("peer_sent_bytes_total", "Bytes of datagrams sent to other routers."),
+			SentDatagrams: f.counter("peer_sent_datagrams_total", "Datagrams sent to other routers."),
+			ReceivedBytes: f.counter("peer_received_bytes_total", "Bytes of datagrams received."),
+			Refused:       f.counter("peer_refused_total", "Datagrams and connections that weren't taken."),
+			SendFailures:  f.counter("peer_send_failures_total", "Datagrams that couldn't be sent."),
+		},
+		Front: &Front{
+			Requests: f.counters("requests_total", "Requests by their end.", "account", "route", "outcome"),
+			Refusals: f.counters("refusals_total", "Requests refused, by reason.", "code"),
+			Wait:     f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
+			First:    f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
+			Open:     f.gauge("requests_open", "Requests being served."),
+		},
+		Share: &Share{
+			Dispatched: f.counters("dispatched_total", "Requests sent to a backend server.", "account", "backend", "policy"),
+			Tokens:     f.counters("tokens_total", "Tokens delivered, input and output.", "account", "pool", "policy"),
+			StepTime:   f.counter("core_seconds_total", "Processor time of the decisions."),
+			Steps:      f.counter("core_steps_total", "Events that the decisions took."),
+			Members:    f.gauge("members", "Live routers, this one included."),
+			Owned:      f.gauge("owned_backends", "Backend servers whose slots this router grants."),
+		},
+		Platform: &Platform{
+			StoreCalls:    f.counters("store_calls_total", "Calls of the store.", "call"),
+			StoreFailures: f.counters("store_failures_total", "Calls of the store that failed.", "call"),
+			Claims:        f.counters("claims_total", "Claims of idempotency keys, by result.", "result"),
+			Generation:    f.gauge("generation", "Generation of the configuration in force."),
+		},
+	}
+}
+
+type factory struct{ registry *prometheus.Registry }
+
+func (f factory) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: prefix, Name: name, Help: help})
+	f.registry.MustRegister(c)
+	return c
+}
+
+func (f factory) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: prefix, Name: name, Help: help}, labels)
+	f.registry.MustRegister(c)
+	return c
+}
+
+func (f factory) gauge(name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: prefix, Name: name, Help: help})
+	f.registry.MustRegister(g)
+	return g
+}
+
+func (f factory) histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: prefix, Name: name, Help: help, Buckets: waitBuckets,
+	}, labels)
+	f.registry.MustRegister(h)
+	return h
+}
--- /dev/null
+++ b/telemetry/trace.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	semconv "go.opentelemetry.io/otel/semconv/v1.26.0"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/tamarindstep/tamarindstep/kernel"
+)
+
+// TracesName is the name that the traces are found by.
+const TracesName = "traces"
+
+// Traces makes spans and sends them to a collector, where one is set.
+type Traces struct {
+	router     string
+	endpoint   string // URL, "" for none
+	provider   *trace.TracerProvider
+	tracer     oteltrace.Tracer
+	propagator propagation.TraceContext
+}
+
+// NewTraces returns the service. With no endpoint the context that callers send
+// is passed on all the same, and no span is kept.
+func NewTraces(router, endpoint string) *Traces {
+	return &Traces{router: router, endpoint: endpoint, tracer: otel.Tracer(prefix)}
+}
+
+// Name implements kernel.Service.
+func (t *Traces) Name() string { return TracesName }
+
+// Needs implements kernel.Service.
+func (t *Traces) Needs() []string { return nil }
+
+// Start implements kernel.Service.
+func (t *Traces) Start(ctx context.Context, _ *kernel.Kernel) error {
+	if t.endpoint == "" {
+		return nil
+	}
+	exporter, err := otlptracehttp.New(context.WithoutCancel(ctx), otlptracehttp.WithEndpointURL(t.endpoint))
+	if err != nil {
+		return err
+	}
+	t.provider = trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithResource(resource.NewSchemaless(
+			semconv.ServiceName(prefix), semconv.ServiceInstanceID(t.router))),
+	)
+	t.tracer = t.provider.Tracer(prefix)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (t *Traces) Stop(ctx context.Context) error {
+	if t.provider == nil {
+		return nil
+	}
+	return t.provider.Shutdown(ctx)
+}
+
+// Begin starts a span.
+func (t *Traces) Begin(ctx context.Context, name string, kind oteltrace.SpanKind) (context.Context, oteltrace.Span) {
+	return t.tracer.Start(ctx, name, oteltrace.WithSpanKind(kind))
+}
+
+// Extract returns a context that continues the trace of a caller's request.
+func (t *Traces) Extract(ctx context.Context, h *fasthttp.RequestHeader) context.Context {
+	return t.propagator.Extract(ctx, headerCarrier{h})
+}
+
+// Inject lets a request continue the trace of a context.
+func (t *Traces) Inject(ctx context.Context, h *fasthttp.RequestHeader) {
+	t.propagator.Inject(ctx, headerCarrier{h})
+}
+
+// headerCarrier is a request's head as the propagator sees it.
+type headerCarrier struct{ h *fasthttp.RequestHeader }
+
+// Get implements propagation.TextMapCarrier.
+func (c headerCarrier) Get(key string) string { return string(c.h.Peek(key)) }
+
+// Set implements propagation.TextMapCarrier.
+func (c headerCarrier) Set(key, value string) { c.h.Set(key, value) }
+
+// Keys implements propagation.TextMapCarrier.
+func (c headerCarrier) Keys() []string {
+	var out []string
+	for k := range c.h.All() {
+		out = append(out, string(k))
+	}
+	return out
+}
