e2e: the promises, with real router processes killed, frozen and stopped

Cause: what must hold was proved for the decisions only, not for the processes. What: nine tests over two or three routers and stand-ins: the store out after the start, 200 streams with every token checked, answers that break off, resets at each point, one key through all routers with lost answers and a frozen and a killed router, a planned stop, a rolling replacement, a leaving server, racing operators. Before: unproved.

--- /dev/null
+++ b/e2e/promise_test.go
@@ -0,0 +1,301 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin"
+)
+
+// together runs a function a number of times at once.
+func together(n int, do func(i int)) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() { do(i) })
+	}
+	all.Wait()
+}
+
+func TestStoreOutAfterStart(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	f.store.SetFaults(standin.Faults{Out: true})
+	for i, r := range f.routers {
+		id := fmt.Sprint("out-", i)
+		got, err := f.stream(r, id, 5)
+		is.NoErr(wholeStream(id, 5, got, err))
+		keyed := f.call(r, "/services/entries/waivers", `{}`, "Idempotency-Key", id, "X-Request-Id", "keyed-"+id)
+		is.Equal(keyed.code, "claim-unavailable")
+		is.True(keyed.notRun())
+		is.Equal(f.runs("keyed-"+id), 0)
+		hint := f.call(r, "/services/entries/hints", `{}`, "Idempotency-Key", "h"+id, "X-Request-Id", "hint-"+id)
+		is.Equal(hint.status, http.StatusOK)
+	}
+}
+
+func TestWholeAnswers(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	const streams, tokens = 200, 30
+	failures := make([]error, streams)
+	together(streams, func(i int) {
+		id := fmt.Sprint("whole-", i)
+		got, err := f.stream(f.routers[i%3], id, tokens)
+		failures[i] = wholeStream(id, tokens, got, err)
+	})
+	is.NoErr(errors.Join(failures...))
+}
+
+func TestBrokenAnswersShow(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 2)
+	for _, e := range f.engines {
+		e.SetFaults(standin.Faults{BreakAfter: 5})
+	}
+	got, err := f.stream(f.routers[0], "broken", 20)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // the caller sees a broken stream, not an end
+	is.Equal(len(got), 5)
+	whole := f.call(f.routers[1], "/v1/completions", `{"model":"once","max_tokens":9,"prompt":"x"}`, "X-Request-Id", "broken-whole")
+	is.Equal(whole.code, "backend-broke")
+	is.Equal(whole.outcome, "unknown")
+	is.Equal(f.runs("broken-whole"), 1)
+}
+
+func TestNotRunMeansNotRun(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 2)
+	faults := []standin.Faults{{Reset: "accept"}, {Reset: "read"}, {Out: true}, {}}
+	notRun := 0
+	for round, fault := range faults {
+		f.service.SetFaults(fault)
+		for _, e := range f.engines {
+			e.SetFaults(fault)
+		}
+		together(12, func(i int) {
+			id := fmt.Sprintf("point-%d-%d", round, i)
+			path, body := "/services/entries/waivers", `{}`
+			if i%2 == 0 {
+				path, body = "/v1/completions", `{"model":"once","max_tokens":3,"prompt":"x"}`
+			}
+			a := f.call(f.routers[i%2], path, body, "X-Request-Id", id, "Tamarindstep-Wait", "2s")
+			switch {
+			case a.err != nil:
+				t.Errorf("%s: no answer: %v", id, a.err)
+			case a.notRun() && f.runs(id) != 0:
+				t.Errorf("%s: refused as not run, and run %d times", id, f.runs(id))
+			case f.runs(id) > 1:
+				t.Errorf("%s: run %d times", id, f.runs(id))
+			}
+		})
+	}
+	closed := f.call(f.routers[0], "/v1/completions", `{"model":"none","prompt":"x"}`)
+	if closed.notRun() {
+		notRun++
+	}
+	is.Equal(notRun, 1)
+}
+
+// A key is sent through all routers at once, again after each answer, while the
+// store loses answers, and one router is frozen and another killed.
+func TestAtMostOnce(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	f.store.SetFaults(standin.Faults{LoseAnswers: 10, SlowMS: 5})
+	const keys = 24
+	succeeded := make([]int, keys)
+	var mu sync.Mutex
+	send := func(i int) {
+		key := i % keys
+		id := fmt.Sprint("once-", key)
+		a := f.call(f.routers[i%3], "/services/entries/waivers", `{}`, "X-Request-Id", id, "Idempotency-Key", id)
+		if a.status == http.StatusOK {
+			mu.Lock()
+			succeeded[key]++
+			mu.Unlock()
+		}
+	}
+	var freezing sync.WaitGroup
+	freezing.Go(func() {
+		time.Sleep(20 * time.Millisecond)
+		f.signal(f.routers[1], syscall.SIGSTOP)
+		time.Sleep(1500 * time.Millisecond)
+		f.signal(f.routers[1], syscall.SIGCONT)
+		f.kill(f.routers[2])
+	})
+	together(3*keys, send)
+	freezing.Wait()
+	together(2*keys, func(i int) { send(3 * i); send(3*i + 1) })
+	for key := range keys {
+		id := fmt.Sprint("once-", key)
+		is.True(f.runs(id) <= 1)              // run at most once
+		is.True(succeeded[key] <= 1)          // and answered at most once
+		is.True(succeeded[key] <= f.runs(id)) // and not without being run
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	const streams, tokens = 60, 200
+	failures := make([]error, streams)
+	var begun sync.WaitGroup
+	begun.Add(1)
+	go func() {
+		defer begun.Done()
+		together(streams, func(i int) {
+			id := fmt.Sprint("stop-", i)
+			got, err := f.stream(f.routers[0], id, tokens)
+			failures[i] = wholeStream(id, tokens, got, err)
+		})
+	}()
+	f.await("streams under way", func() bool {
+		sum := 0
+		for i := range streams {
+			sum += f.runs(fmt.Sprint("stop-", i))
+		}
+		return sum >= streams/2
+	})
+	f.signal(f.routers[0], syscall.SIGTERM)
+	begun.Wait()
+	for i, err := range failures {
+		if err != nil && !strings.Contains(err.Error(), "draining") {
+			t.Errorf("stream %d: %v", i, err)
+		}
+	}
+	is.NoErr(<-f.routers[0].exited) // exit code 0
+}
+
+// All routers are replaced, one by one, under load. A caller goes on to the next
+// router where one refuses as not run or takes no connection, as behind a
+// balancer; no request fails.
+func TestRollingReplacement(t *testing.T) {
+	f := newFleet(t, 3)
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for w := range 8 {
+		load.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("roll-%d-%d", w, i)
+				if err := f.streamAnywhere(w, id); err != nil {
+					t.Errorf("%s: %v", id, err)
+				}
+			}
+		})
+	}
+	for _, r := range f.routers {
+		f.signal(r, syscall.SIGTERM)
+		if err := <-r.exited; err != nil {
+			t.Errorf("%s: %v", r.name, err)
+		}
+		f.start(r)
+		f.awaitReady(r)
+		f.await("a whole fleet", func() bool { return f.wholeFrom(r) })
+	}
+	close(stop)
+	load.Wait()
+}
+
+// streamAnywhere streams through one router after another until one takes it.
+func (f *fleet) streamAnywhere(first int, id string) error {
+	const tokens = 20
+	var err error
+	for i := range 60 {
+		r := f.routers[(first+i)%len(f.routers)]
+		var got []string
+		got, err = f.stream(r, id, tokens)
+		if err == nil {
+			return wholeStream(id, tokens, got, nil)
+		}
+		refused := strings.Contains(err.Error(), "not-run") || errors.Is(err, syscall.ECONNREFUSED)
+		if !refused {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return err
+}
+
+func TestLeavingBackendGetsNothingNew(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 2)
+	f.service.SetFaults(standin.Faults{Leaving: true})
+	f.await("the report to be seen", func() bool {
+		for _, b := range f.status(f.routers[0]).Backends {
+			if b.Name == "entries-1" && b.Leaving {
+				return true
+			}
+		}
+		return false
+	})
+	for i, r := range f.routers {
+		id := fmt.Sprint("leaving-", i)
+		a := f.call(r, "/services/entries/waivers", `{}`, "X-Request-Id", id, "Tamarindstep-Wait", "1s")
+		is.Equal(a.code, "wait-exceeded")
+		is.True(a.notRun())
+		is.Equal(f.runs(id), 0)
+	}
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	// Operators race: one apply of those on one generation takes hold.
+	codes := make([]int, 6)
+	together(len(codes), func(i int) {
+		file := f.write(fmt.Sprintf("race-%d.yaml", i), f.configuration(fmt.Sprintf("    limits: {queue: %d}\n", 1000+i)))
+		codes[i], _ = f.ctl(f.routers[i%3], "apply", file, "--base", "1")
+	})
+	accepted := 0
+	for _, code := range codes {
+		if code == 0 {
+			accepted++
+		} else {
+			is.Equal(code, 3) // another came first
+		}
+	}
+	is.Equal(accepted, 1)
+	// The answer to the swap is lost, and the apply is accepted all the same.
+	f.store.SetFaults(standin.Faults{LoseAnswers: 1})
+	code, out := f.ctl(f.routers[1], "apply", f.write("lost.yaml", f.configuration("    limits: {queue: 77}\n")))
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "generation 3 "))
+	f.awaitGeneration(3)
+	// With the store out, a router with no memory takes what the others have.
+	f.store.SetFaults(standin.Faults{Out: true})
+	f.kill(f.routers[2])
+	f.start(f.routers[2])
+	f.awaitReady(f.routers[2])
+	f.awaitGeneration(3)
+	code, text := f.ctl(f.routers[2], "get")
+	is.Equal(code, 0)
+	is.True(strings.Contains(text, "queue: 77"))
+	// An apply can't be accepted then, and says that nothing was applied.
+	code, _ = f.ctl(f.routers[0], "apply", f.write("out.yaml", f.configuration("    limits: {queue: 78}\n")))
+	is.Equal(code, 4)
+	f.awaitGeneration(3)
+}
+
+func (f *fleet) awaitGeneration(generation uint64) {
+	f.t.Helper()
+	f.await(fmt.Sprint("generation ", generation, " everywhere"), func() bool {
+		all := f.status(f.routers[0]).Routers
+		for _, r := range all {
+			if r.Generation != generation {
+				return false
+			}
+		}
+		return len(all) == len(f.routers)
+	})
+}
