--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -396,6 +396,17 @@
 	return int(max(a.running, a.ownRunning))
 }
 
+// Active returns how many accounts have work in a pool, waiting or running.
+func (l *Ledger) Active(pool model.PoolID) int {
+	count := 0
+	for _, key := range l.inPool(pool) {
+		if a := l.accounts[key]; a.backlogged || a.running > 0 || a.ownRunning > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Loop returns how long it takes, by the last measurement, until service given
 // here is part of the amounts sent down.
 func (l *Ledger) Loop() time.Duration { return l.loop }
--- a/core/owner.go
+++ b/core/owner.go
@@ -25,9 +25,6 @@
 	// interactiveShare is the part of the slots, one in so many, by which
 	// interactive work may exceed them.
 	interactiveShare = 8
-	// urgentLead is how far ahead of others that wait an account may be, in
-	// tokens at weight 1, for its interactive work to exceed the slots.
-	urgentLead = 2000
 	// suspension is how long an owner leaves out a backend server that an
 	// ingress router couldn't use.
 	suspension = 500 * time.Millisecond
@@ -488,7 +485,11 @@
 // pick returns the account to be served next in a pool, of those with requests
 // of at most the given class.
 func (c *Core) pick(pool model.PoolID, worst model.Class) (model.Key, bool) {
-	candidates := c.candidates(pool, worst)
+	return c.first(c.candidates(pool, worst))
+}
+
+// first returns the candidate to be served first.
+func (c *Core) first(candidates []candidate) (model.Key, bool) {
 	if len(candidates) == 0 {
 		return model.Key{}, false
 	}
@@ -508,23 +509,21 @@
 }
 
 // pickUrgent returns the account whose interactive work may exceed the slots:
-// the furthest behind, unless it is ahead of others that wait by more than
-// urgentLead. The limit keeps interactive work from growing a gap.
+// the furthest behind of those that have fewer requests running than their even
+// part of the pool. An account that fills the pool by itself so leaves this room
+// to the others, and none grows a gap by it.
 func (c *Core) pickUrgent(pool model.PoolID) (model.Key, bool) {
-	urgent, ok := c.pick(pool, model.Interactive)
-	if !ok {
-		return urgent, false
-	}
-	var score, least model.Service
-	for i, x := range c.candidates(pool, model.Batch) {
-		if i == 0 || x.score < least {
-			least = x.score
-		}
-		if x.key == urgent {
-			score = x.score
+	slots := 0
+	for _, b := range c.config.Backends {
+		if b.Pool == pool {
+			slots += b.Slots
 		}
 	}
-	return urgent, score-least <= model.ServiceOf(urgentLead, 1)
+	part := slots / max(c.ledger.Active(pool), 1)
+	candidates := slices.DeleteFunc(c.candidates(pool, model.Interactive), func(x candidate) bool {
+		return c.ledger.Running(x.key)+len(c.demands[x.key].recent) >= part
+	})
+	return c.first(candidates)
 }
 
 // before tells whether a goes before b.
