peer: a challenge before a process's first datagram is taken

Cause: a test of replays failed: 'not true: errorx.IsOfType(err, Replayed)'. A datagram recorded of an earlier process, and kept back, was taken as if that router had been replaced, and the live process was refused from then on. Ruled out: remembering retired processes, which doesn't help with one of which nothing was ever taken. What: a process's first datagram must answer a random challenge, which greetings carry.

--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -51,7 +51,7 @@
 // by their yaml tag, where ",required" marks one that must be given.
 func Read(file string, data []byte, out any) (Places, finding.List) {
 	r := &reader{file: file, places: Places{"": {File: file, Line: 1, Column: 1}}}
-	parsed, err := parser.ParseBytes(data, 0)
+	parsed, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		r.syntax(err)
 		return r.places, r.findings
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -141,42 +141,37 @@
 func (s *Service) take(b []byte, from net.Addr) {
 	s.metrics.ReceivedBytes.Add(float64(len(b)))
 	s.mu.Lock()
-	taken, reply, err := s.session.open(b)
-	var out []byte
-	var to string
-	if reply != nil {
-		out, to = s.sealReply(reply, from)
-	}
+	in, err := s.session.open(b)
 	receive := s.receive
+	address := s.known[in.from]
 	s.mu.Unlock()
 	if err != nil {
 		s.metrics.Refused.Inc()
 	}
-	if out != nil && to != "" {
-		s.write(to, out)
+	if in.greet {
+		s.greet(in.from, address, from)
+	}
+	if in.again != nil && address != "" {
+		s.Send(address, in.again)
 	}
-	if taken != nil && receive != nil {
-		receive(taken)
+	if in.taken != nil && receive != nil {
+		receive(in.taken)
 	}
 }
 
-// sealReply seals a greeting, or a datagram that was missed, and tells where it
-// goes. The caller holds the lock.
-func (s *Service) sealReply(reply *wire.Datagram, from net.Addr) (out []byte, to string) {
-	to = s.known[reply.To]
-	var err error
-	if reply.Sequence == 0 {
-		out, err = s.session.sealGreeting(reply)
-		if to == "" {
-			to = from.String()
-		}
-	} else {
-		out, err = s.session.seal(reply)
-	}
+// greet greets a router at its known address, or else where its datagram came
+// from: it listens elsewhere then, and greets in turn once it knows this one.
+func (s *Service) greet(name, address string, from net.Addr) {
+	s.mu.Lock()
+	b, err := s.session.greet(name)
+	s.mu.Unlock()
 	if err != nil {
-		return nil, ""
+		return
 	}
-	return out, to
+	if address == "" {
+		address = from.String()
+	}
+	s.write(address, b)
 }
 
 // Send sends a datagram to the router it names, at an IP and port.
--- a/peer/session.go
+++ b/peer/session.go
@@ -3,7 +3,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
-	"slices"
+	"math/rand/v2"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
@@ -18,8 +18,6 @@
 	maxDatagram = 60000
 	// windowSize is how far behind the newest a datagram may come.
 	windowSize = 64
-	// retiredKept is how many earlier processes of a router are remembered.
-	retiredKept = 16
 )
 
 // The errors of a datagram.
@@ -35,9 +33,13 @@
 )
 
 // session seals and opens datagrams. A datagram is taken only if it was made
-// with the peer key, for this very process, and hasn't been taken before. A
-// router that doesn't yet know the receiver's process is answered with a
-// greeting that names it.
+// with the peer key, for this very process, and hasn't been taken before. The
+// first one of a process must also answer a challenge, a random number that this
+// process has made for it: so a recording is of no use, in whatever process's
+// name.
+//
+// Whoever sends what isn't taken is answered with a greeting, which names this
+// process and holds the challenge.
 type session struct {
 	self  string
 	boot  uint64
@@ -47,14 +49,21 @@
 
 // remote is what is known of another router's process.
 type remote struct {
-	boot    uint64
-	sent    uint64 // sequence of the last datagram sealed for it
-	retired []uint64
-	newest  uint64
-	window  uint64 // bit i stands for newest-i
-	pending *wire.Datagram
+	boot      uint64 // whose datagrams are taken, 0 for none
+	sendBoot  uint64 // that datagrams are made for, as it last named itself
+	sent      uint64 // sequence of the last datagram sealed for it
+	challenge uint64 // that its process must answer to be taken, 0 for none made
+	answer    uint64 // to its challenge
+	answers   int    // how many more datagrams carry the answer
+	newest    uint64
+	window    uint64         // bit i stands for newest-i
+	pending   *wire.Datagram // the last one sealed before its process was known
 }
 
+// answersSent is how many datagrams carry the answer to a challenge, as some
+// may be lost.
+const answersSent = 8
+
 func newSession(self string, boot uint64, key []byte) *session {
 	return &session{self: self, boot: boot, key: key, peers: map[string]*remote{}}
 }
@@ -78,11 +87,29 @@
 func (s *session) seal(d *wire.Datagram) ([]byte, error) {
 	r := s.remote(d.To)
 	r.sent++
-	d.From, d.Boot, d.ToBoot, d.Sequence = s.self, s.boot, r.boot, r.sent
+	d.Sequence = r.sent
 	r.pending = nil
-	if r.boot == 0 {
+	if r.sendBoot == 0 {
 		r.pending = d
 	}
+	return s.finish(d, r)
+}
+
+// greet returns the bytes of a greeting to a router that isn't taken yet.
+func (s *session) greet(to string) ([]byte, error) {
+	r := s.remote(to)
+	for r.challenge == 0 {
+		r.challenge = rand.Uint64()
+	}
+	return s.finish(&wire.Datagram{To: to, Challenge: r.challenge}, r)
+}
+
+func (s *session) finish(d *wire.Datagram, r *remote) ([]byte, error) {
+	d.From, d.Boot, d.ToBoot, d.Answer = s.self, s.boot, r.sendBoot, 0
+	if r.answers > 0 {
+		r.answers--
+		d.Answer = r.answer
+	}
 	payload, err := proto.Marshal(d)
 	if err != nil {
 		return nil, Malformed.Wrap(err, "datagram for %q", d.To)
@@ -93,73 +120,71 @@
 	return append(payload, s.tag(payload)...), nil
 }
 
-// open takes bytes from the network. It returns the datagram where it is to be
-// taken, and what is to be sent back: a greeting to one that doesn't know this
-// process, or the datagram that one who has now told its process has missed.
-func (s *session) open(b []byte) (taken, reply *wire.Datagram, err error) {
+// opened is what came of bytes from the network.
+type opened struct {
+	from  string
+	taken *wire.Datagram // nil where nothing is to be taken
+	greet bool           // the sender is to be greeted
+	again *wire.Datagram // to be sent, as its receiver's process wasn't known before
+}
+
+// open takes bytes from the network.
+func (s *session) open(b []byte) (opened, error) {
 	if len(b) < tagSize {
-		return nil, nil, Malformed.New("a datagram of %d bytes", len(b))
+		return opened{}, Malformed.New("a datagram of %d bytes", len(b))
 	}
 	payload, tag := b[:len(b)-tagSize], b[len(b)-tagSize:]
 	if !hmac.Equal(tag, s.tag(payload)) {
-		return nil, nil, Forged.New("a datagram with a wrong tag")
+		return opened{}, Forged.New("a datagram with a wrong tag")
 	}
 	d := &wire.Datagram{}
 	if err := proto.Unmarshal(payload, d); err != nil {
-		return nil, nil, Malformed.Wrap(err, "a datagram that can't be read")
+		return opened{}, Malformed.Wrap(err, "a datagram that can't be read")
 	}
 	if d.To != s.self || d.From == "" || d.From == s.self || d.Boot == 0 {
-		return nil, nil, Malformed.New("a datagram from %q for %q", d.From, d.To)
+		return opened{}, Malformed.New("a datagram from %q for %q", d.From, d.To)
 	}
+	out := opened{from: d.From}
 	if d.ToBoot != s.boot {
-		return nil, s.greet(d), nil
+		s.learn(d, &out)
+		out.greet = true
+		return out, nil
 	}
-	return s.take(d)
+	return s.take(d, out)
 }
 
-// greet answers a datagram that was made for no process, or for an earlier one.
-func (s *session) greet(d *wire.Datagram) *wire.Datagram {
-	return &wire.Datagram{To: d.From, ToBoot: d.Boot}
-}
-
-// sealGreeting seals a greeting: it is addressed to the process it answers, of
-// which nothing else is known.
-func (s *session) sealGreeting(d *wire.Datagram) ([]byte, error) {
-	d.From, d.Boot = s.self, s.boot
-	payload, err := proto.Marshal(d)
-	if err != nil {
-		return nil, Malformed.Wrap(err, "greeting for %q", d.To)
+// learn notes for which process datagrams are to be made, and what to answer.
+// This changes nothing that is taken: a recording can at most cost a greeting.
+func (s *session) learn(d *wire.Datagram, out *opened) {
+	r := s.remote(d.From)
+	if r.sendBoot != d.Boot {
+		r.sendBoot = d.Boot
+		out.again, r.pending = r.pending, nil
+	}
+	if d.Challenge != 0 {
+		r.answer = d.Challenge
+		r.answers = answersSent
 	}
-	return append(payload, s.tag(payload)...), nil
 }
 
-func (s *session) take(d *wire.Datagram) (taken, reply *wire.Datagram, err error) {
+func (s *session) take(d *wire.Datagram, out opened) (opened, error) {
+	s.learn(d, &out)
 	r := s.remote(d.From)
 	if r.boot != d.Boot {
-		if slices.Contains(r.retired, d.Boot) {
-			return nil, nil, Replayed.New("a datagram from an earlier process of %q", d.From)
+		if r.challenge == 0 || d.Answer != r.challenge {
+			out.greet = true
+			return out, nil
 		}
-		r.change(d.Boot)
-		reply, r.pending = r.pending, nil
+		*r = remote{boot: d.Boot, sendBoot: d.Boot, sent: r.sent, answer: r.answer, answers: r.answers}
 	}
 	if d.Sequence == 0 {
-		return d, reply, nil
+		return out, nil
 	}
 	if !r.fresh(d.Sequence) {
-		return nil, reply, Replayed.New("datagram %d from %q again", d.Sequence, d.From)
-	}
-	return d, reply, nil
-}
-
-// change notes that a router is now another process.
-func (r *remote) change(boot uint64) {
-	if r.boot != 0 {
-		r.retired = append(r.retired, r.boot)
-		r.retired = r.retired[max(0, len(r.retired)-retiredKept):]
+		return out, Replayed.New("datagram %d from %q again", d.Sequence, d.From)
 	}
-	r.boot = boot
-	r.newest = 0
-	r.window = 0
+	out.taken = d
+	return out, nil
 }
 
 // fresh tells whether a sequence is new, and marks it as taken.
