--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -322,12 +322,11 @@
 	if s.rate > 0 {
 		arrive()
 	}
-	var bytes, steps int64
+	var bytes int64
 	for _, n := range f.nodes {
 		n.bytes = 0
 		clear(n.parts)
 	}
-	steps = f.steps
 	const length = 5.0
 	began := time.Now()
 	f.runUntil(f.now + 5*time.Second)
@@ -352,7 +351,6 @@
 		float64(parts["report"])/share, float64(parts["grants"])/share, float64(parts["up"])/share,
 		float64(parts["down"])/share, float64(parts["heads"]+parts["rumours"])/share)
 	runtime.KeepAlive(f)
-	_ = steps
 }
 
 // BenchmarkSlopes measures what a router spends against the size of the fleet.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -108,19 +108,20 @@
 
 // List is the membership machine. It does no I/O and reads no clock.
 type List struct {
-	self    Member
-	random  *rand.Rand
-	members map[string]*Member
-	names   []string // sorted, without self
-	round   []string
-	rumours []rumour
-	probe   *probing
-	relays  map[uint64]relay
-	nonce   uint64
-	next    model.Time
-	periods int
-	changes []Change
-	version uint64
+	self     Member
+	random   *rand.Rand
+	members  map[string]*Member
+	names    []string // sorted, without self
+	round    []string
+	rumours  []rumour
+	probe    *probing
+	relays   map[uint64]relay
+	nonce    uint64
+	next     model.Time
+	periods  int
+	changes  []Change
+	version  uint64
+	suspects int // members that are suspect
 }
 
 // New returns the list of a router that knows of nobody else yet.
@@ -318,6 +319,12 @@
 
 func (l *List) set(now model.Time, m *Member, status wire.Status) {
 	was := m.Alive()
+	if m.Status == wire.Status_STATUS_SUSPECT {
+		l.suspects--
+	}
+	if status == wire.Status_STATUS_SUSPECT {
+		l.suspects++
+	}
 	m.Status = status
 	m.since = now
 	l.spread(m.Name)
@@ -395,6 +402,9 @@
 }
 
 func (l *List) buryDead(now model.Time) {
+	if l.suspects == 0 {
+		return
+	}
 	for _, name := range l.names {
 		m := l.members[name]
 		if m.Status == wire.Status_STATUS_SUSPECT && now >= m.since+suspectFor {
--- a/core/owner.go
+++ b/core/owner.go
@@ -284,11 +284,15 @@
 
 // expirePending frees the slots of grants that no report has shown in time.
 func (c *Core) expirePending() {
-	for _, name := range sortedKeys(c.sources) {
-		s := c.sources[name]
-		if len(s.pending) == 0 {
-			continue
+	var granted []string
+	for name, s := range c.sources {
+		if len(s.pending) > 0 {
+			granted = append(granted, name)
 		}
+	}
+	slices.Sort(granted)
+	for _, name := range granted {
+		s := c.sources[name]
 		c.repeatGrants(name, s)
 		if c.now < s.pending[0].at+grantExpiry {
 			continue
--- a/core/report.go
+++ b/core/report.go
@@ -206,24 +206,23 @@
 	c.endAsks()
 	c.budget.fill(c.now)
 	var due []string
-	for _, owner := range sortedKeys(c.owners) {
-		l := c.owners[owner]
+	for owner, l := range c.owners {
 		if l.spoke {
 			if refresh := l.sent + reportRefresh; refresh < l.due {
 				l.due = refresh
 				l.full = true
 			}
 		}
-		if l.due <= c.now && c.members.Get(owner) != nil {
+		if l.due <= c.now && c.budget.level > c.reserve(l) && c.members.Get(owner) != nil {
 			due = append(due, owner)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b string) int {
+	slices.SortFunc(due, func(a, b string) int {
 		x, y := c.owners[a], c.owners[b]
 		if x.urgent != y.urgent {
 			return cmp.Compare(rank(x.urgent), rank(y.urgent))
 		}
-		return cmp.Compare(x.due, y.due)
+		return cmp.Or(cmp.Compare(x.due, y.due), cmp.Compare(a, b))
 	})
 	for _, owner := range due {
 		if c.budget.level <= c.reserve(c.owners[owner]) {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -51,13 +51,14 @@
 // router is one router process.
 type router struct {
 	name, callers, admin, peers string
+	noStore                     bool // it can't reach the store
 	cmd                         *exec.Cmd
 	exited                      chan error
 }
 
 // fleet is a set of routers with what surrounds them.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	store   *standin.Store
 	vms     *standin.VMList
@@ -74,7 +75,7 @@
 
 var halls = []string{"hall-a", "hall-b", "hall-c"}
 
-func serve(t *testing.T, s func() (*standin.Server, error)) string {
+func serve(t testing.TB, s func() (*standin.Server, error)) string {
 	t.Helper()
 	server, err := s()
 	if err != nil {
@@ -86,7 +87,7 @@
 
 // newFleet starts the stand-ins and a number of routers, and puts a
 // configuration in force.
-func newFleet(t *testing.T, routers int) *fleet {
+func newFleet(t testing.TB, routers int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), vms: standin.NewVMList(0), address: map[string]string{}}
 	f.write("token", token)
@@ -119,7 +120,7 @@
 	return f
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -172,9 +173,13 @@
 		f.t.Fatal(err)
 	}
 	i := int(r.name[len(r.name)-1] - '1')
+	store := f.address["store"]
+	if r.noStore {
+		store = freePort(f.t)
+	}
 	r.cmd = exec.Command(binary, "--name", r.name, "--data-hall", halls[i%3],
 		"--caller-listen", r.callers, "--admin-listen", r.admin, "--peer-listen", r.peers,
-		"--store", f.address["store"], "--vm-list", f.address["vmlist"],
+		"--store", store, "--vm-list", f.address["vmlist"],
 		"--operator-token-file", filepath.Join(f.dir, "token"), "--peer-key-file", filepath.Join(f.dir, "key"))
 	r.cmd.Stderr = log
 	if err := r.cmd.Start(); err != nil {
@@ -363,4 +368,4 @@
 	return sum
 }
 
-func check(t *testing.T) *is.I { return is.NewRelaxed(t) }
+func check(t testing.TB) *is.I { return is.NewRelaxed(t) }
