ledger: a child that is taken back is counted once

Cause: after a router was killed an account's virtual service jumped by 9,700 tokens that nobody had given it, and a gap of 33,765 stayed. Its parent had given the child up, taken it back, and added its whole amount since the attachment, as the child knew of neither. Found by following each router's amounts around a kill. Ruled out: lifts (none then), a second reign (none), Ups sent again (at most one round trip's worth). What: links that were given up are remembered, 256 of them. Before: TestChildThatIsTakenBack '201 != 101' on the former code.

--- a/core/ledger/exchange.go
+++ b/core/ledger/exchange.go
@@ -164,11 +164,7 @@
 	if !l.isKid(from) {
 		return nil
 	}
-	c := l.children[from]
-	if c == nil || c.attachment != up.Attachment {
-		c = &child{attachment: up.Attachment, last: map[model.Key]entry{}}
-		l.children[from] = c
-	}
+	c := l.childOf(from, up.Attachment)
 	if up.Sequence <= c.sequence {
 		return nil
 	}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -136,6 +136,7 @@
 	parent   *attached
 	kids     []Peer
 	children map[string]*child
+	past     []*child // links that were given up, the newest last
 
 	// The reign whose amounts are held.
 	known    bool
--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,91 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+var testAccount = model.Key{Pool: 1, Account: 2}
+
+func newTest(name string) *Ledger {
+	id := uint64(len(name))
+	return New(name, 0, func() uint64 { id += 1000; return id }, func(model.Key) model.Service { return 0 })
+}
+
+// two returns a root and its only child, which know each other.
+func two() (root, child *Ledger, order []Peer) {
+	root, child = newTest("root"), newTest("child")
+	order = []Peer{{Name: "root", Boot: 1}, {Name: "child", Boot: 2}}
+	root.SetTree(0, order)
+	child.SetTree(0, order)
+	return root, child, order
+}
+
+// exchange lets both send what is due for a while.
+func exchange(root, child *Ledger, from, to model.Time) {
+	for now := from; now < to; now += 10 * time.Millisecond {
+		for _, s := range child.Tick(now) {
+			for _, back := range root.ReceiveUp(now, "child", s.Up) {
+				child.ReceiveDown(now, "root", back.Down)
+			}
+		}
+		for _, s := range root.Tick(now) {
+			child.ReceiveDown(now, "root", s.Down)
+		}
+	}
+}
+
+func TestServiceGoesUpAndDown(t *testing.T) {
+	is := is.New(t)
+	root, child, _ := two()
+	child.Add(0, testAccount, 100)
+	root.Add(0, testAccount, 7)
+	exchange(root, child, 0, 2*time.Second)
+	is.Equal(root.Virtual(testAccount), model.Service(107))
+	is.Equal(child.Virtual(testAccount), model.Service(107))
+	is.Equal(child.Own(testAccount), model.Service(100))
+}
+
+// A parent that gives up a child and takes it back, unknown to the child, counts
+// the child's service once.
+func TestChildThatIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	root, child, order := two()
+	child.Add(0, testAccount, 100)
+	exchange(root, child, 0, 2*time.Second)
+	root.SetTree(2*time.Second, order[:1])
+	root.SetTree(2*time.Second, order)
+	child.Add(2*time.Second, testAccount, 1)
+	exchange(root, child, 2*time.Second, 4*time.Second)
+	is.Equal(root.Virtual(testAccount), model.Service(101))
+}
+
+// A root that has lost its memory takes its child's view.
+func TestRootWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	root, child, order := two()
+	child.Add(0, testAccount, 100)
+	exchange(root, child, 0, 2*time.Second)
+	again := newTest("root")
+	order[0].Boot = 3
+	again.SetTree(2*time.Second, order)
+	child.SetTree(2*time.Second, order)
+	exchange(again, child, 2*time.Second, 5*time.Second)
+	is.Equal(again.Virtual(testAccount), model.Service(100))
+}
+
+// An account that comes back from idle is lifted to the least of the others.
+func TestLift(t *testing.T) {
+	is := is.New(t)
+	l := newTest("alone")
+	other := model.Key{Pool: 1, Account: 3}
+	l.SetBusy(0, other, true, 0)
+	l.Add(0, other, 5000)
+	l.Tick(0)
+	l.SetBusy(0, testAccount, true, 0)
+	is.Equal(l.Virtual(testAccount), model.Service(5000))
+}
--- a/core/ledger/tree.go
+++ b/core/ledger/tree.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/tamarindstep/tamarindstep/model"
@@ -114,13 +115,43 @@
 }
 
 func (l *Ledger) dropChildren() {
-	for name := range l.children {
+	for _, name := range slices.Sorted(maps.Keys(l.children)) {
 		if !l.isKid(name) {
+			l.putAway(l.children[name])
 			delete(l.children, name)
 		}
 	}
 }
 
+// pastKept is how many links to former children are remembered.
+const pastKept = 256
+
+// putAway remembers a link that is given up. Its child may not know of that, and
+// go on with the amounts since the link was made when it is a child again.
+func (l *Ledger) putAway(c *child) {
+	l.past = append(l.past, c)
+	l.past = l.past[max(0, len(l.past)-pastKept):]
+}
+
+// childOf returns the link of an attachment: the present one, one that was given
+// up, or else a new one.
+func (l *Ledger) childOf(name string, attachment uint64) *child {
+	c := l.children[name]
+	if c != nil && c.attachment == attachment {
+		return c
+	}
+	if c != nil {
+		l.putAway(c)
+	}
+	found := &child{attachment: attachment, last: map[model.Key]entry{}}
+	if i := slices.IndexFunc(l.past, func(p *child) bool { return p.attachment == attachment }); i >= 0 {
+		found = l.past[i]
+		l.past = slices.Delete(l.past, i, i+1)
+	}
+	l.children[name] = found
+	return found
+}
+
 func (l *Ledger) becomeRoot(now model.Time) {
 	if l.isRoot {
 		return
