front: claim the key while the request waits

Cause: a request held its slot while its key was claimed, so 50 slots bounded the keyed requests, and capacity idled while work waited. Ruled out: claiming before the request is admitted, as each refusal for a full queue would then cost the store a write. A key is given back only once its claim is settled.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -43,6 +43,8 @@
 	Key = claims.Key
 	// Holder is unique to one attempt to send a request.
 	Holder = claims.Holder
+	// Result is the outcome of a claim.
+	Result = claims.Result
 )
 
 // The outcomes of a claim.
--- a/front/serve.go
+++ b/front/serve.go
@@ -38,8 +38,8 @@
 	span    trace.Span
 	began   time.Time
 	held    *scheduler.Request
-	claimed bool
-	streams bool // the answer is being handed on after the handler has returned
+	claims  chan claim.Result // holds the outcome once it is known; nil for no key
+	streams bool              // the answer is being handed on after the handler has returned
 	holder  claim.Holder
 	sends   int
 	sent    time.Time // when it was last sent
@@ -53,6 +53,7 @@
 	a.span.SetAttributes(attribute.String("account", c.name), attribute.String("route", c.route.Name))
 	ctx.Response.Header.Set(requestIDHeader, c.id)
 	a.submit()
+	a.beginClaim()
 	for {
 		d, left := a.wait()
 		if left {
@@ -103,19 +104,33 @@
 	}
 }
 
-// claim claims the request's key, where it has one, before anything is sent. It
+// beginClaim begins to claim the request's key, where it has one, while the
+// request waits: so that no slot is held for it while others wait.
+func (a *attempt) beginClaim() {
+	if a.call.key == "" {
+		return
+	}
+	a.claims = make(chan claim.Result, 1)
+	key := claim.KeyOf(a.call.account, a.call.key)
+	go func() {
+		_, span := a.service.traces.Begin(a.trace, "claim", trace.SpanKindInternal)
+		result := a.service.claims.Claim(context.WithoutCancel(a.trace), key, a.holder)
+		span.SetAttributes(attribute.Stringer("result", result))
+		span.End()
+		a.claims <- result
+	}()
+}
+
+// claim waits until the request's key is claimed, before anything is sent. It
 // returns false where the request was refused for it.
 func (a *attempt) claim() bool {
-	if a.call.key == "" || a.claimed {
+	if a.claims == nil {
 		return true
 	}
-	_, span := a.service.traces.Begin(a.trace, "claim", trace.SpanKindInternal)
-	result := a.service.claims.Claim(a.trace, claim.KeyOf(a.call.account, a.call.key), a.holder)
-	span.SetAttributes(attribute.Stringer("result", result))
-	span.End()
+	result := <-a.claims
+	a.claims <- result
 	switch {
 	case result == claim.Held:
-		a.claimed = true
 		return true
 	case result == claim.Unavailable && a.call.route.BestEffort:
 		return true
@@ -126,17 +141,24 @@
 		a.refuse(AlreadyClaimed, "", 0)
 		return false
 	}
-	a.service.claims.Release(claim.KeyOf(a.call.account, a.call.key), a.holder)
+	a.unclaim()
 	a.refuse(ClaimUnavailable, "", 0)
 	return false
 }
 
-// unclaim gives the key back after nothing was sent for it.
+// unclaim gives the key back after nothing was sent for it, once it is known
+// whether it is held.
 func (a *attempt) unclaim() {
-	if a.claimed && a.sends == 0 {
-		a.service.claims.Release(claim.KeyOf(a.call.account, a.call.key), a.holder)
-		a.claimed = false
+	if a.claims == nil || a.sends > 0 {
+		return
 	}
+	key := claim.KeyOf(a.call.account, a.call.key)
+	claims, holder, service := a.claims, a.holder, a.service.claims
+	go func() {
+		if <-claims != claim.Taken {
+			service.Release(key, holder)
+		}
+	}()
 }
 
 // send sends the request to the backend server that was decided on. It returns
