Read as a newcomer: files by one matter each, code that stood twice

What: owners, slots, picking and grants apart; probing and rumours; lifts; the claims' commits; the test's run and its properties. One Clients for both keepers, one backend for both stand-ins. Two fields that nothing read are gone, and the head of the core says how the order now goes.

--- a/back/back.go
+++ b/back/back.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,12 +23,11 @@
 
 // Service keeps the connections to the backend servers.
 type Service struct {
-	mu      sync.Mutex
-	clients map[string]*exchange.Client
+	clients *exchange.Clients
 }
 
 // New returns the service.
-func New() *Service { return &Service{clients: map[string]*exchange.Client{}} }
+func New() *Service { return &Service{clients: exchange.NewClients(dialTimeout)} }
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
@@ -42,27 +40,12 @@
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.clients {
-		c.Close()
-	}
+	s.clients.Close()
 	return nil
 }
 
 // Send sends a request to the backend server at an IP and port.
 // exchange.NotSent tells of its error whether any byte was written.
 func (s *Service) Send(ctx context.Context, address string, req *fasthttp.Request) (*exchange.Answer, error) {
-	return s.client(address).Do(ctx, req, patience)
-}
-
-func (s *Service) client(address string) *exchange.Client {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.clients[address]
-	if c == nil {
-		c = exchange.NewClient(address, dialTimeout)
-		s.clients[address] = c
-	}
-	return c
+	return s.clients.Of(address).Do(ctx, req, patience)
 }
--- a/core/core.go
+++ b/core/core.go
@@ -16,11 +16,11 @@
 // behind, at the router where that account's oldest request waits; that router
 // then talks to the backend server itself.
 //
-// An account's place in the order is its virtual service: tokens delivered so
-// far plus those expected of its running requests, over the fleet, divided by
-// its weight. Package ledger carries it, package estimate expects the rest of a
-// request. Grants that the ledger can't show yet are counted by the owner that
-// made them.
+// An account's place in the order is its virtual service: over the fleet, the
+// tokens delivered so far, and of each running request its input and at most the
+// policy's look-ahead of the output still expected, divided by its weight.
+// Package ledger carries it, package estimate expects the rest of a request.
+// Grants that the ledger can't show yet are counted by the owner that made them.
 //
 // # What is state and heals by itself
 //
--- /dev/null
+++ b/core/grant.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+const (
+	// grantExpiry is how long a grant counts as a taken slot without a report
+	// that has seen it.
+	grantExpiry = 500 * time.Millisecond
+	// grantRepeat is how long a grant that no report has seen waits to be sent
+	// again.
+	grantRepeat = 150 * time.Millisecond
+)
+
+// pendingGrant is a grant that no report has shown yet.
+type pendingGrant struct {
+	sequence uint64
+	backend  model.BackendID
+	key      model.Key
+	class    model.Class
+	at       model.Time
+	sent     model.Time // last
+}
+
+// recentGrant is the service expected of a grant made to another router.
+type recentGrant struct {
+	at      model.Time
+	service model.Service
+}
+
+// expirePending frees the slots of grants that no report has shown in time.
+func (c *Core) expirePending() {
+	var granted []string
+	for name, s := range c.sources {
+		if len(s.pending) > 0 {
+			granted = append(granted, name)
+		}
+	}
+	slices.Sort(granted)
+	for _, name := range granted {
+		s := c.sources[name]
+		c.repeatGrants(name, s)
+		if c.now < s.pending[0].at+grantExpiry {
+			continue
+		}
+		c.uncountSource(name, s)
+		s.pending = slices.DeleteFunc(s.pending, func(g pendingGrant) bool { return c.now >= g.at+grantExpiry })
+		c.countSource(name, s)
+		c.dirtyAll()
+	}
+}
+
+// grantAll hands out free slots while anything waits for them.
+func (c *Core) grantAll() {
+	c.expirePending()
+	c.readyBackends()
+	if len(c.dirty) == 0 || c.config.Policy == nil {
+		return
+	}
+	for _, pool := range sortedKeys(c.dirty) {
+		delete(c.dirty, pool)
+		for c.grantOne(pool) {
+		}
+		delete(c.dirty, pool)
+	}
+}
+
+// grantOne grants one slot of a pool, and tells whether it could.
+func (c *Core) grantOne(pool model.PoolID) bool {
+	if b := c.freest(pool, 0); b != nil {
+		key, ok := c.pick(pool, model.Batch)
+		return ok && c.grant(b, key)
+	}
+	b := c.freest(pool, interactiveShare)
+	if b == nil {
+		return false
+	}
+	key, ok := c.pickUrgent(pool)
+	return ok && c.grant(b, key)
+}
+
+// grant gives a slot to an account at the router where its oldest request of
+// the most urgent class waits, and tells whether it could.
+func (c *Core) grant(b *backend, key model.Key) bool {
+	d := c.demands[key]
+	class := model.Interactive
+	if !d.waits(class) {
+		class = model.Batch
+	}
+	o := d.longestWaiting(class)
+	if o == nil {
+		return false
+	}
+	c.grants++
+	c.lastGrant[key] = c.grants
+	done := true
+	if o.router == c.members.Self().Name {
+		done = c.dispatch(key, b.id)
+	} else {
+		c.grantTo(o, b, key, class)
+	}
+	c.notePeak(b, c.occupied(b))
+	return done
+}
+
+func (d *demand) longestWaiting(class model.Class) *offer {
+	var best *offer
+	for _, o := range d.offers {
+		if o.count[class] > 0 && (best == nil || o.oldest < best.oldest) {
+			best = o
+		}
+	}
+	return best
+}
+
+func (c *Core) grantTo(o *offer, b *backend, key model.Key, class model.Class) {
+	s := c.sources[o.router]
+	s.pending = append(s.pending, pendingGrant{
+		sequence: c.grants, backend: b.id, key: key, class: class, at: c.now, sent: c.now,
+	})
+	b.granted++
+	o.count[class]--
+	expected := c.expectedService(key, class)
+	d := c.demands[key]
+	d.recent = append(d.recent, recentGrant{at: c.now, service: expected})
+	c.sendGrant(o.router, s.pending[len(s.pending)-1])
+}
+
+func (c *Core) sendGrant(to string, g pendingGrant) {
+	d := c.to(to)
+	d.Grants = append(d.Grants, &wire.Grant{
+		Sequence: g.sequence, Backend: uint32(g.backend), Account: uint32(g.key.Account), Batch: g.class == model.Batch,
+	})
+}
+
+// repeatGrants sends the grants again that may have been lost. One that came
+// after all is known to its receiver by its sequence.
+func (c *Core) repeatGrants(to string, s *source) {
+	for i := range s.pending {
+		g := &s.pending[i]
+		if c.now >= g.sent+grantRepeat {
+			g.sent = c.now
+			c.sendGrant(to, *g)
+		}
+	}
+}
+
+// expectedService is the service expected of a request that waits elsewhere.
+func (c *Core) expectedService(key model.Key, class model.Class) model.Service {
+	r := request{key: key, class: class}
+	r.expected = c.lengths(&r).Rest(0)
+	return model.ServiceOf(c.ahead(&r, 0), c.weightOf(key.Account))
+}
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/tamarindstep/tamarindstep/core/estimate"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -39,12 +38,6 @@
 	expected float64 // output, in tokens, as expected when it was dispatched
 }
 
-// kind is a kind of request, for the estimates.
-type kind struct {
-	key   model.Key
-	class model.Class
-}
-
 // queue holds the waiting requests of one account in one pool.
 type queue struct {
 	waiting [model.Classes][]*request
@@ -229,67 +222,6 @@
 	q.last = now
 }
 
-// charge sets the service that a running request stands for: its input, its
-// output so far and what the policy counts of the rest expected.
-func (c *Core) charge(r *request, output float64) {
-	c.chargeTokens(r, r.input+output+c.ahead(r, output))
-}
-
-// ahead returns what counts of the rest that is expected of a running request.
-func (c *Core) ahead(r *request, output float64) float64 {
-	if c.config.Policy.SettleAtEnd {
-		return r.expected - output
-	}
-	return min(c.lengths(r).Rest(output), c.config.Policy.LookAhead)
-}
-
-func (c *Core) chargeTokens(r *request, tokens float64) {
-	service := model.ServiceOf(tokens, c.weightOf(r.key.Account))
-	if service == r.charged {
-		return
-	}
-	c.ledger.Add(c.now, r.key, service-r.charged)
-	r.charged = service
-}
-
-// weightOf returns an account's weight; one that the configuration has just
-// withdrawn counts with weight 1.
-func (c *Core) weightOf(id model.AccountID) float64 {
-	if w := c.config.Accounts[id].Weight; w > 0 {
-		return w
-	}
-	return 1
-}
-
-// lookAheadOf returns what a running request of an account counts for beyond
-// its deliveries, at the most.
-func (c *Core) lookAheadOf(key model.Key) model.Service {
-	if c.config.Policy == nil {
-		return 0
-	}
-	return model.ServiceOf(c.config.Policy.LookAhead, c.weightOf(key.Account))
-}
-
-func (c *Core) lengths(r *request) *estimate.Lengths {
-	k := kind{key: r.key, class: r.class}
-	l := c.estimates[k]
-	if l == nil {
-		prior := c.config.Pools[r.key.Pool].ExpectedOutput
-		if prior <= 0 {
-			prior = defaultExpected
-		}
-		l = estimate.New(prior)
-		c.estimates[k] = l
-	}
-	return l
-}
-
-func (c *Core) progress(e Progress) {
-	if r := c.requests[e.ID]; r != nil && r.running {
-		c.charge(r, e.Output)
-	}
-}
-
 func (c *Core) finish(e Finish) {
 	r := c.requests[e.ID]
 	if r == nil || !r.running {
@@ -365,44 +297,3 @@
 	}
 	c.dirtyAll()
 }
-
-// deadlines is a heap of waiting requests by deadline.
-type deadlines []*request
-
-func (d deadlines) Len() int { return len(d) }
-func (d deadlines) Less(i, j int) bool {
-	if d[i].deadline != d[j].deadline {
-		return d[i].deadline < d[j].deadline
-	}
-	return d[i].id < d[j].id
-}
-func (d deadlines) Swap(i, j int) {
-	d[i], d[j] = d[j], d[i]
-	d[i].heapAt, d[j].heapAt = i, j
-}
-
-// Push implements heap.Interface.
-func (d *deadlines) Push(x any) {
-	r := x.(*request)
-	r.heapAt = len(*d)
-	*d = append(*d, r)
-}
-
-// Pop implements heap.Interface.
-func (d *deadlines) Pop() any {
-	old := *d
-	r := old[len(old)-1]
-	r.heapAt = -1
-	*d = old[:len(old)-1]
-	return r
-}
-
-// never is a time that doesn't come.
-const never = model.Time(1<<63 - 1)
-
-func (c *Core) nextDeadline() model.Time {
-	if len(c.deadlines) == 0 {
-		return never
-	}
-	return c.deadlines[0].deadline
-}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -44,7 +44,7 @@
 
 	mu       sync.Mutex
 	watched  []model.BackendID
-	clients  map[string]*exchange.Client
+	clients  *exchange.Clients
 	failures map[model.BackendID]int
 
 	cancel context.CancelFunc
@@ -54,7 +54,7 @@
 // NewLoads returns the service; inForce gives the configuration in force.
 func NewLoads(inForce func() *config.InForce) *Loads {
 	return &Loads{
-		inForce: inForce, clients: map[string]*exchange.Client{},
+		inForce: inForce, clients: exchange.NewClients(loadTimeout),
 		failures: map[model.BackendID]int{}, ended: make(chan struct{}),
 	}
 }
@@ -82,9 +82,7 @@
 func (l *Loads) Stop(context.Context) error {
 	l.cancel()
 	<-l.ended
-	for _, c := range l.clients {
-		c.Close()
-	}
+	l.clients.Close()
 	return nil
 }
 
@@ -123,7 +121,7 @@
 		if !ok {
 			continue
 		}
-		client := l.client(c.AddressOf(id))
+		client := l.clients.Of(c.AddressOf(id))
 		asking.Go(func() {
 			load := ask(ctx, client, c.Core.Pools[backend.Pool].FollowLoad)
 			l.report(ctx, id, load)
@@ -132,17 +130,6 @@
 	asking.Wait()
 }
 
-func (l *Loads) client(address string) *exchange.Client {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.clients[address]
-	if c == nil {
-		c = exchange.NewClient(address, loadTimeout)
-		l.clients[address] = c
-	}
-	return c
-}
-
 func (l *Loads) report(ctx context.Context, id model.BackendID, load core.Load) {
 	if ctx.Err() != nil {
 		return
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -16,7 +16,7 @@
 // set number of slots, takes the next by priority when one is free, notices
 // callers that leave, and reports its load late.
 type Engine struct {
-	faulty
+	backend
 
 	name  string
 	slots int
@@ -27,7 +27,6 @@
 	running  int
 	waiting  []*seat
 	order    int
-	runs     map[string]int
 	reported Load
 }
 
@@ -46,44 +45,16 @@
 
 // NewEngine returns an engine. Its load report is as old as lag.
 func NewEngine(name string, slots int, gap, lag time.Duration) *Engine {
-	return &Engine{name: name, slots: slots, gap: gap, lag: lag, runs: map[string]int{}}
-}
-
-// Runs returns how often each request was run.
-func (e *Engine) Runs() map[string]int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	out := make(map[string]int, len(e.runs))
-	for id, n := range e.runs {
-		out[id] = n
-	}
-	return out
-}
-
-// SetFaults sets the failures that the engine shows.
-func (e *Engine) SetFaults(f Faults) {
-	e.faulty.mu.Lock()
-	defer e.faulty.mu.Unlock()
-	e.faulty.faults = f
+	return &Engine{name: name, slots: slots, gap: gap, lag: lag}
 }
 
 // Handle answers one call.
 func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
-	if e.handleFaults(ctx) {
-		return
-	}
 	faults := e.get()
-	if faults.Out || faults.Reset == "accept" {
-		dropConnection(ctx)
+	if e.handleCommon(ctx, faults) {
 		return
 	}
 	switch string(ctx.Path()) {
-	case "/standin/runs":
-		writeJSON(ctx, e.Runs())
-	case "/health":
-		if faults.Leaving {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		}
 	case "/metrics":
 		e.handleMetrics(ctx)
 	case "/v1/completions", "/v1/chat/completions":
@@ -140,10 +111,7 @@
 	if in.MaxTokens <= 0 {
 		in.MaxTokens = 16
 	}
-	id := string(ctx.Request.Header.Peek("X-Request-Id"))
-	e.mu.Lock()
-	e.runs[id]++
-	e.mu.Unlock()
+	id := e.ran(ctx)
 	if faults.Reset == "read" {
 		dropConnection(ctx)
 		return
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -65,9 +66,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return true
 	}
-	f.mu.Lock()
-	f.faults = faults
-	f.mu.Unlock()
+	f.SetFaults(faults)
 	return true
 }
 
@@ -77,6 +76,62 @@
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 }
 
+// SetFaults sets the failures that the stand-in shows.
+func (f *faulty) SetFaults(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+}
+
+// backend is the part that the stand-ins of backend servers share.
+type backend struct {
+	faulty
+	runsMu sync.Mutex
+	runs   map[string]int
+}
+
+// Runs returns how often each request was run, by its X-Request-Id.
+func (b *backend) Runs() map[string]int {
+	b.runsMu.Lock()
+	defer b.runsMu.Unlock()
+	return maps.Clone(b.runs)
+}
+
+// ran counts a run of a request and returns its identifier.
+func (b *backend) ran(ctx *fasthttp.RequestCtx) string {
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	b.runsMu.Lock()
+	defer b.runsMu.Unlock()
+	if b.runs == nil {
+		b.runs = map[string]int{}
+	}
+	b.runs[id]++
+	return id
+}
+
+// handleCommon answers the calls that all backend servers have, shows the faults
+// that come before a request is read, and tells whether that was all.
+func (b *backend) handleCommon(ctx *fasthttp.RequestCtx, faults Faults) bool {
+	if b.handleFaults(ctx) {
+		return true
+	}
+	if faults.Out || faults.Reset == "accept" {
+		dropConnection(ctx)
+		return true
+	}
+	switch string(ctx.Path()) {
+	case "/standin/runs":
+		writeJSON(ctx, b.Runs())
+	case "/health":
+		if faults.Leaving {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
 func slow(f Faults) {
 	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -49,9 +49,7 @@
 
 // SetFaults sets the failures that the store shows.
 func (s *Store) SetFaults(f Faults) {
-	s.faulty.mu.Lock()
-	defer s.faulty.mu.Unlock()
-	s.faulty.faults = f
+	s.faulty.SetFaults(f)
 	if f.Out {
 		s.endWatches()
 	}
