front: what was sent before is never refused as not run

Cause: found in reading. A request that may be repeated, and broke off, waits to be sent again; when it was refused then, the refusal said not-run. Ruled out: sending it on regardless of its wait, as its caller has said how long. Before: TestRefusedAfterSendingIsUnknown 'not-run != unknown'. After: passing.

--- a/core/view.go
+++ b/core/view.go
@@ -68,9 +68,6 @@
 	}
 }
 
-// Generation returns the generation of the configuration in force.
-func (c *Core) Generation() uint64 { return c.config.Generation }
-
 // Live returns how many routers are live, this one included.
 func (c *Core) Live() int { return len(c.members.Live()) }
 
--- a/e2e/promise_test.go
+++ b/e2e/promise_test.go
@@ -68,6 +68,21 @@
 	is.Equal(f.runs("broken-whole"), 1)
 }
 
+// A request that broke off, and is refused while it waits to be sent again, isn't
+// refused as not run.
+func TestRefusedAfterSendingIsUnknown(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 1)
+	for _, e := range f.engines {
+		e.SetFaults(standin.Faults{BreakAfter: 1})
+	}
+	// It breaks off after 1.2 s, when it may not wait any more.
+	a := f.call(f.routers[0], "/v1/completions", `{"model":"chat","max_tokens":600,"prompt":"x"}`,
+		"X-Request-Id", "sent-before", "Tamarindstep-Wait", "1s")
+	is.True(f.runs("sent-before") > 0)
+	is.Equal(a.outcome, "unknown")
+}
+
 func TestNotRunMeansNotRun(t *testing.T) {
 	is := check(t)
 	f := newFleet(t, 2)
--- a/front/serve.go
+++ b/front/serve.go
@@ -61,8 +61,7 @@
 			return
 		}
 		if !d.Dispatched {
-			a.unclaim()
-			a.refuse(ofCore(d.Refusal), "", d.RetryAfter)
+			a.refuseWaiting(d)
 			return
 		}
 		if a.claim() && a.send(d) {
@@ -74,6 +73,17 @@
 	}
 }
 
+// refuseWaiting refuses a request that won't be dispatched. Where it was sent
+// before, and broke off, it may have been run.
+func (a *attempt) refuseWaiting(d scheduler.Decision) {
+	if a.sends > 0 {
+		a.refuse(BackendBroke, "and then "+string(d.Refusal), d.RetryAfter)
+		return
+	}
+	a.unclaim()
+	a.refuse(ofCore(d.Refusal), "", d.RetryAfter)
+}
+
 func (a *attempt) submit() {
 	a.held = a.service.scheduler.Submit(core.Arrive{
 		Account: a.call.account, Pool: a.call.route.Pool, Class: a.call.class,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -169,6 +169,9 @@
 	s.metrics.Share.StepTime.Add(time.Since(began).Seconds())
 	s.metrics.Share.Steps.Inc()
 	for _, a := range actions {
+		if _, changed := a.(core.MemberChanged); changed {
+			s.metrics.Share.Members.Set(float64(c.Live()))
+		}
 		s.act(a)
 	}
 }
