e2e: the policy is swapped under load, and nothing is lost

A first form of the test passed on a broken router, as its callers went elsewhere after a refusal; it now takes none. Results were also taken from go test's cache where only the router had changed: the test binary now depends on it. A kept-open idle connection doesn't hold a planned stop up either.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/ctl"
+	_ "github.com/tamarindstep/tamarindstep/daemon" // so that go test doesn't take an old result for a changed router
 	"github.com/tamarindstep/tamarindstep/internal/standin"
 	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/status"
--- a/e2e/promise_test.go
+++ b/e2e/promise_test.go
@@ -187,14 +187,66 @@
 	is.NoErr(<-f.routers[0].exited) // exit code 0
 }
 
+// A caller that keeps its connection open, with nothing on it, doesn't hold a
+// planned stop up.
+func TestPlannedStopWithIdleCaller(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 1)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: generous}
+	resp, err := client.Post("http://"+f.routers[0].callers+"/v1/completions", "application/json", strings.NewReader("{}"))
+	is.NoErr(err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	is.NoErr(resp.Body.Close())
+	f.signal(f.routers[0], syscall.SIGTERM)
+	is.NoErr(<-f.routers[0].exited) // exit code 0
+}
+
 // All routers are replaced, one by one, under load. A caller goes on to the next
 // router where one refuses as not run or takes no connection, as behind a
 // balancer; no request fails.
 func TestRollingReplacement(t *testing.T) {
 	f := newFleet(t, 3)
+	f.underLoad(8, f.streamAnywhere, func() {
+		for _, r := range f.routers {
+			f.signal(r, syscall.SIGTERM)
+			if err := <-r.exited; err != nil {
+				t.Errorf("%s: %v", r.name, err)
+			}
+			f.start(r)
+			f.awaitReady(r)
+			f.await("a whole fleet", func() bool { return f.wholeFrom(r) })
+		}
+	})
+}
+
+// The policy is swapped for each other under load, and no request is lost.
+func TestPolicySwapsLoseNothing(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	f.underLoad(120, f.streamOnce, func() { // more than there are slots, so that some wait
+		generation := uint64(1)
+		for _, policy := range []string{"static-split", "least-loaded", "fleet-fair", "least-loaded", "static-split", "fleet-fair"} {
+			file := f.write("policy.yaml", f.configuration("")+"policy: "+policy+"\n")
+			code, out := f.ctl(f.routers[0], "apply", file)
+			is.Equal(code, 0)
+			if code != 0 {
+				t.Log(out)
+			}
+			generation++
+			f.awaitGeneration(generation)
+			time.Sleep(300 * time.Millisecond) // let the policy serve some
+		}
+	})
+}
+
+// underLoad runs a function while a number of callers stream through all routers; each of
+// their requests must be answered, whole.
+func (f *fleet) underLoad(callers int, send func(first int, id string) error, do func()) {
 	stop := make(chan struct{})
 	var load sync.WaitGroup
-	for w := range 8 {
+	for w := range callers {
 		load.Go(func() {
 			for i := 0; ; i++ {
 				select {
@@ -202,26 +254,25 @@
 					return
 				default:
 				}
-				id := fmt.Sprintf("roll-%d-%d", w, i)
-				if err := f.streamAnywhere(w, id); err != nil {
-					t.Errorf("%s: %v", id, err)
+				id := fmt.Sprintf("load-%d-%d", w, i)
+				if err := send(w, id); err != nil {
+					f.t.Errorf("%s: %v", id, err)
 				}
 			}
 		})
 	}
-	for _, r := range f.routers {
-		f.signal(r, syscall.SIGTERM)
-		if err := <-r.exited; err != nil {
-			t.Errorf("%s: %v", r.name, err)
-		}
-		f.start(r)
-		f.awaitReady(r)
-		f.await("a whole fleet", func() bool { return f.wholeFrom(r) })
-	}
+	do()
 	close(stop)
 	load.Wait()
 }
 
+// streamOnce streams through one router, and takes no refusal.
+func (f *fleet) streamOnce(at int, id string) error {
+	const tokens = 20
+	got, err := f.stream(f.routers[at%len(f.routers)], id, tokens)
+	return wholeStream(id, tokens, got, err)
+}
+
 // streamAnywhere streams through one router after another until one takes it.
 func (f *fleet) streamAnywhere(first int, id string) error {
 	const tokens = 20
