peer: calls between routers carry the trace

Cause: the issue asks for W3C context between routers; only backend servers got it. Ruled out: a field in each message, as drpc's metadata serves. Before: TestCallsCarryTheTrace couldn't be written. After: passing; a span for the commit of another router's claim.

--- /dev/null
+++ b/peer/call_test.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// answering answers status calls with the trace that they carry.
+type answering struct {
+	wire.DRPCPeerUnimplementedServer
+}
+
+// Status implements wire.DRPCPeerServer.
+func (*answering) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
+	carried := trace.SpanContextFromContext(telemetry.FromPeer(ctx))
+	return &wire.StatusResponse{Name: carried.TraceID().String()}, nil
+}
+
+func startPeer(t *testing.T, is *is.I, name, key string) *Service {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	s := New(Settings{Name: name, Boot: 1, Listen: address, Key: []byte(key)}, telemetry.NewMetrics().Peer)
+	is.NoErr(s.Start(context.Background(), nil))
+	t.Cleanup(func() { is.NoErr(s.Stop(context.Background())) })
+	return s
+}
+
+func TestCallsCarryTheTrace(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, is, "a", "one key for both"), startPeer(t, is, "b", "one key for both")
+	b.HandleCalls(&answering{})
+	id := trace.TraceID{1, 2, 3}
+	ctx := trace.ContextWithSpanContext(context.Background(), trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: id, SpanID: trace.SpanID{4}, TraceFlags: trace.FlagsSampled,
+	}))
+	err := a.Call(ctx, b.settings.Listen, func(ctx context.Context, c wire.DRPCPeerClient) error {
+		out, err := c.Status(ctx, &wire.StatusRequest{})
+		is.NoErr(err)
+		is.Equal(out.Name, id.String())
+		return nil
+	})
+	is.NoErr(err)
+}
+
+func TestCallsNeedTheKey(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, is, "a", "one key"), startPeer(t, is, "b", "another key")
+	b.HandleCalls(&answering{})
+	err := a.Call(context.Background(), b.settings.Listen, func(context.Context, wire.DRPCPeerClient) error {
+		is.Fail() // no call is made
+		return nil
+	})
+	is.True(errorx.IsOfType(err, Unreached))
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -253,7 +253,7 @@
 	}
 	conn := drpcconn.New(raw)
 	defer func() { _ = conn.Close() }()
-	return do(ctx, wire.NewDRPCPeerClient(conn))
+	return do(telemetry.ToPeer(ctx), wire.NewDRPCPeerClient(conn))
 }
 
 // Unreached is the error for a call that another router never got.
--- a/status/status.go
+++ b/status/status.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/tamarindstep/tamarindstep/claim"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/fleet"
@@ -16,6 +18,7 @@
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/peer"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
@@ -33,6 +36,7 @@
 	claims    *claim.Service
 	peers     *peer.Service
 	fleet     *fleet.Service
+	traces    *telemetry.Traces
 }
 
 // New returns the service; drain is called when an operator asks the router to
@@ -46,6 +50,7 @@
 func (s *Service) Needs() []string {
 	return []string{
 		scheduler.ServiceName, generation.ServiceName, claim.ServiceName, peer.ServiceName, fleet.ServiceName,
+		telemetry.TracesName,
 	}
 }
 
@@ -67,6 +72,9 @@
 	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
 		return err
 	}
+	if s.traces, err = kernel.Lookup[*telemetry.Traces](k, telemetry.TracesName); err != nil {
+		return err
+	}
 	s.peers.HandleCalls(s)
 	return nil
 }
@@ -81,6 +89,8 @@
 
 // Claim implements wire.DRPCPeerServer.
 func (s *Service) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	ctx, span := s.traces.Begin(telemetry.FromPeer(ctx), "commit claim", trace.SpanKindServer)
+	defer span.End()
 	return s.claims.Answer(ctx, in)
 }
 
