kernel: failures keep their cause

Cause: a test of the kernel failed: 'not true: errors.Is(err, broken)'. What a service failed with couldn't be found again in the joined failure, so a stop that was only cancelled ended with exit code 1. Ruled out: the order of start and stop, which the same tests pin down. Before: failing. After: passing.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # unit runs every test with the race detector on and fixed seeds.
 unit:
-	$(GO) test -race -timeout 9m ./...
+	$(GO) test -race -count=1 -timeout 9m ./...
 
 lint: $(REVIVE)
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || (gofmt -l $$(git ls-files '*.go'); false)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -79,7 +79,7 @@
 	}
 	for _, s := range order {
 		if err := s.Start(ctx, k); err != nil {
-			err = errorx.Decorate(err, "service %q doesn't start", s.Name())
+			err = fmt.Errorf("service %q doesn't start: %w", s.Name(), err)
 			return errors.Join(err, k.Stop(ctx))
 		}
 		k.started = append(k.started, s)
@@ -92,7 +92,7 @@
 	var failures []error
 	for _, s := range slices.Backward(k.started) {
 		if err := s.Stop(ctx); err != nil {
-			failures = append(failures, errorx.Decorate(err, "service %q doesn't stop", s.Name()))
+			failures = append(failures, fmt.Errorf("service %q doesn't stop: %w", s.Name(), err))
 		}
 	}
 	k.started = nil
--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,77 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+)
+
+// fake is a service that notes what happens to it.
+type fake struct {
+	name        string
+	needs       []string
+	start, stop error
+	events      *[]string
+}
+
+func (f *fake) Name() string    { return f.name }
+func (f *fake) Needs() []string { return f.needs }
+
+func (f *fake) Start(context.Context, *Kernel) error {
+	*f.events = append(*f.events, "start "+f.name)
+	return f.start
+}
+
+func (f *fake) Stop(context.Context) error {
+	*f.events = append(*f.events, "stop "+f.name)
+	return f.stop
+}
+
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	var events []string
+	k, err := New(
+		&fake{name: "front", needs: []string{"back", "log"}, events: &events},
+		&fake{name: "back", needs: []string{"log"}, events: &events},
+		&fake{name: "log", events: &events},
+	)
+	is.NoErr(err)
+	is.NoErr(k.Start(context.Background()))
+	is.NoErr(k.Stop(context.Background()))
+	is.Equal(strings.Join(events, ", "), "start log, start back, start front, stop front, stop back, stop log")
+}
+
+func TestFailuresAreReportedTogether(t *testing.T) {
+	is := is.New(t)
+	var events []string
+	broken, stuck := errors.New("broken"), errors.New("stuck")
+	k, err := New(
+		&fake{name: "a", stop: stuck, events: &events},
+		&fake{name: "b", needs: []string{"a"}, start: broken, events: &events},
+		&fake{name: "c", needs: []string{"b"}, events: &events},
+	)
+	is.NoErr(err)
+	err = k.Start(context.Background())
+	is.True(errors.Is(err, broken) && errors.Is(err, stuck))
+	is.Equal(strings.Join(events, ", "), "start a, start b, stop a") // what failed isn't stopped
+}
+
+func TestBadServices(t *testing.T) {
+	is := is.New(t)
+	_, err := New(&fake{name: "a"}, &fake{name: "a"})
+	is.True(errorx.IsOfType(err, Duplicate))
+	k, err := New(&fake{name: "a", needs: []string{"b"}}, &fake{name: "b", needs: []string{"a"}})
+	is.NoErr(err)
+	err = k.Start(context.Background())
+	var found *errorx.Error
+	is.True(errors.As(err, &found) && found.IsOfType(Cycle))
+	k, err = New(&fake{name: "a", needs: []string{"missing"}})
+	is.NoErr(err)
+	is.True(k.Start(context.Background()) != nil)
+	_, err = Lookup[*fake](k, "nobody")
+	is.True(errorx.IsOfType(err, Unknown))
+}
