--- a/front/call.go
+++ b/front/call.go
@@ -70,7 +70,10 @@
 	if p != nil {
 		return nil, p
 	}
-	return out, out.readHeaders(&ctx.Request.Header)
+	if p := out.readHeaders(&ctx.Request.Header); p != nil {
+		return nil, p
+	}
+	return out, nil
 }
 
 func (c *call) readService(ctx *fasthttp.RequestCtx, conf *config.InForce, rest string) *problem {
