store, vmlist: interfaces leave platform/; exchange reads bodies itself

Cause: platform/ is to hold the translation to the users' platform alone, and the exchange refused answers that end with their connection, which backend servers there give. Ruled out: fasthttp's body streams, as they can't tell an unframed body's end from a broken one, nor pass over a surplus answer. Before: 1 adapter folder with the product's own interfaces. After: store/ and vmlist/; long requests are written beside the reading of the answer, and a connection whose request wasn't wholly written is never used again. Routes may name a host, be split over pools and be passed through; backend servers may be discovered.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -24,9 +24,9 @@
 	"github.com/tamarindstep/tamarindstep/finding"
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/kernel"
-	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/policy/policies"
 	"github.com/tamarindstep/tamarindstep/status"
+	"github.com/tamarindstep/tamarindstep/store"
 )
 
 // ServiceName is the name that the service is found by.
@@ -290,7 +290,7 @@
 		fail(ctx, fasthttp.StatusConflict, Error{Code: CodeConflict, Message: err.Error()})
 	case errorx.IsOfType(err, generation.Unknown):
 		fail(ctx, fasthttp.StatusGatewayTimeout, Error{Code: CodeUnknown, Message: err.Error()})
-	case errorx.IsOfType(err, platform.Unavailable):
+	case errorx.IsOfType(err, store.Unavailable):
 		fail(ctx, fasthttp.StatusServiceUnavailable, Error{Code: CodeUnavailable, Message: err.Error()})
 	default:
 		fail(ctx, fasthttp.StatusInternalServerError, Error{Code: CodeUnavailable, Message: err.Error()})
--- a/back/back.go
+++ b/back/back.go
@@ -47,5 +47,5 @@
 // Send sends a request to the backend server at an IP and port.
 // exchange.NotSent tells of its error whether any byte was written.
 func (s *Service) Send(ctx context.Context, address string, req *fasthttp.Request) (*exchange.Answer, error) {
-	return s.clients.Of(address).Do(ctx, req, patience)
+	return s.clients.Of(address).Do(ctx, req, exchange.Options{Patient: patience})
 }
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -17,8 +17,8 @@
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/peer"
-	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/store"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -74,7 +74,7 @@
 
 // Service claims keys.
 type Service struct {
-	store   platform.Store
+	store   store.Store
 	metrics *telemetry.Platform
 	began   time.Time
 
@@ -89,7 +89,7 @@
 }
 
 // New returns the service.
-func New(store platform.Store, metrics *telemetry.Platform) *Service {
+func New(store store.Store, metrics *telemetry.Platform) *Service {
 	return &Service{store: store, metrics: metrics, began: time.Now()}
 }
 
--- a/config/check/ts2004/ts2004.go
+++ b/config/check/ts2004/ts2004.go
@@ -47,7 +47,14 @@
 		}
 	}
 	for i, r := range p.File.Routes {
-		notNegative(p, fmt.Sprintf("routes[%d].wait", i), float64(r.Wait))
+		path := fmt.Sprintf("routes[%d]", i)
+		notNegative(p, path+".wait", float64(r.Wait))
+		notNegative(p, path+".through.timeout", float64(r.Through.Timeout))
+		notNegative(p, path+".through.objective", float64(r.Through.Objective))
+		notNegative(p, path+".through.attempts", float64(r.Through.Attempts))
+		for j, share := range r.Split {
+			notNegative(p, fmt.Sprintf("%s.split[%d].weight", path, j), share.Weight)
+		}
 	}
 }
 
--- a/config/compile.go
+++ b/config/compile.go
@@ -29,7 +29,10 @@
 	accounts   map[string]model.AccountID // by key hash
 	models     map[string]*CompiledRoute
 	services   map[string][]*CompiledRoute // by service, the longest path first
+	hosts      map[string][]*CompiledRoute // by host, the longest path first
 	addresses  map[model.BackendID]string
+	// Catalog is the revision of the discovered backend servers.
+	Catalog uint64
 }
 
 // CompiledRoute is a route ready for use.
@@ -42,15 +45,53 @@
 	BestEffort bool // keyed requests are sent unclaimed while the store is out
 	Wait       time.Duration
 	CallCost   float64
+	Split      []PoolShare // of a host route
+	Through    Through
+}
+
+// PoolShare is the part of a route's requests that a pool serves, from 0 to 1.
+type PoolShare struct {
+	Pool model.PoolID
+	Part float64
+}
+
+// PoolFor returns the pool for a request, given a number from 0 to 1 that
+// spreads the requests evenly.
+func (r *CompiledRoute) PoolFor(draw float64) model.PoolID {
+	for _, share := range r.Split {
+		if draw < share.Part {
+			return share.Pool
+		}
+		draw -= share.Part
+	}
+	return r.Pool
+}
+
+// Discovered is a backend server that has announced itself. Its name is that of
+// one run of it: a restart has another.
+type Discovered struct {
+	Name     string
+	Pool     string
+	Address  string // IP and port
+	DataHall string
+	Slots    int
+	Leaving  bool
 }
 
 // Compile puts a file that passed its checks into the form the services use.
 func Compile(generation uint64, f *File) *InForce {
+	return CompileWith(generation, f, 0, nil)
+}
+
+// CompileWith is Compile with the backend servers that are discovered, which
+// are of the given revision.
+func CompileWith(generation uint64, f *File, catalog uint64, discovered []Discovered) *InForce {
 	c := &InForce{
 		Generation: generation,
 		File:       f,
 		Core: &core.Config{
 			Generation: generation,
+			Catalog:    catalog,
 			Policy:     policies.Find(f.Policy),
 			Accounts:   map[model.AccountID]core.Account{},
 			Pools:      map[model.PoolID]core.Pool{},
@@ -59,13 +100,16 @@
 		accounts:  map[string]model.AccountID{},
 		models:    map[string]*CompiledRoute{},
 		services:  map[string][]*CompiledRoute{},
+		hosts:     map[string][]*CompiledRoute{},
 		addresses: map[model.BackendID]string{},
+		Catalog:   catalog,
 	}
 	if c.Core.Policy == nil {
 		c.Core.Policy = policies.Default
 	}
 	c.compileAccounts()
 	costs := c.compilePools()
+	c.compileDiscovered(discovered)
 	c.compileRoutes(costs)
 	return c
 }
@@ -74,8 +118,9 @@
 	for _, a := range c.File.Accounts {
 		id := model.Account(a.Name)
 		c.Core.Accounts[id] = core.Account{
-			Name:   a.Name,
-			Weight: cmp.Or(a.Weight, defaultWeight),
+			Name:     a.Name,
+			Weight:   cmp.Or(a.Weight, defaultWeight),
+			Priority: a.Priority,
 			Limits: core.Limits{
 				Concurrent: a.Limits.Concurrent,
 				Queue:      a.Limits.Queue,
@@ -97,6 +142,7 @@
 			Name:           p.Name,
 			FollowLoad:     p.Kind == KindEngine,
 			ExpectedOutput: p.ExpectedOutput,
+			MemoryTokens:   p.MemoryTokens,
 		}
 		if p.Kind == KindService {
 			c.Core.Pools[id] = core.Pool{Name: p.Name, ExpectedOutput: 1}
@@ -111,6 +157,22 @@
 	return costs
 }
 
+// compileDiscovered adds the backend servers that have announced themselves for
+// a pool of the file.
+func (c *InForce) compileDiscovered(discovered []Discovered) {
+	for _, d := range discovered {
+		pool := model.Pool(d.Pool)
+		if _, known := c.Core.Pools[pool]; !known {
+			continue
+		}
+		id := model.Backend(d.Name)
+		c.Core.Backends[id] = core.Backend{
+			Name: d.Name, Pool: pool, DataHall: d.DataHall, Slots: d.Slots, Leaving: d.Leaving,
+		}
+		c.addresses[id] = d.Address
+	}
+}
+
 func (c *InForce) compileRoutes(costs map[string]float64) {
 	for _, r := range c.File.Routes {
 		class := model.Interactive
@@ -120,7 +182,12 @@
 		route := &CompiledRoute{
 			Name: r.Name, Path: r.Path, Pool: model.Pool(r.Pool), Class: class,
 			Repeatable: r.Repeatable, BestEffort: r.Claims == ClaimsBestEffort,
-			Wait: cmp.Or(r.Wait, defaultWait), CallCost: costs[r.Pool],
+			Wait: cmp.Or(r.Wait, defaultWait), CallCost: costs[r.Pool], Through: r.Through,
+		}
+		if r.Host != "" {
+			route.Split = splitOf(r)
+			c.hosts[r.Host] = append(c.hosts[r.Host], route)
+			continue
 		}
 		if r.Model != "" {
 			c.models[r.Model] = route
@@ -129,10 +196,35 @@
 		c.services[r.Service] = append(c.services[r.Service], route)
 	}
 	for _, routes := range c.services {
-		slices.SortStableFunc(routes, func(a, b *CompiledRoute) int { return cmp.Compare(len(b.Path), len(a.Path)) })
+		longestFirst(routes)
+	}
+	for _, routes := range c.hosts {
+		longestFirst(routes)
 	}
 }
 
+func longestFirst(routes []*CompiledRoute) {
+	slices.SortStableFunc(routes, func(a, b *CompiledRoute) int { return cmp.Compare(len(b.Path), len(a.Path)) })
+}
+
+// splitOf returns the parts of a route's pools, which add up to 1.
+func splitOf(r Route) []PoolShare {
+	if len(r.Split) == 0 {
+		return []PoolShare{{Pool: model.Pool(r.Pool), Part: 1}}
+	}
+	sum := 0.0
+	for _, share := range r.Split {
+		sum += share.Weight
+	}
+	var out []PoolShare
+	for _, share := range r.Split {
+		if share.Weight > 0 {
+			out = append(out, PoolShare{Pool: model.Pool(share.Pool), Part: share.Weight / sum})
+		}
+	}
+	return out
+}
+
 // HashKey returns a key's hash as the file gives it.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -158,5 +250,15 @@
 	return nil
 }
 
+// HostRoute returns the route of a host and path, or nil.
+func (c *InForce) HostRoute(host, path string) *CompiledRoute {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Path) {
+			return r
+		}
+	}
+	return nil
+}
+
 // AddressOf returns the IP and port of a backend server.
 func (c *InForce) AddressOf(id model.BackendID) string { return c.addresses[id] }
--- a/core/config.go
+++ b/core/config.go
@@ -17,6 +17,8 @@
 	Name   string
 	Weight float64
 	Limits Limits
+	// Priority goes before that of a request; 0 is the highest.
+	Priority int
 }
 
 // Limits are the limits of a client account; 0 is none.
@@ -32,6 +34,7 @@
 	Pool     model.PoolID
 	DataHall string
 	Slots    int
+	Leaving  bool // gets nothing new
 }
 
 // Pool is what the core needs to know of a pool.
@@ -41,16 +44,21 @@
 	FollowLoad bool
 	// ExpectedOutput is the output expected of a request before any is known, in tokens.
 	ExpectedOutput float64
+	// MemoryTokens is what a backend server keeps of prompts and answers, in
+	// tokens; 0 where it keeps nothing.
+	MemoryTokens int
 }
 
 // Config is the configuration as the core needs it. It is never changed once
 // it is in force.
 type Config struct {
 	Generation uint64
-	Policy     *policy.Policy
-	Accounts   map[model.AccountID]Account
-	Pools      map[model.PoolID]Pool
-	Backends   map[model.BackendID]Backend
+	// Catalog is the revision of the backend servers that announce themselves.
+	Catalog  uint64
+	Policy   *policy.Policy
+	Accounts map[model.AccountID]Account
+	Pools    map[model.PoolID]Pool
+	Backends map[model.BackendID]Backend
 }
 
 // sortedKeys returns a map's keys in order, so that no decision depends on the
--- a/core/core.go
+++ b/core/core.go
@@ -259,8 +259,8 @@
 		c.ledger.ReceiveDown(c.now, d.From, d.Down)
 		c.dirtyAll()
 	}
-	if d.Generation > c.config.Generation {
-		c.do(GenerationSeen{From: d.From, Address: c.members.Get(d.From).Address, Generation: d.Generation})
+	if d.Generation > c.config.Generation || d.Catalog > c.config.Catalog {
+		c.do(GenerationSeen{From: d.From, Address: c.members.Get(d.From).Address, Generation: d.Generation, Catalog: d.Catalog})
 	}
 }
 
@@ -285,6 +285,7 @@
 		d.From = c.members.Self().Name
 		d.Boot = c.members.Self().Boot
 		d.Generation = c.config.Generation
+		d.Catalog = c.config.Catalog
 		if d.Probe != nil || len(d.Grants) > 0 {
 			d.Free = c.freeSlots()
 		}
@@ -292,10 +293,12 @@
 	}
 }
 
-// configure puts a configuration in force; a lower generation never replaces a
-// higher one.
+// configure puts a configuration in force; a lower generation, or an older
+// catalog of backend servers, never replaces a higher one.
 func (c *Core) configure(config *Config) {
-	if config.Generation <= c.config.Generation {
+	older := config.Generation < c.config.Generation || config.Catalog < c.config.Catalog
+	same := config.Generation == c.config.Generation && config.Catalog == c.config.Catalog
+	if older || same {
 		return
 	}
 	c.config = config
--- a/core/event.go
+++ b/core/event.go
@@ -134,11 +134,13 @@
 // MemberChanged tells of a change of another router's status.
 type MemberChanged struct{ Change member.Change }
 
-// GenerationSeen tells that another router has a newer configuration in force.
+// GenerationSeen tells that another router has a newer configuration in force,
+// or a newer catalog of backend servers.
 type GenerationSeen struct {
 	From       string
 	Address    string
 	Generation uint64
+	Catalog    uint64
 }
 
 // WatchStore tells whether this router is one of the few in its data hall that
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,11 +26,12 @@
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/peer"
-	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/settings"
 	"github.com/tamarindstep/tamarindstep/status"
+	"github.com/tamarindstep/tamarindstep/store"
 	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/vmlist"
 )
 
 const (
@@ -164,20 +165,20 @@
 func build(s Settings, log zerolog.Logger) (*router, error) {
 	r := &router{log: log, draining: make(chan struct{})}
 	metrics := telemetry.NewMetrics()
-	store := platform.NewEtcdStore(s.Store)
+	kept := store.NewEtcd(s.Store)
 	self := member.Member{Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Boot: rand.Uint64() | 1}
 	r.front = front.New(s.CallerListen, log, metrics)
 	r.scheduler = scheduler.New(self, log, metrics)
-	gens := generation.New(store, log, metrics.Platform)
+	gens := generation.New(kept, log, metrics.Platform)
 	var err error
 	r.kernel, err = kernel.New(
 		telemetry.NewTraces(s.Name, s.TraceEndpoint),
 		peer.New(peer.Settings{Name: s.Name, Boot: self.Boot, Listen: s.PeerListen, Key: []byte(s.PeerKey)}, metrics.Peer),
 		r.scheduler,
-		fleet.New(s.Name, platform.NewHTTPVMList(s.VMList), log),
+		fleet.New(s.Name, vmlist.NewHTTP(s.VMList), log),
 		fleet.NewLoads(gens.InForce),
 		gens,
-		claim.New(store, metrics.Platform),
+		claim.New(kept, metrics.Platform),
 		back.New(),
 		status.New(s.Name, r.drain),
 		admin.New(s.AdminListen, s.OperatorToken, metrics.Registry, r.isDraining),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,8 +14,8 @@
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
-	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/vmlist"
 )
 
 // ServiceName is the name that the service is found by.
@@ -27,7 +27,7 @@
 // Service follows the VM list.
 type Service struct {
 	self      string
-	list      platform.VMList
+	list      vmlist.List
 	log       zerolog.Logger
 	scheduler *scheduler.Service
 
@@ -41,7 +41,7 @@
 }
 
 // New returns the service of a router.
-func New(self string, list platform.VMList, log zerolog.Logger) *Service {
+func New(self string, list vmlist.List, log zerolog.Logger) *Service {
 	return &Service{
 		self: self, list: list, log: log,
 		routers: map[string]string{}, seen: map[string]bool{}, ended: make(chan struct{}),
@@ -107,11 +107,11 @@
 	routers := map[string]string{}
 	live := map[string]bool{}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleBackend {
-			live[vm.Name] = vm.State == platform.StateLive
+		if vm.Role == vmlist.RoleBackend {
+			live[vm.Name] = vm.State == vmlist.StateLive
 			continue
 		}
-		if vm.Name == s.self || vm.State != platform.StateLive {
+		if vm.Name == s.self || vm.State != vmlist.StateLive {
 			continue
 		}
 		listed = append(listed, member.Listed{Name: vm.Name, Address: vm.Address, DataHall: vm.DataHall})
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -172,7 +172,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(path)
 	req.Header.SetHost("backend")
-	answer, err := client.Do(ctx, req, loadTimeout)
+	answer, err := client.Do(ctx, req, exchange.Options{Patient: loadTimeout})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -34,8 +34,8 @@
 	"github.com/tamarindstep/tamarindstep/config/check/checks"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/peer"
-	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/store"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -70,7 +70,7 @@
 
 // Service keeps the configuration in force.
 type Service struct {
-	store   platform.Store
+	store   store.Store
 	log     zerolog.Logger
 	metrics *telemetry.Platform
 
@@ -93,7 +93,7 @@
 }
 
 // New returns the service.
-func New(store platform.Store, log zerolog.Logger, metrics *telemetry.Platform) *Service {
+func New(store store.Store, log zerolog.Logger, metrics *telemetry.Platform) *Service {
 	return &Service{store: store, log: log, metrics: metrics, watch: make(chan bool, 16)}
 }
 
@@ -279,7 +279,7 @@
 	}
 }
 
-func (s *Service) installValue(v platform.Value) {
+func (s *Service) installValue(v store.Value) {
 	if v.Revision == 0 {
 		return
 	}
@@ -347,7 +347,7 @@
 			if sent {
 				return 0, Unknown.New("the store's answer is lost and it can't be read back")
 			}
-			return 0, platform.Unavailable.Wrap(err, "nothing was applied")
+			return 0, store.Unavailable.Wrap(err, "nothing was applied")
 		case <-time.After(retryPause):
 		}
 	}
@@ -386,7 +386,7 @@
 	next, swapped, err := s.store.Swap(ctx, Key, v.Revision, data)
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("swap").Inc()
-		*sent = *sent || errorx.IsOfType(err, platform.Ambiguous)
+		*sent = *sent || errorx.IsOfType(err, store.Ambiguous)
 		return 0, false, err
 	}
 	if !swapped {
--- /dev/null
+++ b/internal/exchange/answer.go
@@ -0,0 +1,264 @@
+package exchange
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Answer is an answer whose head has been read and whose body is to be read
+// from it. It must be closed.
+type Answer struct {
+	*fasthttp.Response
+	client  *Client
+	conn    *conn
+	options Options
+	body    io.Reader // nil where there is none
+	written chan error
+	early   bool // the head came before the request was written
+	ended   bool
+	stop    func() bool
+}
+
+// inlineBody is the size of the largest request, in bytes, that is written
+// before the answer is waited for: it fits into what a connection takes at once.
+const inlineBody = 2048
+
+// exchange writes the request and reads the head of its answer.
+func (a *Answer) exchange(req *fasthttp.Request) error {
+	a.conn.wrote.Store(false)
+	if err := a.conn.SetDeadline(time.Now().Add(a.options.Patient)); err != nil {
+		return err
+	}
+	if err := a.write(req); err != nil {
+		return err
+	}
+	if err := a.readHead(); err != nil {
+		return err
+	}
+	return a.openBody(req)
+}
+
+// write writes the request; a long one beside the reading of the answer, as a
+// server may answer before it has read all of it.
+func (a *Answer) write(req *fasthttp.Request) error {
+	if len(req.Body()) <= inlineBody {
+		return a.conn.writeAll(req)
+	}
+	own := fasthttp.AcquireRequest()
+	req.CopyTo(own)
+	written := make(chan error, 1)
+	a.written = written
+	conn := a.conn
+	go func() {
+		written <- conn.writeAll(own)
+		fasthttp.ReleaseRequest(own)
+	}()
+	return nil
+}
+
+func (c *conn) writeAll(req *fasthttp.Request) error {
+	if err := req.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// readHead reads heads until there is a final one that isn't surplus.
+func (a *Answer) readHead() error {
+	for skipped := 0; ; {
+		if err := a.Header.Read(a.conn.reader); err != nil {
+			return err
+		}
+		if a.StatusCode() == fasthttp.StatusContinue {
+			continue
+		}
+		if a.options.Skip == nil || !a.options.Skip(&a.Header) {
+			return nil
+		}
+		if skipped == maxSkipped {
+			return ErrSurplus
+		}
+		skipped++
+		if err := a.passOver(); err != nil {
+			return err
+		}
+	}
+}
+
+// passOver reads the body of a surplus answer.
+func (a *Answer) passOver() error {
+	if a.undelimited() {
+		return ErrSurplus
+	}
+	body := a.reader()
+	if body == nil {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
+// openBody prepares the reading of the body, and settles whether the request
+// has been written.
+func (a *Answer) openBody(req *fasthttp.Request) error {
+	if a.written != nil {
+		select {
+		case err := <-a.written:
+			a.written = nil
+			a.early = err != nil
+		default:
+			a.early = true
+		}
+	}
+	if !req.Header.IsHead() {
+		a.body = a.reader()
+	}
+	if a.body != nil && a.undelimited() && !a.options.Undelimited {
+		return ErrUndelimited
+	}
+	return nil
+}
+
+// undelimited tells whether the body ends only with the connection.
+func (a *Answer) undelimited() bool { return a.Header.ContentLength() < -1 }
+
+// reader returns what reads the body, nil where there is none.
+func (a *Answer) reader() io.Reader {
+	status := a.StatusCode()
+	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	switch n := a.Header.ContentLength(); {
+	case n == 0:
+		return nil
+	case n > 0:
+		return &fixedBody{from: a.conn.reader, left: n}
+	case n == -1:
+		return &chunkedBody{chunks: httputil.NewChunkedReader(a.conn.reader), lines: a.conn.reader}
+	default:
+		return a.conn.reader
+	}
+}
+
+// Read reads the body. Its end is io.EOF only where the whole body was read.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.body == nil || a.ended {
+		a.ended = true
+		return 0, io.EOF
+	}
+	if err := a.conn.SetReadDeadline(time.Now().Add(a.options.Patient)); err != nil {
+		return 0, err
+	}
+	n, err := a.body.Read(p)
+	a.ended = err == io.EOF
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept where the answer was read to
+// its end, and closed otherwise, which also tells the server to stop.
+func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+	conn := a.conn
+	a.conn = nil
+	whole := a.stop() && (a.ended || a.body == nil)
+	reusable := whole && !a.early && !a.ConnectionClose() && !a.undelimited() && conn.reader.Buffered() == 0
+	if !reusable {
+		_ = conn.Close()
+		return
+	}
+	conn.rest = restOf(a.Header.Peek("Keep-Alive"))
+	a.client.keep(conn)
+}
+
+// restOf returns how long a connection may be idle, as the server says.
+func restOf(keepAlive []byte) time.Duration {
+	_, value, ok := bytes.Cut(keepAlive, []byte("timeout="))
+	if !ok {
+		return idleFor
+	}
+	digits, _, _ := strings.Cut(string(value), ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || seconds < 0 {
+		return idleFor
+	}
+	return min(idleFor, time.Duration(seconds)*time.Second-keepAliveMargin)
+}
+
+// ErrSurplus is the error for a connection on which the answers to other
+// requests come.
+var ErrSurplus = errors.New("the answer belongs to another request")
+
+// fixedBody is a body of a given length.
+type fixedBody struct {
+	from io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (b *fixedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.from.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	if b.left == 0 {
+		return n, io.EOF
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// lineReader reads the lines after the last chunk.
+type lineReader interface {
+	ReadSlice(delim byte) ([]byte, error)
+}
+
+// chunkedBody is a body in chunks, with what follows the last of them.
+type chunkedBody struct {
+	chunks io.Reader
+	lines  lineReader
+	done   bool
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	n, err := b.chunks.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := b.readTrailer(); err != nil {
+		return n, err
+	}
+	b.done = true
+	return n, io.EOF
+}
+
+// readTrailer reads up to the empty line that ends the body.
+func (b *chunkedBody) readTrailer() error {
+	for {
+		line, err := b.lines.ReadSlice('\n')
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,16 +4,17 @@
 // fasthttp's own clients repeat requests and hide which connection carried
 // one, so only its codec is used here: one request is written, once, to one
 // connection, and the answer is read from that connection or from none. A
-// connection is used again only when its answer was read to the end.
+// connection is used again only when its request was written and its answer was
+// read to the end.
 package exchange
 
 import (
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -53,19 +54,26 @@
 	idleFor    = 20 * time.Second
 	maxIdle    = 64
 	bufferSize = 4096
+	// keepAliveMargin is how much sooner than the server says a connection is
+	// taken for too old.
+	keepAliveMargin = 500 * time.Millisecond
 )
 
+// keepAlive finds a server that has fallen silent within a few seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	wrote  bool
+	wrote  atomic.Bool
 	idle   time.Time
+	rest   time.Duration // how long it may be idle
 }
 
 // Write notes that a byte may have gone out, then writes.
 func (c *conn) Write(b []byte) (int, error) {
-	c.wrote = true
+	c.wrote.Store(true)
 	return c.Conn.Write(b)
 }
 
@@ -77,6 +85,7 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	opened atomic.Int64
 }
 
 // NewClient returns a client of the server at an IP and port.
@@ -95,95 +104,37 @@
 	c.idle = nil
 }
 
-// Answer is an answer whose head has been read and whose body is to be read
-// from it. It must be closed.
-type Answer struct {
-	*fasthttp.Response
-	client  *Client
-	conn    *conn
-	patient time.Duration
-	ended   bool
-	stop    func() bool
+// Options say how an exchange is made.
+type Options struct {
+	// Patient is how long each wait for the server lasts at the most: for the
+	// head of the answer and for each part of its body.
+	Patient time.Duration
+	// Undelimited allows an answer whose end is that of its connection. It is
+	// whole only where the connection ends in order.
+	Undelimited bool
+	// Skip tells of an answer's head whether it is a surplus one, to an earlier
+	// request, that is to be passed over. nil passes over none.
+	Skip func(*fasthttp.ResponseHeader) bool
 }
 
-// Do writes the request and reads the head of the answer. Each wait for the
-// server, for the head and for each part of the body, lasts at most patient.
-// The end of the context breaks the exchange off by closing its connection.
-func (c *Client) Do(ctx context.Context, req *fasthttp.Request, patient time.Duration) (*Answer, error) {
+// maxSkipped is how many surplus answers are passed over in one exchange.
+const maxSkipped = 1
+
+// Do writes the request and reads the head of the answer. The end of the
+// context breaks the exchange off by closing its connection.
+func (c *Client) Do(ctx context.Context, req *fasthttp.Request, options Options) (*Answer, error) {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	resp := fasthttp.AcquireResponse()
-	err = exchangeHead(conn, req, resp, patient)
-	if err == nil && undelimited(resp) {
-		err = ErrUndelimited
-	}
-	if err != nil {
+	answer := &Answer{Response: fasthttp.AcquireResponse(), client: c, conn: conn, options: options, stop: stop}
+	if err := answer.exchange(req); err != nil {
 		stop()
 		_ = conn.Close()
-		fasthttp.ReleaseResponse(resp)
-		return nil, &Error{Sent: conn.wrote, Err: err}
-	}
-	return &Answer{Response: resp, client: c, conn: conn, patient: patient, stop: stop}, nil
-}
-
-func exchangeHead(conn *conn, req *fasthttp.Request, resp *fasthttp.Response, patient time.Duration) error {
-	conn.wrote = false
-	if err := conn.SetDeadline(time.Now().Add(patient)); err != nil {
-		return err
-	}
-	if err := req.Write(conn.writer); err != nil {
-		return err
-	}
-	if err := conn.writer.Flush(); err != nil {
-		return err
-	}
-	resp.StreamBody = true
-	return resp.ReadLimitBody(conn.reader, 0)
-}
-
-// undelimited tells whether the body ends only with the connection.
-func undelimited(resp *fasthttp.Response) bool {
-	return resp.BodyStream() != nil && resp.Header.ContentLength() < -1
-}
-
-// Read reads the body. Its end is io.EOF only where the whole body was read.
-func (a *Answer) Read(p []byte) (int, error) {
-	stream := a.BodyStream()
-	if stream == nil || a.ended {
-		a.ended = true
-		return 0, io.EOF
-	}
-	if err := a.conn.SetReadDeadline(time.Now().Add(a.patient)); err != nil {
-		return 0, err
-	}
-	n, err := stream.Read(p)
-	a.ended = err == io.EOF
-	return n, err
-}
-
-// Close ends the exchange. The connection is kept where the answer was read to
-// its end, and closed otherwise, which also tells the server to stop.
-func (a *Answer) Close() {
-	if a.conn == nil {
-		return
-	}
-	conn := a.conn
-	a.conn = nil
-	whole := a.stop() && (a.ended || a.BodyStream() == nil)
-	keep := whole && !a.ConnectionClose() && conn.reader.Buffered() == 0
-	if !whole {
-		_ = conn.Close()
-	}
-	_ = a.CloseBodyStream()
-	fasthttp.ReleaseResponse(a.Response)
-	if keep {
-		a.client.keep(conn)
-	} else {
-		_ = conn.Close()
+		return nil, &Error{Sent: conn.wrote.Load(), Err: err}
 	}
+	return answer, nil
 }
 
 func (c *Client) connect(ctx context.Context) (*conn, error) {
@@ -197,11 +148,12 @@
 		}
 		_ = kept.Close()
 	}
-	dialer := net.Dialer{Timeout: c.dialTimeout}
+	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: keepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
+	c.opened.Add(1)
 	fresh := &conn{Conn: raw}
 	fresh.reader = bufio.NewReaderSize(raw, bufferSize)
 	fresh.writer = bufio.NewWriterSize(fresh, bufferSize)
@@ -211,7 +163,7 @@
 // usable tells whether a kept connection is still open and silent: one that
 // has ended, or carries bytes nobody asked for, is not used again.
 func (c *conn) usable() bool {
-	fresh := time.Since(c.idle) <= idleFor && c.reader.Buffered() == 0
+	fresh := time.Since(c.idle) <= c.rest && c.reader.Buffered() == 0
 	return fresh && socket.Look(c.Conn) == socket.Silent
 }
 
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/tamarindstep/tamarindstep/platform"
+	"github.com/tamarindstep/tamarindstep/vmlist"
 )
 
 // VMList stands in for the platform's list of VMs, which lags.
@@ -16,7 +16,7 @@
 
 	lag time.Duration
 	mu  sync.Mutex
-	vms []platform.VM
+	vms []vmlist.VM
 }
 
 // NewVMList returns an empty list whose changes show after lag.
@@ -25,7 +25,7 @@
 }
 
 // Set replaces the list, once the lag has passed.
-func (l *VMList) Set(vms []platform.VM) {
+func (l *VMList) Set(vms []vmlist.VM) {
 	time.AfterFunc(l.lag, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -55,7 +55,7 @@
 
 func (l *VMList) post(ctx *fasthttp.RequestCtx) {
 	var in struct {
-		VMs []platform.VM `json:"vms"`
+		VMs []vmlist.VM `json:"vms"`
 	}
 	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/platform/etcd.go
+++ b/store/etcd.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bufio"
@@ -22,18 +22,18 @@
 	maxAnswer = 2 << 20
 )
 
-// EtcdStore speaks to the key-value service.
-type EtcdStore struct {
+// Etcd speaks to the key-value service.
+type Etcd struct {
 	client *exchange.Client
 }
 
-// NewEtcdStore returns the adapter for a service at an IP and port.
-func NewEtcdStore(address string) *EtcdStore {
-	return &EtcdStore{client: exchange.NewClient(address, dialTimeout)}
+// NewEtcd returns the adapter for a service at an IP and port.
+func NewEtcd(address string) *Etcd {
+	return &Etcd{client: exchange.NewClient(address, dialTimeout)}
 }
 
 // Close closes the connections that are kept.
-func (s *EtcdStore) Close() { s.client.Close() }
+func (s *Etcd) Close() { s.client.Close() }
 
 // The messages of the API. Bytes are in base64 and 64-bit numbers are strings,
 // as protobuf's JSON mapping has it.
@@ -106,7 +106,7 @@
 }
 
 // Get implements Store.
-func (s *EtcdStore) Get(ctx context.Context, key string) (Value, error) {
+func (s *Etcd) Get(ctx context.Context, key string) (Value, error) {
 	var out rangeResponse
 	if err := s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
 		return Value{}, Unavailable.Wrap(err, "the store doesn't answer")
@@ -115,7 +115,7 @@
 }
 
 // Swap implements Store.
-func (s *EtcdStore) Swap(ctx context.Context, key string, revision int64, data []byte) (Value, bool, error) {
+func (s *Etcd) Swap(ctx context.Context, key string, revision int64, data []byte) (Value, bool, error) {
 	name := []byte(key)
 	request := txnRequest{
 		Compare: []compare{{Key: name, Target: "MOD", Result: "EQUAL", ModRevision: revision}},
@@ -139,7 +139,7 @@
 }
 
 // Wait implements Store.
-func (s *EtcdStore) Wait(ctx context.Context, key string, revision int64) (Value, error) {
+func (s *Etcd) Wait(ctx context.Context, key string, revision int64) (Value, error) {
 	create := watchRequest{Create: watchCreate{Key: []byte(key), StartRevision: revision + 1}}
 	answer, err := s.post(ctx, "/v3/watch", create, watchTimeout)
 	if err != nil {
@@ -161,7 +161,7 @@
 	return Value{}, Unavailable.New("the store's watch ended: %v", lines.Err())
 }
 
-func (s *EtcdStore) call(ctx context.Context, path string, in, out any) error {
+func (s *Etcd) call(ctx context.Context, path string, in, out any) error {
 	answer, err := s.post(ctx, path, in, callTimeout)
 	if err != nil {
 		return err
@@ -180,7 +180,7 @@
 	return nil
 }
 
-func (s *EtcdStore) post(ctx context.Context, path string, in any, patient time.Duration) (*exchange.Answer, error) {
+func (s *Etcd) post(ctx context.Context, path string, in any, patient time.Duration) (*exchange.Answer, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, &exchange.Error{Err: err}
@@ -192,5 +192,5 @@
 	req.Header.SetHost("store")
 	req.Header.SetContentType("application/json")
 	req.SetBody(body)
-	return s.client.Do(ctx, req, patient)
+	return s.client.Do(ctx, req, exchange.Options{Patient: patient})
 }
--- a/platform/store.go
+++ b/store/store.go
@@ -1,10 +1,8 @@
-// Package platform holds what the platform gives: its key-value service and its
-// list of VMs, each as an interface with one adapter.
-//
-// The key-value service is spoken to by the JSON form of etcd's version 3 API
-// (/v3/kv/range, /v3/kv/txn, /v3/watch), of which only single keys,
+// Package store holds the interface to the key-value service that keeps what
+// must outlive the routers, and an adapter for the JSON form of etcd's version 3
+// API (/v3/kv/range, /v3/kv/txn, /v3/watch), of which only single keys,
 // compare-and-swap on the revision of the last change, and watches are used.
-package platform
+package store
 
 import (
 	"context"
@@ -12,9 +10,9 @@
 	"github.com/joomcode/errorx"
 )
 
-// The errors of the platform.
+// The errors of a store.
 var (
-	namespace = errorx.NewNamespace("platform")
+	namespace = errorx.NewNamespace("store")
 	// Unavailable is the error for a call that had no effect.
 	Unavailable = namespace.NewType("unavailable")
 	// Ambiguous is the error for a call whose answer was lost: it may have had
--- a/platform/vmlist.go
+++ b/vmlist/vmlist.go
@@ -1,15 +1,28 @@
-package platform
+// Package vmlist reads the list of live and leaving VMs.
+package vmlist
 
 import (
 	"context"
 	"encoding/json"
 	"io"
+	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 )
 
+const (
+	dialTimeout = time.Second
+	callTimeout = 2 * time.Second
+	// maxAnswer is the size of the largest list taken, in bytes.
+	maxAnswer = 2 << 20
+)
+
+// Unavailable is the error for a list that can't be read.
+var Unavailable = errorx.NewNamespace("vmlist").NewType("unavailable")
+
 // The roles and states of a VM.
 const (
 	RoleRouter   = "router"
@@ -28,30 +41,30 @@
 }
 
 // VMList is the platform's lagging list of live and leaving VMs.
-type VMList interface {
+type List interface {
 	VMs(ctx context.Context) ([]VM, error)
 }
 
-// HTTPVMList reads the list as JSON from GET /vms.
-type HTTPVMList struct {
+// HTTP reads the list as JSON from GET /vms.
+type HTTP struct {
 	client *exchange.Client
 }
 
-// NewHTTPVMList returns the adapter for a service at an IP and port.
-func NewHTTPVMList(address string) *HTTPVMList {
-	return &HTTPVMList{client: exchange.NewClient(address, dialTimeout)}
+// NewHTTP returns the adapter for a service at an IP and port.
+func NewHTTP(address string) *HTTP {
+	return &HTTP{client: exchange.NewClient(address, dialTimeout)}
 }
 
 // Close closes the connections that are kept.
-func (l *HTTPVMList) Close() { l.client.Close() }
+func (l *HTTP) Close() { l.client.Close() }
 
-// VMs implements VMList.
-func (l *HTTPVMList) VMs(ctx context.Context) ([]VM, error) {
+// VMs implements List.
+func (l *HTTP) VMs(ctx context.Context) ([]VM, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("/vms")
 	req.Header.SetHost("vmlist")
-	answer, err := l.client.Do(ctx, req, callTimeout)
+	answer, err := l.client.Do(ctx, req, exchange.Options{Patient: callTimeout})
 	if err != nil {
 		return nil, Unavailable.Wrap(err, "the VM list doesn't answer")
 	}
