--- a/admin/admin.go
+++ b/admin/admin.go
@@ -182,7 +182,7 @@
 func (s *Service) guard(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		token, _ := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
+		if s.token == "" || subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
 			fail(ctx, fasthttp.StatusUnauthorized, Error{Code: CodeUnauthorized, Message: "the operators' token is missing or wrong"})
 			return
 		}
--- a/back/back.go
+++ b/back/back.go
@@ -49,3 +49,8 @@
 func (s *Service) Send(ctx context.Context, address string, req *fasthttp.Request) (*exchange.Answer, error) {
 	return s.clients.Of(address).Do(ctx, req, exchange.Options{Patient: patience})
 }
+
+// Exchange is Send with options of the caller's.
+func (s *Service) Exchange(ctx context.Context, address string, req *fasthttp.Request, options exchange.Options) (*exchange.Answer, error) {
+	return s.clients.Of(address).Do(ctx, req, options)
+}
--- a/config/document.go
+++ b/config/document.go
@@ -19,6 +19,18 @@
 // NewDocument returns the generation that follows a document (nil for none)
 // with a new text.
 func NewDocument(before *wire.Document, applyID string, text []byte) (*wire.Document, error) {
+	out, err := WrapDocument(before.GetGeneration()+1, text)
+	if err != nil {
+		return nil, err
+	}
+	applies := append(before.GetApplies(), applyID)
+	applies = applies[max(0, len(applies)-appliesKept):]
+	out.Applies = applies
+	return out, nil
+}
+
+// WrapDocument returns a generation with a text.
+func WrapDocument(generation uint64, text []byte) (*wire.Document, error) {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
 	if _, err := w.Write(text); err != nil {
@@ -27,9 +39,7 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	applies := append(before.GetApplies(), applyID)
-	applies = applies[max(0, len(applies)-appliesKept):]
-	return &wire.Document{Generation: before.GetGeneration() + 1, Text: b.Bytes(), Applies: applies}, nil
+	return &wire.Document{Generation: generation, Text: b.Bytes()}, nil
 }
 
 // DocumentText returns a document's text.
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -278,6 +278,9 @@
 
 // refuses tells whether this router sends nothing new to a backend server now.
 func (c *Core) refuses(id model.BackendID) bool {
+	if c.config.Backends[id].Leaving {
+		return true
+	}
 	f := c.refused[id]
 	return f != nil && (f.leaving || c.now < f.until)
 }
--- /dev/null
+++ b/daemon/build.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/tamarindstep/tamarindstep/admin"
+	"github.com/tamarindstep/tamarindstep/back"
+	"github.com/tamarindstep/tamarindstep/claim"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/fleet"
+	"github.com/tamarindstep/tamarindstep/front"
+	"github.com/tamarindstep/tamarindstep/gateway"
+	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/peer"
+	"github.com/tamarindstep/tamarindstep/platform"
+	"github.com/tamarindstep/tamarindstep/policy/policies"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/status"
+	"github.com/tamarindstep/tamarindstep/store"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/vmlist"
+)
+
+// callers is a service for callers.
+type callers interface {
+	kernel.Service
+	// Drain lets a stopping router finish its requests.
+	Drain(ctx context.Context)
+}
+
+// router is a running router.
+type router struct {
+	log       zerolog.Logger
+	kernel    *kernel.Kernel
+	callers   callers
+	scheduler *scheduler.Service
+	drainFor  time.Duration
+	once      sync.Once
+	draining  chan struct{}
+	leave     func(context.Context) error // takes it out of the list of routers
+}
+
+// drain begins the router's orderly end.
+func (r *router) drain() { r.once.Do(func() { close(r.draining) }) }
+
+func (r *router) isDraining() bool {
+	select {
+	case <-r.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// close takes the router out of the list of routers.
+func (r *router) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := r.leave(ctx); err != nil {
+		r.log.Warn().Err(err).Msg("the router stays in the list until its lease ends")
+	}
+}
+
+// leaveTimeout is how long a stopping router tries to leave the list.
+const leaveTimeout = 500 * time.Millisecond
+
+// surroundings are what a router stands in: the store, the list of routers and
+// the callers, each in the form that the interface says.
+type surroundings struct {
+	source  generation.Source
+	routers vmlist.List
+	key     string
+	callers callers
+	leave   func(context.Context) error
+}
+
+func own(s Settings, log zerolog.Logger, metrics *telemetry.Metrics) surroundings {
+	return surroundings{
+		source:  generation.Source{Store: store.NewEtcd(s.Store)},
+		routers: vmlist.NewHTTP(s.VMList),
+		key:     s.PeerKey,
+		callers: front.New(s.CallerListen, log, metrics),
+		leave:   func(context.Context) error { return nil },
+	}
+}
+
+func onPlatform(ctx context.Context, s Settings, log zerolog.Logger, metrics *telemetry.Metrics) (surroundings, error) {
+	kept := platform.NewStore(s.Store)
+	key, err := platform.PeerKey(ctx, kept)
+	if err != nil {
+		return surroundings{}, err
+	}
+	log.Info().Msg("peer key read from the store")
+	routers := &platform.Routers{Store: kept, Self: vmlist.VM{
+		Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Role: vmlist.RoleRouter, State: vmlist.StateLive,
+	}}
+	return surroundings{
+		source: generation.Source{
+			Store: kept, Format: platform.Configuration{Policy: s.Policy}, Discovery: platform.Backends{Store: kept},
+		},
+		routers: routers,
+		key:     key,
+		callers: gateway.New(gateway.Settings{Listen: s.CallerListen, Dialect: platform.Dialect{}}, log, metrics),
+		leave:   routers.Leave,
+	}, nil
+}
+
+func build(ctx context.Context, s Settings, log zerolog.Logger) (*router, error) {
+	r := &router{log: log, draining: make(chan struct{}), drainFor: s.Drain}
+	metrics := telemetry.NewMetrics()
+	around := own(s, log, metrics)
+	if s.Interface == interfacePlatform {
+		var err error
+		if around, err = onPlatform(ctx, s, log, metrics); err != nil {
+			return nil, err
+		}
+	}
+	r.callers, r.leave = around.callers, around.leave
+	self := member.Member{Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Boot: rand.Uint64() | 1}
+	r.scheduler = scheduler.New(self, log, metrics)
+	gens := generation.New(around.source, log, metrics.Platform)
+	services := []kernel.Service{
+		telemetry.NewTraces(s.Name, s.TraceEndpoint),
+		peer.New(peer.Settings{Name: s.Name, Boot: self.Boot, Listen: s.PeerListen, Key: []byte(around.key)}, metrics.Peer),
+		r.scheduler,
+		fleet.New(s.Name, around.routers, log),
+		gens,
+		claim.New(around.source.Store, metrics.Platform),
+		back.New(),
+		status.New(s.Name, r.drain),
+		admin.New(s.AdminListen, s.OperatorToken, metrics.Registry, r.isDraining),
+		r.callers,
+	}
+	if s.Interface == interfaceOwn {
+		services = append(services, fleet.NewLoads(gens.InForce))
+	}
+	var err error
+	r.kernel, err = kernel.New(services...)
+	return r, err
+}
+
+func policyNames() []string {
+	var out []string
+	for _, p := range policies.All {
+		out = append(out, p.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/tamarindstep/tamarindstep/settings"
+)
+
+// The values of the setting interface.
+const (
+	interfaceOwn      = "own"
+	interfacePlatform = "platform"
+)
+
+// Settings are the router's settings, checked.
+type Settings struct {
+	Interface     string
+	Name          string
+	DataHall      string
+	CallerListen  string
+	AdminListen   string
+	PeerListen    string
+	Store         string
+	VMList        string // of the own interface
+	OperatorToken string // of the own interface
+	PeerKey       string // of the own interface
+	Policy        string // of the platform's interface
+	Drain         time.Duration
+	RetryRatio    float64
+	RetrySlack    float64
+	LogLevel      string
+	LogFormat     string
+	TraceEndpoint string
+}
+
+func addFlags(f *pflag.FlagSet) {
+	f.String("interface", interfaceOwn, "own: the product's own interfaces; platform: those of the users' platform")
+	f.String("name", "", "the router's name, as the VM list has it")
+	f.String("data-hall", "", "the data hall that the router is in")
+	f.String("caller-listen", "", "IP and port for callers")
+	f.String("admin-listen", "", "IP and port for operators, health and counters")
+	f.String("peer-listen", "", "IP and port for the other routers, UDP and TCP; as the VM list has it")
+	f.String("store", "", "IP and port of the platform's key-value service")
+	f.String("vm-list", "", "IP and port of the platform's VM list; own interface only")
+	f.String("operator-token-file", "", "file with the operators' token; own interface only")
+	f.String("peer-key-file", "", "file with the key that all routers share; own interface only")
+	f.String("policy", "prompt-affinity", "routing policy; platform's interface only")
+	f.String("drain-seconds", "900", "how long a stopping router waits for its requests, in seconds")
+	f.String("retry-ratio", "0.2", "second sends for each request, over the fleet")
+	f.String("retry-slack", "50", "second sends beyond that in ten seconds, over the fleet")
+	f.String("log-level", "info", "debug, info, warn or error")
+	f.String("log-format", "json", "json or console")
+	f.String("trace-endpoint", "", "URL that takes OTLP traces over HTTP; none are sent without")
+}
+
+// read reads and checks all settings; the error holds every finding.
+func read(f *pflag.FlagSet) (Settings, error) {
+	r, err := settings.NewReader(f)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Settings{
+		Interface:     r.Word("interface", interfaceOwn, interfacePlatform),
+		Name:          r.Name("name"),
+		DataHall:      r.Name("data-hall"),
+		CallerListen:  r.Address("caller-listen"),
+		AdminListen:   r.Address("admin-listen"),
+		PeerListen:    r.Address("peer-listen"),
+		Store:         r.Address("store"),
+		Policy:        r.Word("policy", policyNames()...),
+		Drain:         time.Duration(r.Number("drain-seconds", 1) * float64(time.Second)),
+		RetryRatio:    r.Number("retry-ratio", 0),
+		RetrySlack:    r.Number("retry-slack", 0),
+		LogLevel:      r.Word("log-level", "debug", "info", "warn", "error"),
+		LogFormat:     r.Word("log-format", "json", "console"),
+		TraceEndpoint: r.Text("trace-endpoint"),
+	}
+	if s.Interface == interfaceOwn {
+		s.VMList = r.Address("vm-list")
+		s.OperatorToken = r.Secret("operator-token-file")
+		s.PeerKey = r.Secret("peer-key-file")
+	}
+	return s, r.Err()
+}
--- a/front/front.go
+++ b/front/front.go
@@ -162,6 +162,17 @@
 // ready; their requests are refused as not run.
 func (s *Service) Drain(ctx context.Context) {
 	s.draining.Store(true)
+	s.awaitOpen(ctx)
+	time.Sleep(handoverPause)
+	s.awaitOpen(ctx)
+}
+
+// handoverPause is how long a router stays after its last request, so that the
+// others have heard that it is leaving.
+const handoverPause = 300 * time.Millisecond
+
+// awaitOpen waits until no request is being served.
+func (s *Service) awaitOpen(ctx context.Context) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for s.open.Load() > 0 {
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+)
+
+const (
+	// defaultTimeout is how long a request may take where nobody says.
+	defaultTimeout = 60 * time.Second
+	// startRetryAfter is when a caller is asked back by a router that doesn't
+	// know its configuration yet, or is stopping.
+	startRetryAfter = 300 * time.Millisecond
+)
+
+// attempt is one request of a caller.
+type attempt struct {
+	service *Service
+	conn    *callerConn
+	req     *fasthttp.Request
+	meta    Meta
+	route   *config.CompiledRoute
+	account model.AccountID
+	name    string // of the account
+
+	began    time.Time
+	deadline time.Time
+	ctx      context.Context // ends when the caller has left
+	held     *scheduler.Request
+	sends    int
+	tried    []model.BackendID
+	relay    relay
+	keep     bool // the connection may carry another request
+}
+
+// handle serves a request that was read, and tells whether the connection may
+// carry another.
+func (s *Service) handle(c *callerConn, req *fasthttp.Request) bool {
+	a := &attempt{service: s, conn: c, req: req, began: time.Now()}
+	a.keep = !req.Header.ConnectionClose() && !s.draining.Load()
+	if refused := a.understand(); refused != nil {
+		a.refuse(refused, startRetryAfter)
+		return a.keep
+	}
+	ctx, left := context.WithDeadline(context.Background(), a.deadline)
+	defer left()
+	a.ctx = ctx
+	gone := make(chan struct{})
+	stop := c.watch(func() { close(gone); left() })
+	a.serve()
+	stop()
+	select {
+	case <-gone:
+		return false
+	default:
+		return a.keep
+	}
+}
+
+// understand finds the route and the account, and how long there is.
+func (a *attempt) understand() *refusal {
+	s := a.service
+	meta, err := s.settings.Dialect.Request(&a.req.Header)
+	if err != nil {
+		a.keep = false
+		return malformed
+	}
+	a.meta = meta
+	inForce := s.generation.InForce()
+	switch {
+	case inForce == nil || !s.generation.Ready():
+		return noConfig
+	case s.ending.Load():
+		return stopping
+	}
+	path := a.req.Header.RequestURI()
+	a.route = inForce.HostRoute(string(a.req.Header.Host()), pathOf(path))
+	if a.route == nil {
+		return unknownRoute
+	}
+	if !a.route.Through.Public {
+		var known bool
+		if a.account, known = inForce.AccountOf(meta.Key); !known {
+			return unknownKey
+		}
+		a.name = inForce.Core.Accounts[a.account].Name
+	}
+	a.setDeadline()
+	return nil
+}
+
+// pathOf returns the path of a request's target.
+func pathOf(target []byte) string {
+	for i, b := range target {
+		if b == '?' {
+			return string(target[:i])
+		}
+	}
+	return string(target)
+}
+
+func (a *attempt) setDeadline() {
+	limit := defaultTimeout
+	if a.route.Through.Timeout > 0 {
+		limit = a.route.Through.Timeout
+	}
+	if a.meta.TimeLeft > 0 {
+		limit = min(limit, a.meta.TimeLeft)
+	}
+	a.deadline = a.began.Add(limit)
+}
+
+// serve decides and sends until there is an answer.
+func (a *attempt) serve() {
+	for {
+		d, ok := a.decide()
+		if !ok {
+			return
+		}
+		if a.send(d) {
+			return
+		}
+	}
+}
+
+// decide waits for the core's decision; ok is false where the request has
+// ended without one.
+func (a *attempt) decide() (scheduler.Decision, bool) {
+	if a.held == nil {
+		a.held = a.service.scheduler.Submit(core.Arrive{
+			Account: a.account,
+			Pool:    a.route.PoolFor(rand.Float64()),
+			Class:   a.route.Class,
+			Input:   float64(a.meta.Prompt.Tokens),
+			Wait:    time.Until(a.deadline),
+		})
+	}
+	select {
+	case d := <-a.held.Decisions:
+		if d.Dispatched {
+			return d, true
+		}
+		a.refuse(notAdmitted, d.RetryAfter)
+	case <-a.ctx.Done():
+		a.held.Abandon()
+		a.held.Finish(0, core.Cancelled)
+		a.end(tooLate)
+	}
+	return scheduler.Decision{}, false
+}
+
+// end answers a request of which nothing was sent, once its time is over or its
+// caller has left.
+func (a *attempt) end(r *refusal) {
+	if !errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+		a.keep = false
+		a.count("caller-left")
+		return
+	}
+	a.refuse(r, startRetryAfter)
+}
+
+// send sends the request to the backend server decided on. It returns false
+// where another decision is needed.
+func (a *attempt) send(d scheduler.Decision) bool {
+	s := a.service
+	inForce := s.generation.InForce()
+	backend := inForce.Core.Backends[d.Backend]
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	a.req.CopyTo(req)
+	s.settings.Dialect.Forward(&req.Header, Forward{
+		Backend: backend.Name, Account: a.name, TimeLeft: time.Until(a.deadline), LastEvent: a.relay.resumeAt(),
+	})
+	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
+		Patient: time.Until(a.deadline), Undelimited: true,
+		Skip: a.isSurplus,
+	})
+	if exchange.NotSent(err) && a.ctx.Err() == nil {
+		a.held.Retry()
+		return false
+	}
+	if !exchange.NotSent(err) {
+		a.sends++
+		a.tried = append(a.tried, d.Backend)
+	}
+	if err != nil {
+		return a.failed(err)
+	}
+	return a.take(answer)
+}
+
+// isSurplus tells whether an answer names another request than this one.
+func (a *attempt) isSurplus(h *fasthttp.ResponseHeader) bool {
+	id := a.service.settings.Dialect.Answer(h).ID
+	return id != "" && id != a.meta.ID
+}
+
+// errNameless is the error for a success that doesn't say whose it is.
+var errNameless = errors.New("the answer names no request")
+
+// take takes a backend server's answer.
+func (a *attempt) take(answer *exchange.Answer) bool {
+	defer answer.Close()
+	meta := a.service.settings.Dialect.Answer(&answer.Header)
+	if meta.ID == "" && answer.StatusCode() < fasthttp.StatusBadRequest {
+		return a.failed(errNameless)
+	}
+	if meta.NotRun {
+		return a.notRun()
+	}
+	if answer.StatusCode() >= fasthttp.StatusInternalServerError && a.route.Repeatable && a.mayRetry() {
+		a.finish(core.Broken, 0)
+		return false
+	}
+	err := a.relay.run(a, answer)
+	if err == nil {
+		a.finish(core.Done, 0)
+		a.count("done")
+		return true
+	}
+	return a.failed(err)
+}
+
+// notRun handles an answer that says that the request wasn't run.
+func (a *attempt) notRun() bool {
+	a.finish(core.Broken, 0)
+	if a.mayRetry() {
+		return false
+	}
+	a.refuse(noAttempts, startRetryAfter)
+	return true
+}
+
+// failed handles a request that was sent and whose answer broke off. It returns
+// false where it is sent again.
+func (a *attempt) failed(cause error) bool {
+	a.finish(core.Broken, 0)
+	if errors.Is(a.ctx.Err(), context.Canceled) {
+		a.keep = false
+		a.count("caller-left")
+		return true
+	}
+	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
+		return false
+	}
+	if a.relay.begun {
+		a.keep = false
+		a.conn.abort()
+		a.count("broken")
+		return true
+	}
+	if a.ctx.Err() != nil {
+		a.refuse(timedOut, 0)
+		return true
+	}
+	a.refuse(brokeOff, 0)
+	return true
+}
+
+// mayRetry tells whether the request may be sent to another backend server.
+func (a *attempt) mayRetry() bool {
+	return a.sends < max(a.route.Through.Attempts, 1) && time.Until(a.deadline) > 0
+}
+
+func (a *attempt) finish(ending core.Ending, output float64) {
+	a.held.Finish(output, ending)
+	a.held = nil
+}
+
+func (a *attempt) refuse(r *refusal, retryAfter time.Duration) {
+	a.service.metrics.Front.Refusals.WithLabelValues(r.code).Inc()
+	a.count(r.code)
+	if r.write(a.conn, retryAfter, !a.keep) != nil {
+		a.keep = false
+	}
+}
+
+func (a *attempt) count(outcome string) {
+	route := ""
+	if a.route != nil {
+		route = a.route.Name
+	}
+	a.service.metrics.Front.Requests.WithLabelValues(a.name, route, outcome).Inc()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,201 @@
+// Package gateway serves callers whose requests are passed through unchanged:
+// by host and path, with the answer of the backend server handed on as it is.
+//
+// A request is read whole, decided on by the core, and sent to one backend
+// server at a time. It is sent again only where that is allowed: where it was
+// certainly not run, or may be repeated, within the attempts of its route and
+// the retry budget of the fleet. What was sent and broke off is never called
+// "not run". An answer reaches the caller whole or visibly broken.
+//
+// A caller that leaves ends the work for it at once: its connection is read
+// from all the time, and the connection to the backend server is closed.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/back"
+	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+)
+
+// ServiceName is the name that the service is found by.
+const ServiceName = "gateway"
+
+const (
+	// drainPoll is how often a stopping router looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+	// lingerFor is how long a stopping router takes requests on open and new
+	// connections, as callers go on coming until its end is known.
+	lingerFor = 2500 * time.Millisecond
+)
+
+// Settings are what the service is made with.
+type Settings struct {
+	Listen  string
+	Dialect Dialect
+}
+
+// Service serves callers.
+type Service struct {
+	settings Settings
+	log      zerolog.Logger
+	metrics  *telemetry.Metrics
+
+	scheduler  *scheduler.Service
+	generation *generation.Service
+	back       *back.Service
+
+	listener net.Listener
+	draining atomic.Bool
+	ending   atomic.Bool // no new requests are taken
+	open     atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+	ended sync.WaitGroup
+}
+
+// New returns the service.
+func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{scheduler.ServiceName, generation.ServiceName, back.ServiceName}
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var failures [3]error
+	s.scheduler, failures[0] = kernel.Lookup[*scheduler.Service](k, scheduler.ServiceName)
+	s.generation, failures[1] = kernel.Lookup[*generation.Service](k, generation.ServiceName)
+	s.back, failures[2] = kernel.Lookup[*back.Service](k, back.ServiceName)
+	if err := errors.Join(failures[:]...); err != nil {
+		return err
+	}
+	var err error
+	if s.listener, err = net.Listen("tcp", s.settings.Listen); err != nil {
+		return err
+	}
+	s.ended.Add(1)
+	go s.accept()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	err := s.listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	s.closeConns(false)
+	s.ended.Wait()
+	return err
+}
+
+func (s *Service) accept() {
+	defer s.ended.Done()
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(drainPoll) // out of descriptors, say
+			continue
+		}
+		s.ended.Add(1)
+		go s.serve(c)
+	}
+}
+
+// serve serves one connection until it ends.
+func (s *Service) serve(raw net.Conn) {
+	defer s.ended.Done()
+	c := newCallerConn(raw, limitsOf(s.generation.InForce()).HeaderBytes)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	for s.serveOne(c) {
+		c.busy.Store(false)
+		if s.ending.Load() {
+			return
+		}
+	}
+}
+
+// serveOne serves one request, and tells whether the connection may carry
+// another.
+func (s *Service) serveOne(c *callerConn) bool {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	refused, err := c.readRequest(req, limitsOf(s.generation.InForce()))
+	if err != nil {
+		return false
+	}
+	if refused != nil {
+		s.metrics.Front.Refusals.WithLabelValues(refused.code).Inc()
+		_ = refused.write(c, 0, true)
+		return false
+	}
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	return s.handle(c, req)
+}
+
+// Drain lets a stopping router finish: callers are told to go elsewhere as
+// they are answered, and after a while nothing new is taken. It returns once
+// nothing is being served, or the context has ended.
+func (s *Service) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	linger := time.NewTimer(lingerFor)
+	defer linger.Stop()
+	select {
+	case <-ctx.Done():
+	case <-linger.C:
+	}
+	s.ending.Store(true)
+	_ = s.listener.Close()
+	s.closeConns(true)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.open.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+			s.closeConns(true)
+		}
+	}
+}
+
+// closeConns closes the callers' connections, or only those that rest.
+func (s *Service) closeConns(resting bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !resting || !c.busy.Load() {
+			_ = c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/gateway/refusal.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// refusal is an answer of the router's own. Those with status 429 or 503 say
+// that the request was not run and won't be; those with 502 and 504 say nothing
+// of it.
+type refusal struct {
+	status int
+	code   string
+	// final refusals are the same if the caller asks again.
+	final bool
+}
+
+// The refusals.
+var (
+	malformed      = &refusal{fasthttp.StatusBadRequest, "malformed", true}
+	unknownKey     = &refusal{fasthttp.StatusUnauthorized, "unknown-key", true}
+	unknownRoute   = &refusal{fasthttp.StatusNotFound, "unknown-route", true}
+	bodyTooLarge   = &refusal{fasthttp.StatusRequestEntityTooLarge, "body-too-large", true}
+	headerTooLarge = &refusal{fasthttp.StatusRequestHeaderFieldsTooLarge, "header-too-large", true}
+	noConfig       = &refusal{fasthttp.StatusServiceUnavailable, "no-configuration", false}
+	stopping       = &refusal{fasthttp.StatusServiceUnavailable, "stopping", false}
+	tooLate        = &refusal{fasthttp.StatusServiceUnavailable, "too-late", false}
+	notAdmitted    = &refusal{fasthttp.StatusServiceUnavailable, "not-admitted", false}
+	noAttempts     = &refusal{fasthttp.StatusServiceUnavailable, "no-attempts-left", false}
+	brokeOff       = &refusal{fasthttp.StatusBadGateway, "backend-broke-off", false}
+	timedOut       = &refusal{fasthttp.StatusGatewayTimeout, "timed-out", false}
+)
+
+// write writes the refusal to a caller.
+func (r *refusal) write(c *callerConn, retryAfter time.Duration, last bool) error {
+	body := fmt.Sprintf("{\"error\":%q}\n", r.code)
+	head := "HTTP/1.1 " + strconv.Itoa(r.status) + " " + fasthttp.StatusMessage(r.status) + "\r\n" +
+		"Content-Type: application/json\r\n" +
+		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	if !r.final && retryAfter > 0 {
+		head += "Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	if last {
+		head += "Connection: close\r\n"
+	}
+	if _, err := c.writer.WriteString(head + "\r\n" + body); err != nil {
+		return err
+	}
+	return c.flush()
+}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
+)
+
+const (
+	// maxHeld is the size of the largest answer, in bytes, that is read whole
+	// before any of it is handed on; one that breaks off can then be sent again.
+	maxHeld = 256 << 10
+	// relayBuffer is the size of the largest part of a stream handed on at once.
+	relayBuffer = 8 << 10
+)
+
+// errCaller is the error for a caller that takes no more of its answer.
+var errCaller = errors.New("the caller takes no more")
+
+// relay hands an answer on to the caller.
+type relay struct {
+	begun  bool // part of the answer has been written
+	events events
+}
+
+// resumeAt returns the event after which a stream is to be continued, "" for
+// its beginning.
+func (r *relay) resumeAt() string { return r.events.last }
+
+// mayContinue tells whether another backend server's answer can take up where
+// the last one broke off.
+func (r *relay) mayContinue() bool { return !r.begun || r.events.resumable }
+
+// run hands on one answer, or what it adds to one that broke off.
+func (r *relay) run(a *attempt, answer *exchange.Answer) error {
+	if a.route.Through.Streaming && answer.StatusCode() == fasthttp.StatusOK {
+		return r.stream(a, answer)
+	}
+	if r.begun {
+		return errors.New("no stream continues the one that broke off")
+	}
+	return r.whole(a, answer)
+}
+
+// whole reads an answer to its end before it hands it on.
+func (r *relay) whole(a *attempt, answer *exchange.Answer) error {
+	body, err := io.ReadAll(io.LimitReader(answer, maxHeld+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxHeld {
+		return r.long(a, answer, body)
+	}
+	r.begun = true
+	r.writeHead(a, answer, len(body))
+	if !a.req.Header.IsHead() {
+		_, _ = a.conn.writer.Write(body)
+	}
+	return callerError(a.conn.flush())
+}
+
+// long hands on an answer that is too large to be held.
+func (r *relay) long(a *attempt, answer *exchange.Answer, body []byte) error {
+	r.begun = true
+	r.writeHead(a, answer, chunked)
+	for {
+		if err := r.writeChunk(a, body); err != nil {
+			return err
+		}
+		body = body[:cap(body)]
+		n, err := answer.Read(body)
+		body = body[:n]
+		if err == io.EOF {
+			if err := r.writeChunk(a, body); err != nil {
+				return err
+			}
+			return r.end(a)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// stream hands events on as they come.
+func (r *relay) stream(a *attempt, answer *exchange.Answer) error {
+	r.events.resumable = a.route.Through.Resumable
+	r.events.begin(a.meta.LastEvent)
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if err := r.pass(a, answer, r.events.take(buffer[:n])); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			if err := r.pass(a, answer, r.events.rest()); err != nil {
+				return err
+			}
+			return r.end(a)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// pass writes a part of a stream, after its head where that is still due.
+func (r *relay) pass(a *attempt, answer *exchange.Answer, part []byte) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if !r.begun {
+		r.begun = true
+		r.writeHead(a, answer, chunked)
+	}
+	return r.writeChunk(a, part)
+}
+
+// end writes the end of an answer in chunks.
+func (r *relay) end(a *attempt) error {
+	_, _ = a.conn.writer.WriteString("0\r\n\r\n")
+	return callerError(a.conn.flush())
+}
+
+func (r *relay) writeChunk(a *attempt, part []byte) error {
+	if len(part) == 0 {
+		return nil
+	}
+	w := a.conn.writer
+	_, _ = w.WriteString(strconv.FormatInt(int64(len(part)), 16))
+	_, _ = w.WriteString("\r\n")
+	_, _ = w.Write(part)
+	_, _ = w.WriteString("\r\n")
+	return callerError(a.conn.flush())
+}
+
+func callerError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Join(errCaller, err)
+}
+
+// chunked is the length of a body that is written in chunks.
+const chunked = -1
+
+// connectionHeaders concern one connection only and aren't handed on.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true,
+}
+
+// writeHead writes the head of the backend server's answer.
+func (r *relay) writeHead(a *attempt, answer *exchange.Answer, length int) {
+	w := a.conn.writer
+	status := answer.StatusCode()
+	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + fasthttp.StatusMessage(status) + "\r\n")
+	for name, value := range answer.Header.All() {
+		if connectionHeaders[string(name)] {
+			continue
+		}
+		_, _ = w.Write(name)
+		_, _ = w.WriteString(": ")
+		_, _ = w.Write(value)
+		_, _ = w.WriteString("\r\n")
+	}
+	if length == chunked {
+		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
+	} else {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
+	}
+	if a.service.draining.Load() {
+		a.keep = false
+	}
+	if !a.keep {
+		_, _ = w.WriteString("Connection: close\r\n")
+	}
+	_, _ = w.WriteString("\r\n")
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/config"
+)
+
+// The limits of callers that hold until a configuration says otherwise.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 8 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+)
+
+// limitsOf returns the limits in force, with the defaults where there are none.
+func limitsOf(c *config.InForce) config.CallerLimits {
+	var out config.CallerLimits
+	if c != nil {
+		out = c.File.Callers
+	}
+	if out.HeaderBytes <= 0 {
+		out.HeaderBytes = defaultHeaderBytes
+	}
+	if out.BodyBytes <= 0 {
+		out.BodyBytes = defaultBodyBytes
+	}
+	if out.HeaderTimeout <= 0 {
+		out.HeaderTimeout = defaultHeaderTimeout
+	}
+	if out.IdleTimeout <= 0 {
+		out.IdleTimeout = defaultIdleTimeout
+	}
+	return out
+}
+
+// errIdle is the error for a connection that ended before another request.
+var errIdle = errors.New("no further request")
+
+// readRequest reads one request. A refusal tells what to answer where the bytes
+// are no proper request; the connection can't be used after it.
+func (c *callerConn) readRequest(req *fasthttp.Request, limits config.CallerLimits) (*refusal, error) {
+	if err := c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
+		return nil, err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, errIdle
+	}
+	c.busy.Store(true)
+	if err := c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+		return nil, err
+	}
+	if err := req.Header.Read(c.reader); err != nil {
+		var small *fasthttp.ErrSmallBuffer
+		if errors.As(err, &small) {
+			return headerTooLarge, nil
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, err
+		}
+		return malformed, nil
+	}
+	if ambiguousLength(req.Header.RawHeaders()) {
+		return malformed, nil
+	}
+	return c.readBody(req, limits)
+}
+
+func (c *callerConn) readBody(req *fasthttp.Request, limits config.CallerLimits) (*refusal, error) {
+	if req.Header.ContentLength() > limits.BodyBytes {
+		return bodyTooLarge, nil
+	}
+	if req.MayContinue() {
+		if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, err
+		}
+		if err := c.flush(); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	err := req.ContinueReadBody(c.reader, limits.BodyBytes, false)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return bodyTooLarge, nil
+	}
+	return nil, err
+}
+
+// bodyTimeout is how long a body may take to come.
+const bodyTimeout = 30 * time.Second
+
+// ambiguousLength tells whether two readers of a header could disagree on where
+// the body ends: a second request could be hidden there.
+func ambiguousLength(raw []byte) bool {
+	lengths, encodings := 0, 0
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return true // a folded line
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch trimmed := bytes.TrimSpace(name); {
+		case bytes.EqualFold(trimmed, []byte("Content-Length")):
+			lengths++
+		case bytes.EqualFold(trimmed, []byte("Transfer-Encoding")):
+			encodings++
+		}
+	}
+	return lengths+encodings > 1
+}
--- /dev/null
+++ b/generation/catalog.go
@@ -0,0 +1,184 @@
+package generation
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// Discovery is where backend servers announce themselves. Each announcement has
+// a key; what it announces may change, and it may be taken back.
+type Discovery interface {
+	// List returns all announcements, and the revision they are of.
+	List(ctx context.Context) ([]Announcement, uint64, error)
+	// Changes waits for changes after a revision, and returns them with the
+	// revision up to which they are complete. The error says nothing of whether
+	// there were any: the announcements must then be listed anew.
+	Changes(ctx context.Context, revision uint64) ([]Announcement, uint64, error)
+}
+
+// Announcement is what one key announces.
+type Announcement struct {
+	Key      string
+	Revision uint64
+	// Backend is nil where the announcement was taken back, or can't be read.
+	Backend *config.Discovered
+}
+
+// catalog is what is known of the backend servers that announce themselves.
+type catalog struct {
+	discovery Discovery
+	held      *wire.Catalog
+	entries   map[string]*wire.CatalogEntry // by key, of the last list that was read here
+	at        uint64                        // up to which the changes were seen here
+}
+
+func (s *Service) catalogRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalog.held.GetRevision()
+}
+
+// readCatalog lists the announcements, and tells whether that was possible.
+func (s *Service) readCatalog() bool {
+	if s.catalog.discovery == nil {
+		return true
+	}
+	return s.listCatalog(s.run) == nil
+}
+
+func (s *Service) listCatalog(ctx context.Context) error {
+	s.metrics.StoreCalls.WithLabelValues("list").Inc()
+	all, at, err := s.catalog.discovery.List(ctx)
+	if err != nil {
+		s.metrics.StoreFailures.WithLabelValues("list").Inc()
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catalog.entries = map[string]*wire.CatalogEntry{}
+	s.catalog.at = at
+	s.takeAnnouncements(all, at)
+	return nil
+}
+
+// watchCatalog follows the announcements while this router is one of those
+// that watch the store.
+func (s *Service) watchCatalog(ctx context.Context) {
+	defer s.ended.Done()
+	if s.catalog.discovery == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		if s.listCatalog(ctx) != nil {
+			s.pause()
+			continue
+		}
+		for ctx.Err() == nil && s.followCatalog(ctx) == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (s *Service) followCatalog(ctx context.Context) error {
+	s.mu.Lock()
+	since := s.catalog.at
+	s.mu.Unlock()
+	s.metrics.StoreCalls.WithLabelValues("watch").Inc()
+	changes, at, err := s.catalog.discovery.Changes(ctx, since)
+	if err != nil {
+		s.metrics.StoreFailures.WithLabelValues("watch").Inc()
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catalog.at = max(s.catalog.at, at)
+	last := uint64(0)
+	for _, change := range changes {
+		last = max(last, change.Revision)
+	}
+	s.takeAnnouncements(changes, last)
+	return nil
+}
+
+// takeAnnouncements brings announcements into the catalog, which then is of the
+// given revision where anything changed. The caller holds the lock.
+func (s *Service) takeAnnouncements(changes []Announcement, revision uint64) {
+	for _, change := range changes {
+		if change.Backend == nil {
+			delete(s.catalog.entries, change.Key)
+			continue
+		}
+		s.catalog.entries[change.Key] = entryOf(change.Backend)
+	}
+	next := &wire.Catalog{Revision: revision, Entries: slices.SortedFunc(maps.Values(s.catalog.entries), byName)}
+	s.replaceCatalog(next)
+}
+
+func byName(a, b *wire.CatalogEntry) int { return cmp.Compare(a.Name, b.Name) }
+
+// installCatalog takes another router's catalog.
+func (s *Service) installCatalog(next *wire.Catalog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replaceCatalog(next)
+}
+
+// replaceCatalog brings a catalog into force where it is newer and differs. The
+// caller holds the lock.
+func (s *Service) replaceCatalog(next *wire.Catalog) {
+	held := s.catalog.held
+	if held != nil && next.Revision <= held.Revision {
+		return
+	}
+	same := held != nil && proto.Equal(&wire.Catalog{Entries: next.Entries}, &wire.Catalog{Entries: held.Entries})
+	if same {
+		return
+	}
+	s.catalog.held = next
+	s.log.Info().Uint64("catalog", next.Revision).Int("backends", len(next.Entries)).
+		Int("leaving", leavingOf(next)).Msg("backend servers changed")
+	if s.document != nil {
+		s.compile()
+	}
+}
+
+func leavingOf(c *wire.Catalog) int {
+	n := 0
+	for _, e := range c.Entries {
+		if e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func entryOf(d *config.Discovered) *wire.CatalogEntry {
+	return &wire.CatalogEntry{
+		Name: d.Name, Pool: d.Pool, Address: d.Address, DataHall: d.DataHall,
+		Slots: uint32(d.Slots), Leaving: d.Leaving,
+	}
+}
+
+// discovered returns the backend servers of a catalog.
+func discovered(c *wire.Catalog) []config.Discovered {
+	var out []config.Discovered
+	for _, e := range c.GetEntries() {
+		out = append(out, config.Discovered{
+			Name: e.Name, Pool: e.Pool, Address: e.Address, DataHall: e.DataHall,
+			Slots: int(e.Slots), Leaving: e.Leaving,
+		})
+	}
+	return out
+}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -32,6 +32,7 @@
 
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/config/check/checks"
+	"github.com/tamarindstep/tamarindstep/finding"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/peer"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -61,6 +62,9 @@
 	// Unknown is the error for an apply of which it isn't known whether it took
 	// hold. The same apply, with the same identifier, may be made again.
 	Unknown = namespace.NewType("unknown")
+	// Foreign is the error for an apply where the configuration isn't put into
+	// the store by routers.
+	Foreign = namespace.NewType("foreign")
 )
 
 // Peers lists the routers that can be asked, by name and address.
@@ -68,9 +72,46 @@
 	Routers() map[string]string
 }
 
+// Format is the form in which the store holds the configuration.
+type Format interface {
+	// Key is where the store holds it.
+	Key() string
+	// Document returns the document that a value of the store holds.
+	Document(value []byte) (*wire.Document, error)
+	// Parse reads and checks a document's text.
+	Parse(text []byte) (*config.File, finding.List)
+}
+
+// ownFormat is the product's own: a document with an operators' file inside.
+type ownFormat struct{}
+
+func (ownFormat) Key() string { return Key }
+
+func (ownFormat) Document(value []byte) (*wire.Document, error) {
+	d := &wire.Document{}
+	return d, proto.Unmarshal(value, d)
+}
+
+func (ownFormat) Parse(text []byte) (*config.File, finding.List) {
+	return checks.File("configuration", text)
+}
+
+// Source is where the service gets the configuration, and the backend servers
+// that announce themselves.
+type Source struct {
+	Store store.Store
+	// Format is the configuration's, nil for the product's own. A configuration
+	// in another form is put into the store by others: it can't be applied here.
+	Format Format
+	// Discovery is nil where no backend servers announce themselves.
+	Discovery Discovery
+}
+
 // Service keeps the configuration in force.
 type Service struct {
 	store   store.Store
+	format  Format
+	foreign bool // the configuration is put into the store by others
 	log     zerolog.Logger
 	metrics *telemetry.Platform
 
@@ -83,8 +124,10 @@
 
 	mu       sync.Mutex
 	document *wire.Document
-	revision int64 // of the document in the store, 0 where it came from a router
+	file     *config.File // of the document
+	revision int64        // of the document in the store, 0 where it came from a router
 	fetching bool
+	catalog  catalog
 
 	watch  chan bool
 	cancel context.CancelFunc
@@ -93,8 +136,16 @@
 }
 
 // New returns the service.
-func New(store store.Store, log zerolog.Logger, metrics *telemetry.Platform) *Service {
-	return &Service{store: store, log: log, metrics: metrics, watch: make(chan bool, 16)}
+func New(source Source, log zerolog.Logger, metrics *telemetry.Platform) *Service {
+	s := &Service{
+		store: source.Store, format: source.Format, foreign: source.Format != nil,
+		log: log, metrics: metrics, watch: make(chan bool, 16),
+		catalog: catalog{discovery: source.Discovery},
+	}
+	if !s.foreign {
+		s.format = ownFormat{}
+	}
+	return s
 }
 
 // Name implements kernel.Service.
@@ -150,7 +201,7 @@
 func (s *Service) begin() {
 	defer s.ended.Done()
 	for s.run.Err() == nil && !s.ready.Load() {
-		if s.readStore() || s.askRouters() {
+		if s.readStore() && s.readCatalog() || s.askRouters() {
 			s.ready.Store(true)
 			return
 		}
@@ -168,7 +219,7 @@
 // readStore reads the store and tells whether it answered.
 func (s *Service) readStore() bool {
 	s.metrics.StoreCalls.WithLabelValues("get").Inc()
-	v, err := s.store.Get(s.run, Key)
+	v, err := s.store.Get(s.run, s.format.Key())
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("get").Inc()
 		return false
@@ -195,10 +246,13 @@
 	ctx, cancel := context.WithTimeout(s.run, fetchTimeout)
 	defer cancel()
 	return s.calls.Call(ctx, address, func(ctx context.Context, c wire.DRPCPeerClient) error {
-		out, err := c.Fetch(ctx, &wire.FetchRequest{Generation: s.Document().GetGeneration()})
+		out, err := c.Fetch(ctx, &wire.FetchRequest{Generation: s.Document().GetGeneration(), Catalog: s.catalogRevision()})
 		if err != nil {
 			return err
 		}
+		if out.Catalog != nil {
+			s.installCatalog(out.Catalog)
+		}
 		if out.Document != nil {
 			s.install(out.Document, 0)
 		}
@@ -208,18 +262,25 @@
 
 // Fetch answers another router.
 func (s *Service) Fetch(_ context.Context, in *wire.FetchRequest) (*wire.FetchResponse, error) {
-	d := s.Document()
-	if d.GetGeneration() <= in.Generation {
-		return &wire.FetchResponse{}, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := &wire.FetchResponse{}
+	if s.document.GetGeneration() > in.Generation {
+		out.Document = s.document
 	}
-	return &wire.FetchResponse{Document: d}, nil
+	if s.catalog.held.GetRevision() > in.Catalog {
+		out.Catalog = s.catalog.held
+	}
+	return out, nil
 }
 
-// generationSeen fetches a newer configuration from the router that has it.
-func (s *Service) generationSeen(address string, generation uint64) {
+// generationSeen fetches a newer configuration or catalog from the router that
+// has it.
+func (s *Service) generationSeen(address string, generation, catalog uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fetching || generation <= s.document.GetGeneration() || s.run.Err() != nil {
+	newer := generation > s.document.GetGeneration() || catalog > s.catalog.held.GetRevision()
+	if s.fetching || !newer || s.run.Err() != nil {
 		return
 	}
 	s.fetching = true
@@ -255,8 +316,9 @@
 			if watch {
 				ctx, cancel := context.WithCancel(s.run)
 				stop = cancel
-				s.ended.Add(1)
+				s.ended.Add(2)
 				go s.watchStore(ctx)
+				go s.watchCatalog(ctx)
 			}
 		}
 	}
@@ -269,7 +331,7 @@
 		revision := s.revision
 		s.mu.Unlock()
 		s.metrics.StoreCalls.WithLabelValues("watch").Inc()
-		v, err := s.store.Wait(ctx, Key, revision)
+		v, err := s.store.Wait(ctx, s.format.Key(), revision)
 		if err != nil {
 			s.metrics.StoreFailures.WithLabelValues("watch").Inc()
 			s.pause()
@@ -283,9 +345,12 @@
 	if v.Revision == 0 {
 		return
 	}
-	d := &wire.Document{}
-	if err := proto.Unmarshal(v.Data, d); err != nil {
-		s.log.Error().Err(err).Msg("the store's configuration can't be read")
+	d, err := s.format.Document(v.Data)
+	if err != nil {
+		s.log.Error().Err(err).Int64("revision", v.Revision).Msg("the store's configuration can't be read")
+		s.mu.Lock()
+		s.revision = max(s.revision, v.Revision)
+		s.mu.Unlock()
 		return
 	}
 	s.install(d, v.Revision)
@@ -304,19 +369,28 @@
 		s.log.Error().Err(err).Msg("a configuration can't be read")
 		return
 	}
-	f, findings := checks.File("configuration", text)
+	f, findings := s.format.Parse(text)
 	if findings.Failed() {
 		s.log.Error().Err(findings).Uint64("generation", d.Generation).Msg("a configuration isn't valid here")
 		return
 	}
 	s.document = d
-	c := config.Compile(d.Generation, f)
-	s.inForce.Store(c)
-	s.scheduler.Configure(c)
+	s.file = f
+	c := s.compile()
 	s.metrics.Generation.Set(float64(d.Generation))
 	s.log.Info().Uint64("generation", d.Generation).Str("policy", c.Core.Policy.Name).Msg("configuration in force")
 }
 
+// compile brings the document and the catalog into force together; the caller
+// holds the lock.
+func (s *Service) compile() *config.InForce {
+	held := s.catalog.held
+	c := config.CompileWith(s.document.GetGeneration(), s.file, held.GetRevision(), discovered(held))
+	s.inForce.Store(c)
+	s.scheduler.Configure(c)
+	return c
+}
+
 // Apply is a request to put a new configuration in force.
 type Apply struct {
 	ID   string // the same for every try of one apply
@@ -330,6 +404,9 @@
 // Apply swaps the configuration in the store, and returns its generation. It
 // is accepted once the store has it. Findings are returned as an error.
 func (s *Service) Apply(ctx context.Context, a Apply) (uint64, error) {
+	if s.foreign {
+		return 0, Foreign.New("the configuration is put into the store by others")
+	}
 	_, findings := checks.File("configuration", a.Text)
 	if err := findings.Err(); err != nil {
 		return 0, err
--- a/model/model.go
+++ b/model/model.go
@@ -98,3 +98,18 @@
 	_, _ = d.WriteString(subject)
 	return d.Sum64()
 }
+
+// Part is a part of a prompt that other prompts may begin with as well.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Prompt is what is known of a request's prompt and of the answer wanted.
+type Prompt struct {
+	Tokens    int    // of the whole prompt
+	MaxOutput int    // tokens of output at the most, 0 where it isn't known
+	Hint      int    // tokens of output that the caller expects, 0 where it doesn't say
+	Parts     []Part // in order; the last one belongs to the request or its session
+	Model     string
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -42,8 +42,9 @@
 type Observer struct {
 	// Loads is given the backend servers whose load is to be asked for.
 	Loads func(backends []model.BackendID)
-	// Generation is given the address of a router with a newer configuration.
-	Generation func(address string, generation uint64)
+	// Generation is given the address of a router with a newer configuration or
+	// a newer catalog of backend servers.
+	Generation func(address string, generation, catalog uint64)
 	// Store tells whether the store is to be watched.
 	Store func(watch bool)
 }
@@ -200,7 +201,7 @@
 	case core.GenerationSeen:
 		s.eachObserver(func(o Observer) {
 			if o.Generation != nil {
-				o.Generation(a.Address, a.Generation)
+				o.Generation(a.Address, a.Generation, a.Catalog)
 			}
 		})
 	case core.MemberChanged:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/spf13/pflag"
@@ -27,6 +28,7 @@
 	CodeFile    = "TS3002"
 	CodeWord    = "TS3003"
 	CodeName    = "TS3004"
+	CodeNumber  = "TS3005"
 )
 
 var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -115,6 +117,16 @@
 	return secret
 }
 
+// Number returns a setting that must be a number of at least least.
+func (r *Reader) Number(flag string, least float64) float64 {
+	text := r.values.GetString(flag)
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || v < least {
+		r.add(CodeNumber, flag, "%q isn't a number of at least %v", text, least)
+	}
+	return v
+}
+
 // minSecret is the size of the shortest secret, in bytes.
 const minSecret = 16
 
