--- /dev/null
+++ b/core/byprompt.go
@@ -0,0 +1,200 @@
+package core
+
+import (
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/core/prompt"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+const (
+	// loadsEvery is how often routers tell each other what they have on the
+	// backend servers.
+	loadsEvery = 100 * time.Millisecond
+	// loadsPeers is the greatest number of routers that are told at once; of
+	// more, as many are chosen by chance each time.
+	loadsPeers = 16
+	// observeEvery is how often the accounts' amounts are taken from the ledger.
+	observeEvery = 100 * time.Millisecond
+	// askedPool marks, in the ledger, what accounts have asked for beside what
+	// has begun of it.
+	askedPool = 0xa5cedfff
+)
+
+// askedKey names what an account has asked for in the ledger.
+func askedKey(key model.Key) model.Key {
+	return model.Key{Pool: key.Pool ^ askedPool, Account: key.Account}
+}
+
+// configurePrompt hands the configuration on to the decisions by prompt.
+func (c *Core) configurePrompt() {
+	if c.config.Policy == nil || c.config.Policy.ByPrompt == nil {
+		return
+	}
+	out := prompt.Config{
+		Pools:           map[model.PoolID]prompt.Pool{},
+		Backends:        map[model.BackendID]prompt.Backend{},
+		Accounts:        map[model.AccountID]int{},
+		TokensPerSecond: c.config.TokensPerSecond,
+		Tuning:          *c.config.Policy.ByPrompt,
+	}
+	hall := c.members.Self().DataHall
+	for id, p := range c.config.Pools {
+		out.Pools[id] = prompt.Pool{Engine: p.FollowLoad, Memory: p.MemoryTokens}
+	}
+	for id, b := range c.config.Backends {
+		out.Backends[id] = prompt.Backend{
+			Name: b.Name, Pool: b.Pool, Near: b.DataHall == hall, Slots: b.Slots, Leaving: b.Leaving,
+		}
+	}
+	for id, a := range c.config.Accounts {
+		out.Accounts[id] = a.Priority
+	}
+	c.prompt.Configure(c.now, out)
+}
+
+// arriveByPrompt takes a request that is decided on by its prompt.
+func (c *Core) arriveByPrompt(e Arrive) {
+	key := model.Key{Pool: e.Pool, Account: e.Account}
+	c.promptKeys[e.ID] = key
+	in := prompt.Request{
+		ID: e.ID, Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt,
+		Objective: e.Objective, Wait: e.Wait, Priority: e.Priority, Except: e.Except,
+	}
+	if cost := c.prompt.CostOf(&in); cost > 0 && len(e.Except) == 0 {
+		c.ledger.Add(c.now, askedKey(key), model.ServiceOf(cost, 1))
+		c.observe(key)
+	}
+	c.prompt.Arrive(c.now, in)
+}
+
+// observe takes an account's amounts from the ledger.
+func (c *Core) observe(key model.Key) {
+	c.prompt.Observe(key.Account, prompt.Amounts{
+		Asked: c.ledger.Virtual(askedKey(key)).Tokens(),
+		Begun: c.ledger.Virtual(key).Tokens(),
+	})
+}
+
+// observeAll takes every account's amounts from the ledger, now and then.
+func (c *Core) observeAll() {
+	if c.now < c.nextObserve {
+		return
+	}
+	c.nextObserve = c.now + observeEvery
+	for _, key := range c.ledger.Keys() {
+		if pool, known := c.config.Pools[key.Pool]; known && pool.FollowLoad {
+			c.observe(key)
+		}
+	}
+}
+
+// decideByPrompt carries out what the decisions by prompt have come to.
+func (c *Core) decideByPrompt() {
+	if c.config.Policy == nil || c.config.Policy.ByPrompt == nil && c.prompt.Idle() {
+		return
+	}
+	c.prompt.Sample(c.now)
+	c.observeAll()
+	c.prompt.Tick(c.now)
+	for _, a := range c.prompt.Take() {
+		switch a := a.(type) {
+		case prompt.Dispatch:
+			c.dispatchedByPrompt(a)
+		case prompt.Refuse:
+			delete(c.promptKeys, a.ID)
+			c.do(Refuse{
+				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay,
+			})
+		}
+	}
+}
+
+func (c *Core) dispatchedByPrompt(a prompt.Dispatch) {
+	key := c.promptKeys[a.ID]
+	if cost := c.prompt.Cost(a.ID); cost > 0 {
+		c.ledger.Add(c.now, key, model.ServiceOf(cost, 1))
+		c.observe(key)
+	}
+	c.loadsChanged = true
+	c.do(Dispatch{
+		ID: a.ID, Backend: a.Backend, Waited: a.Waited,
+		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over,
+	})
+}
+
+// promptEndings are the endings in the words of the decisions by prompt.
+var promptEndings = map[Ending]prompt.Ending{
+	Done: prompt.Done, Broken: prompt.Left, NotSent: prompt.NotSent, Cancelled: prompt.Left,
+	Rejected: prompt.Rejected, Failed: prompt.Failed,
+}
+
+// finishByPrompt ends a request; one that wasn't run isn't counted as begun.
+func (c *Core) finishByPrompt(e Finish) {
+	notRun := e.Ending == NotSent || e.Ending == Rejected || e.Ending == Cancelled
+	if cost := c.prompt.Cost(e.ID); cost > 0 && notRun && c.prompt.Sent(e.ID) {
+		c.ledger.Add(c.now, c.promptKeys[e.ID], -model.ServiceOf(cost, 1))
+	}
+	delete(c.promptKeys, e.ID)
+	c.prompt.Finish(c.now, e.ID, promptEndings[e.Ending], e.Output)
+	c.loadsChanged = true
+}
+
+// flushLoads tells the other routers what this one has on the backend servers.
+func (c *Core) flushLoads() {
+	if !c.loadsChanged || c.now < c.loadsSent+loadsEvery {
+		return
+	}
+	c.loadsChanged = false
+	c.loadsSent = c.now
+	out := c.loads()
+	names := c.members.Names()
+	told := 0
+	for _, i := range c.random.Perm(len(names)) {
+		if told < loadsPeers && c.members.Get(names[i]).Reachable() {
+			c.to(names[i]).Loads = out
+			told++
+		}
+	}
+}
+
+func (c *Core) loads() *wire.Loads {
+	out := &wire.Loads{}
+	for _, l := range c.prompt.Loads() {
+		out.Backends = append(out.Backends, uint32(l.Backend))
+		out.Sent = append(out.Sent, l.Sent)
+		out.Running = append(out.Running, l.Running)
+	}
+	for _, n := range c.prompt.News() {
+		out.PlacedOn = append(out.PlacedOn, uint32(n.Backend))
+		out.Parts = append(out.Parts, n.Part)
+	}
+	return out
+}
+
+// nextLoads returns when the other routers are to be told.
+func (c *Core) nextLoads() model.Time {
+	if !c.loadsChanged {
+		return never
+	}
+	return c.loadsSent + loadsEvery
+}
+
+// takeLoads takes what another router has on the backend servers; lists that
+// differ in length are left out.
+func (c *Core) takeLoads(from string, boot uint64, in *wire.Loads) {
+	var loads []prompt.Load
+	if len(in.Backends) == len(in.Sent) && len(in.Backends) == len(in.Running) {
+		for i, id := range in.Backends {
+			loads = append(loads, prompt.Load{Backend: model.BackendID(id), Sent: in.Sent[i], Running: in.Running[i]})
+		}
+	}
+	var news []prompt.Placement
+	if len(in.PlacedOn) == len(in.Parts) {
+		for i, id := range in.PlacedOn {
+			news = append(news, prompt.Placement{Backend: model.BackendID(id), Part: in.Parts[i]})
+		}
+	}
+	c.prompt.TakeLoads(c.now, from, boot, loads, news)
+}
--- a/core/config.go
+++ b/core/config.go
@@ -59,6 +59,8 @@
 	Accounts map[model.AccountID]Account
 	Pools    map[model.PoolID]Pool
 	Backends map[model.BackendID]Backend
+	// TokensPerSecond is what all engines make together, 0 where it is not known.
+	TokensPerSecond float64
 }
 
 // sortedKeys returns a map's keys in order, so that no decision depends on the
--- a/core/core.go
+++ b/core/core.go
@@ -47,6 +47,7 @@
 	"github.com/tamarindstep/tamarindstep/core/estimate"
 	"github.com/tamarindstep/tamarindstep/core/ledger"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -58,10 +59,17 @@
 	random   *rand.Rand
 	members  *member.List
 	ledger   *ledger.Ledger
+	prompt   *prompt.Machine
 	draining bool
 	actions  []Action
 	outbox   map[string]*wire.Datagram
 
+	// Where decisions are made by prompt.
+	promptKeys   map[RequestID]model.Key
+	nextObserve  model.Time
+	loadsChanged bool
+	loadsSent    model.Time
+
 	// As ingress router.
 	requests  map[RequestID]*request
 	queues    map[model.Key]*queue
@@ -93,27 +101,29 @@
 func New(now model.Time, self member.Member, seed uint64) *Core {
 	random := rand.New(rand.NewPCG(seed, self.Boot))
 	c := &Core{
-		placement: placement{stale: true},
-		now:       now,
-		config:    &Config{},
-		random:    random,
-		members:   member.New(self, random),
-		outbox:    map[string]*wire.Datagram{},
-		requests:  map[RequestID]*request{},
-		queues:    map[model.Key]*queue{},
-		running:   map[model.BackendID]int{},
-		refused:   map[model.BackendID]*refusal{},
-		owners:    map[string]*ownerLink{},
-		asks:      map[model.PoolID]*ask{},
-		estimates: map[kind]*estimate.Lengths{},
-		budget:    bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
-		backends:  map[model.BackendID]*backend{},
-		sources:   map[string]*source{},
-		demands:   map[model.Key]*demand{},
-		poolOrder: map[model.PoolID][]model.BackendID{},
-		dirty:     map[model.PoolID]bool{},
-		lastGrant: map[model.Key]uint64{},
+		placement:  placement{stale: true},
+		now:        now,
+		config:     &Config{},
+		random:     random,
+		members:    member.New(self, random),
+		outbox:     map[string]*wire.Datagram{},
+		promptKeys: map[RequestID]model.Key{},
+		requests:   map[RequestID]*request{},
+		queues:     map[model.Key]*queue{},
+		running:    map[model.BackendID]int{},
+		refused:    map[model.BackendID]*refusal{},
+		owners:     map[string]*ownerLink{},
+		asks:       map[model.PoolID]*ask{},
+		estimates:  map[kind]*estimate.Lengths{},
+		budget:     bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
+		backends:   map[model.BackendID]*backend{},
+		sources:    map[string]*source{},
+		demands:    map[model.Key]*demand{},
+		poolOrder:  map[model.PoolID][]model.BackendID{},
+		dirty:      map[model.PoolID]bool{},
+		lastGrant:  map[model.Key]uint64{},
 	}
+	c.prompt = prompt.New(now, random)
 	c.ledger = ledger.New(self.Name, now, random.Uint64, c.lookAheadOf)
 	return c
 }
@@ -128,8 +138,10 @@
 	c.expire()
 	c.probe()
 	c.grantAll()
+	c.decideByPrompt()
 	c.exchangeLedger()
 	c.flushReports()
+	c.flushLoads()
 	c.flushOutbox()
 	return c.actions
 }
@@ -140,7 +152,13 @@
 	case Configure:
 		c.configure(e.Config)
 	case Arrive:
+		if c.config.Policy != nil && c.config.Policy.ByPrompt != nil {
+			c.arriveByPrompt(e)
+			return
+		}
 		c.arrive(e)
+	case Began:
+		c.prompt.Began(c.now, e.ID)
 	case Progress:
 		c.progress(e)
 	case Finish:
@@ -162,7 +180,7 @@
 
 // Wake returns when the next Tick is due.
 func (c *Core) Wake() model.Time {
-	wake := min(c.members.Wake(), c.ledger.Wake(c.now), c.nextReport(), c.nextDeadline(), c.nextReady())
+	wake := min(c.prompt.Wake(), c.nextLoads(), c.members.Wake(), c.ledger.Wake(c.now), c.nextReport(), c.nextDeadline(), c.nextReady())
 	return max(wake, c.now+minWake)
 }
 
@@ -179,7 +197,7 @@
 }
 
 // Idle tells whether no request waits or runs at this router.
-func (c *Core) Idle() bool { return len(c.requests) == 0 }
+func (c *Core) Idle() bool { return len(c.requests) == 0 && c.prompt.Idle() }
 
 func (c *Core) probe() {
 	for _, s := range c.members.Tick(c.now) {
@@ -203,6 +221,7 @@
 func (c *Core) memberChanged(change member.Change) {
 	if change.Restarted || change.Status == wire.Status_STATUS_DEAD {
 		c.forgetSource(change.Name)
+		c.prompt.ForgetRouter(change.Name)
 		delete(c.owners, change.Name)
 	}
 	c.do(MemberChanged{Change: change})
@@ -246,6 +265,9 @@
 	for _, f := range d.Free {
 		c.hint(d.From, model.PoolID(f.Pool), int(f.Slots))
 	}
+	if d.Loads != nil {
+		c.takeLoads(d.From, d.Boot, d.Loads)
+	}
 	if d.Report != nil {
 		c.takeReport(d.From, d.Report)
 	}
@@ -303,6 +325,7 @@
 	}
 	c.config = config
 	c.placement.stale = true
+	c.configurePrompt()
 	c.refuseWithdrawn()
 	c.announce()
 }
--- a/core/event.go
+++ b/core/event.go
@@ -25,8 +25,18 @@
 	Class   model.Class
 	Input   float64       // tokens of input
 	Wait    time.Duration // how long it may wait to be served
+
+	// What only a policy that decides by prompt asks for.
+	Route     uint32 // hash of the route's name
+	Prompt    model.Prompt
+	Objective time.Duration // until the answer should begin, 0 for none
+	Priority  int           // of the route; 0 is the highest
+	Except    []model.BackendID
 }
 
+// Began tells that the answer to a dispatched request has begun.
+type Began struct{ ID RequestID }
+
 // Progress tells how many output tokens of a running request have flowed so far.
 type Progress struct {
 	ID     RequestID
@@ -46,6 +56,10 @@
 	NotSent
 	// Cancelled is a request of which nothing was sent and nothing will be.
 	Cancelled
+	// Rejected is a request that its backend server said it didn't run.
+	Rejected
+	// Failed is a request whose backend server failed, or broke off.
+	Failed
 )
 
 // Finish ends a dispatched request.
@@ -83,6 +97,7 @@
 func (Configure) event() {}
 func (Arrive) event()    {}
 func (Progress) event()  {}
+func (Began) event()     {}
 func (Finish) event()    {}
 func (Abandon) event()   {}
 func (Receive) event()   {}
@@ -99,6 +114,12 @@
 	ID      RequestID
 	Backend model.BackendID
 	Waited  time.Duration
+
+	// What decided, where the policy decides by prompt.
+	Delay   time.Duration // expected until the answer begins
+	Unread  int           // tokens of the prompt to be read
+	Backlog int           // tokens to be read before it
+	Over    bool          // its account was beyond its share
 }
 
 // Refusal is why a request is refused.
@@ -119,6 +140,8 @@
 	ID         RequestID
 	Reason     Refusal
 	RetryAfter time.Duration
+	Waited     time.Duration
+	Delay      time.Duration // expected at the best backend server, 0 where unknown
 }
 
 // Send sends a datagram to another router.
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -139,6 +140,10 @@
 }
 
 func (c *Core) abandon(id RequestID) {
+	if c.prompt.Has(id) {
+		c.prompt.Finish(c.now, id, prompt.Left, 0)
+		return
+	}
 	r := c.requests[id]
 	if r == nil || r.running {
 		return
@@ -223,6 +228,10 @@
 }
 
 func (c *Core) finish(e Finish) {
+	if c.prompt.Has(e.ID) {
+		c.finishByPrompt(e)
+		return
+	}
 	r := c.requests[e.ID]
 	if r == nil || !r.running {
 		return
--- a/core/placement.go
+++ b/core/placement.go
@@ -38,7 +38,8 @@
 	}
 	c.arrangeTree()
 	c.chooseWatchers(live)
-	if c.config.Policy == nil {
+	c.prompt.SetRouters(len(live))
+	if c.config.Policy == nil || c.config.Policy.ByPrompt != nil {
 		return
 	}
 	for _, id := range sortedKeys(c.config.Backends) {
@@ -55,7 +56,7 @@
 // fleet's service leaves each router alone.
 func (c *Core) arrangeTree() {
 	var order []ledger.Peer
-	if c.config.Policy == nil || c.config.Policy.Owned {
+	if c.config.Policy == nil || c.config.Policy.Owned || c.config.Policy.ByPrompt != nil {
 		for _, m := range c.members.Running() {
 			order = append(order, ledger.Peer{Name: m.Name, Boot: m.Boot})
 		}
--- /dev/null
+++ b/core/prompt/prompt.go
@@ -0,0 +1,329 @@
+// Package prompt decides where requests go whose cost is mostly the reading of
+// their prompts, when they go, and which are refused.
+//
+// # The model of a backend server
+//
+// An engine reads prompts one after the other at a steady rate, between the
+// tokens of what it already answers. Parts of prompts that it has kept aren't
+// read again, as long as all parts before them are kept too. So the state that
+// counts is its backlog: the tokens sent to it that it hasn't read yet.
+//
+// Each router counts the tokens sent to each backend server, its own at once and
+// the other routers' from their reports, and estimates how many of them have
+// been read: the estimate grows at the engine's rate, and each first token of an
+// answer corrects it. A request that has begun shows that all that was sent
+// before it has been read; one that hasn't shows the contrary. The correction
+// finds slow and silent backend servers as well.
+//
+// # The choice of a backend server
+//
+// The one where the answer begins soonest, with the reading of the prompt counted
+// more than once, as it takes capacity from others. Where none is known to keep
+// the prompt's shared parts, rendezvous hashing over them lets all routers choose
+// alike.
+//
+// # Accounts
+//
+// Over a window of some seconds each account may begin its max-min share of what
+// the engines make: whoever asks for less than an even part gets it all, and what
+// is left is divided evenly among the others. Work within the share goes first,
+// by what part of the share its account has had; work beyond it goes only where
+// capacity would idle.
+//
+// # Waiting and refusing
+//
+// A request waits in the router for as long as it can be hoped to begin in time,
+// and then is refused, with the time until there will be room. It is refused
+// early, so that its caller can still be served in time when it asks again.
+package prompt
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// Request is a request to be decided on.
+type Request struct {
+	ID        model.RequestID
+	Account   model.AccountID
+	Pool      model.PoolID
+	Route     uint32 // whose outputs are of a kind
+	Prompt    model.Prompt
+	Objective time.Duration // until the answer should begin, 0 for none
+	Wait      time.Duration // until it can't be served any more
+	Priority  int           // 0 is the highest
+	// Except are the backend servers that it was sent to before.
+	Except []model.BackendID
+}
+
+// Action is what is to be done; each action type below is one.
+type Action interface{ action() }
+
+// Dispatch sends a request to a backend server.
+type Dispatch struct {
+	ID      model.RequestID
+	Backend model.BackendID
+	Waited  time.Duration
+	// What decided, for the log.
+	Delay   time.Duration // expected until the answer begins
+	Unread  int           // tokens of the prompt that are to be read there
+	Backlog int           // tokens to be read there before it
+	Over    bool          // its account was beyond its share
+}
+
+// Reason is why a request is refused.
+type Reason string
+
+// The reasons.
+const (
+	NoBackend Reason = "no-backend" // there is none that could serve it
+	NoRoom    Reason = "no-room"    // it couldn't begin in time anywhere
+	OverShare Reason = "over-share" // its account has had its share, and others wait
+	TooLate   Reason = "too-late"   // its time is over
+)
+
+// Refuse refuses a request of which nothing was sent.
+type Refuse struct {
+	ID         model.RequestID
+	Reason     Reason
+	RetryAfter time.Duration
+	Waited     time.Duration
+	Delay      time.Duration // expected at the best backend server
+}
+
+func (Dispatch) action() {}
+func (Refuse) action()   {}
+
+// Ending tells how a request that was dispatched has ended.
+type Ending uint8
+
+// The endings.
+const (
+	Done     Ending = iota // a whole answer
+	Left                   // the caller has left
+	Rejected               // the backend server said that it didn't run it
+	Failed                 // the backend server failed or broke off
+	NotSent                // nothing was sent, as it can't be reached
+)
+
+// Config is what the decisions rest on.
+type Config struct {
+	Pools    map[model.PoolID]Pool
+	Backends map[model.BackendID]Backend
+	Accounts map[model.AccountID]int // the priority of each
+	// TokensPerSecond is what all engines make together, 0 where unknown.
+	TokensPerSecond float64
+	Tuning          Tuning
+}
+
+// Pool is a set of backend servers that can stand in for one another.
+type Pool struct {
+	// Engine tells whether its backend servers read prompts.
+	Engine bool
+	// Memory is what one of them keeps, in tokens.
+	Memory int
+}
+
+// Backend is a backend server.
+type Backend struct {
+	Name    string
+	Pool    model.PoolID
+	Near    bool // in this router's data hall
+	Slots   int
+	Leaving bool
+}
+
+// Machine is the state machine. It does no I/O and reads no clock.
+type Machine struct {
+	now      model.Time
+	config   Config
+	random   *rand.Rand
+	routers  int // that are live, this one included
+	servers  map[model.BackendID]*server
+	order    []model.BackendID // of servers
+	waiting  []*request        // by arrival
+	requests map[model.RequestID]*request
+	shares   shares
+	outputs  map[uint32]*mean // expected output by route
+	peers    map[string]*peerLoad
+	news     []Placement
+	actions  []Action
+}
+
+// request is a request that waits or runs.
+type request struct {
+	Request
+	arrived  model.Time
+	deadline model.Time
+	cost     float64 // tokens, as shares count them
+	server   *server // that it was sent to
+	flight   *flight
+	began    bool
+}
+
+// New returns the machine of a router that has just started.
+func New(now model.Time, random *rand.Rand) *Machine {
+	return &Machine{
+		now: now, random: random, routers: 1,
+		servers:  map[model.BackendID]*server{},
+		requests: map[model.RequestID]*request{},
+		shares:   newShares(),
+		outputs:  map[uint32]*mean{},
+		peers:    map[string]*peerLoad{},
+	}
+}
+
+// Configure puts a configuration in force.
+func (m *Machine) Configure(now model.Time, c Config) {
+	m.now = max(m.now, now)
+	m.config = c
+	m.config.Tuning = c.Tuning.withDefaults()
+	for id := range m.servers {
+		if _, known := c.Backends[id]; !known {
+			m.servers[id].gone = true
+			delete(m.servers, id)
+		}
+	}
+	engines := map[model.PoolID]int{}
+	for _, b := range c.Backends {
+		if c.Pools[b.Pool].Engine {
+			engines[b.Pool]++
+		}
+	}
+	for id, b := range c.Backends {
+		s := m.servers[id]
+		if s == nil {
+			s = newServer(id, b, m.now)
+			m.servers[id] = s
+		}
+		s.Backend = b
+		s.engine = c.Pools[b.Pool].Engine
+		s.memory = c.Pools[b.Pool].Memory
+		s.rate = m.config.Tuning.rateOf(c.TokensPerSecond, engines[b.Pool])
+	}
+	m.order = sortedIDs(m.servers)
+}
+
+// SetRouters tells how many routers are live, this one included.
+func (m *Machine) SetRouters(n int) { m.routers = max(n, 1) }
+
+// Take returns the actions since the last call.
+func (m *Machine) Take() []Action {
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+// Has tells whether a request waits or runs here.
+func (m *Machine) Has(id model.RequestID) bool { return m.requests[id] != nil }
+
+// Idle tells whether no request waits or runs here.
+func (m *Machine) Idle() bool { return len(m.requests) == 0 }
+
+// Arrive takes a request.
+func (m *Machine) Arrive(now model.Time, in Request) {
+	m.now = max(m.now, now)
+	r := &request{Request: in, arrived: m.now, deadline: m.now + in.Wait}
+	r.cost = m.CostOf(&in)
+	m.requests[in.ID] = r
+	m.waiting = append(m.waiting, r)
+	m.decide()
+}
+
+// CostOf returns what a request costs in the terms of shares: a token read
+// counts once, a token written twice.
+func (m *Machine) CostOf(in *Request) float64 {
+	return float64(in.Prompt.Tokens) + writtenCost*m.expectedOutput(in)
+}
+
+// writtenCost is what a token written costs, in tokens read.
+const writtenCost = 2
+
+// expectedOutput returns the tokens of output expected.
+func (m *Machine) expectedOutput(in *Request) float64 {
+	if in.Prompt.Hint > 0 {
+		return float64(in.Prompt.Hint)
+	}
+	if o := m.outputs[in.Route]; o != nil {
+		return o.value
+	}
+	return float64(in.Prompt.MaxOutput) / 2
+}
+
+// Sent tells whether a request was sent to a backend server.
+func (m *Machine) Sent(id model.RequestID) bool {
+	r := m.requests[id]
+	return r != nil && r.server != nil
+}
+
+// Cost returns what a request that was dispatched costs its account, in tokens.
+func (m *Machine) Cost(id model.RequestID) float64 {
+	if r := m.requests[id]; r != nil {
+		return r.cost
+	}
+	return 0
+}
+
+// Began tells that a request's answer has begun.
+func (m *Machine) Began(now model.Time, id model.RequestID) {
+	m.now = max(m.now, now)
+	r := m.requests[id]
+	if r == nil || r.server == nil || r.began {
+		return
+	}
+	r.began = true
+	r.server.began(m.now, r.flight)
+	m.decide()
+}
+
+// Finish ends a request that was dispatched; output is what it made, in tokens.
+func (m *Machine) Finish(now model.Time, id model.RequestID, ending Ending, output float64) {
+	m.now = max(m.now, now)
+	r := m.requests[id]
+	if r == nil {
+		return
+	}
+	delete(m.requests, id)
+	if r.server == nil {
+		m.removeWaiting(r)
+		return
+	}
+	r.server.finished(m.now, r.flight, ending, m.random)
+	if ending == Done && output > 0 {
+		if m.outputs[r.Route] == nil {
+			m.outputs[r.Route] = &mean{value: output}
+		}
+		m.outputs[r.Route].add(output)
+	}
+	m.decide()
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now model.Time) {
+	m.now = max(m.now, now)
+	m.decide()
+}
+
+// never is a time that doesn't come.
+const never = model.Time(1<<63 - 1)
+
+// Wake returns when the next Tick is due.
+func (m *Machine) Wake() model.Time {
+	if len(m.waiting) == 0 {
+		return never
+	}
+	return m.now + recheck
+}
+
+// recheck is how often what waits is looked at anew.
+const recheck = 10 * time.Millisecond
+
+// mean is a mean that follows what it is given.
+type mean struct{ value float64 }
+
+// meanWeight is the weight of the newest value.
+const meanWeight = 0.05
+
+func (m *mean) add(v float64) { m.value += meanWeight * (v - m.value) }
--- /dev/null
+++ b/core/prompt/queue.go
@@ -0,0 +1,124 @@
+package prompt
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// decide goes over what waits, in the order in which it is served, and sends or
+// refuses what is due.
+func (m *Machine) decide() {
+	if len(m.waiting) == 0 {
+		return
+	}
+	level, enough := m.share()
+	for _, r := range m.ranked(level) {
+		m.consider(r, level, enough)
+	}
+}
+
+// ranked returns what waits in the order in which it is served: by priority,
+// then by the part of its share that its account has had, then by arrival.
+func (m *Machine) ranked(level float64) []*request {
+	out := slices.Clone(m.waiting)
+	slices.SortStableFunc(out, func(a, b *request) int {
+		return cmp.Or(
+			cmp.Compare(m.priority(a), m.priority(b)),
+			cmp.Compare(m.had(a.Account, level), m.had(b.Account, level)),
+		)
+	})
+	return out
+}
+
+// priorityStep is how much an account's priority goes before a route's.
+const priorityStep = 1000
+
+func (m *Machine) priority(r *request) int {
+	return m.config.Accounts[r.Account]*priorityStep + r.Priority
+}
+
+// consider sends or refuses a request, or lets it wait on.
+func (m *Machine) consider(r *request, level float64, enough bool) {
+	t := &m.config.Tuning
+	waited := m.now - r.arrived
+	if m.now >= r.deadline {
+		m.refuse(r, TooLate, 0)
+		return
+	}
+	p, ok := m.best(r)
+	over := !enough && m.had(r.Account, level) > 1
+	if ok && p.delay <= m.mayBegin(r, over, waited) {
+		m.dispatch(r, p, over)
+		return
+	}
+	if waited < m.mayWait(r, ok) {
+		return
+	}
+	switch {
+	case !ok:
+		m.refuse(r, NoBackend, t.RetryAfter)
+	case over:
+		m.refuse(r, OverShare, t.RetryOver)
+	default:
+		m.refuse(r, NoRoom, max(p.delay-m.mayBegin(r, over, 0), t.RetryAfter))
+	}
+}
+
+// mayBegin returns the longest expected delay with which a request is sent.
+func (m *Machine) mayBegin(r *request, over bool, waited time.Duration) time.Duration {
+	if r.Objective <= 0 {
+		return r.deadline - m.now
+	}
+	t := &m.config.Tuning
+	if !m.config.Pools[r.Pool].Engine {
+		return r.Objective
+	}
+	if over {
+		return time.Duration(t.BeginOver * float64(r.Objective))
+	}
+	return max(time.Duration(t.Begin*float64(r.Objective))-waited/2, baseDelay)
+}
+
+// mayWait returns how long a request waits before it is refused.
+func (m *Machine) mayWait(r *request, ok bool) time.Duration {
+	t := &m.config.Tuning
+	if r.Objective <= 0 || !ok {
+		return t.WaitNone
+	}
+	return time.Duration(t.Wait * float64(r.Objective))
+}
+
+func (m *Machine) removeWaiting(r *request) {
+	m.waiting = slices.DeleteFunc(m.waiting, func(o *request) bool { return o == r })
+}
+
+func (m *Machine) refuse(r *request, reason Reason, retryAfter time.Duration) {
+	m.removeWaiting(r)
+	delete(m.requests, r.ID)
+	delay := time.Duration(0)
+	if p, ok := m.best(r); ok {
+		delay = p.delay
+	}
+	m.actions = append(m.actions, Refuse{
+		ID: r.ID, Reason: reason, RetryAfter: retryAfter, Waited: m.now - r.arrived, Delay: delay,
+	})
+}
+
+func (m *Machine) dispatch(r *request, p place, over bool) {
+	m.removeWaiting(r)
+	s := p.server
+	r.server = s
+	r.flight = s.send(m.now, p.unread, p.delay)
+	for i, part := range r.Prompt.Parts {
+		key := partKey(part.ID)
+		s.kept.touch(m.now, key)
+		if i < len(r.Prompt.Parts)-1 {
+			m.tell(s.id, key)
+		}
+	}
+	m.actions = append(m.actions, Dispatch{
+		ID: r.ID, Backend: s.id, Waited: m.now - r.arrived, Delay: p.delay,
+		Unread: int(p.unread), Backlog: int(p.backlog), Over: over,
+	})
+}
--- /dev/null
+++ b/core/prompt/server.go
@@ -0,0 +1,127 @@
+package prompt
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+const (
+	// baseDelay is how long an answer takes to begin when nothing is to be read.
+	baseDelay = 60 * time.Millisecond
+	// overdue is how much later than expected an answer must begin for the
+	// estimate of what was read to be held back.
+	overdue = 40 * time.Millisecond
+)
+
+// server is what is known of a backend server.
+type server struct {
+	Backend
+	id     model.BackendID
+	engine bool
+	memory int
+	rate   float64 // tokens read in a second
+	gone   bool
+
+	// sent counts the tokens sent that were to be read, by all routers as far as
+	// known; read estimates how many of these have been read. Both only grow.
+	sent float64
+	read float64
+	// ownSent is the part of sent that this router has sent.
+	ownSent float64
+	at      model.Time // of the estimate
+
+	flights []*flight // from here, in the order they were sent
+	remote  int       // running for other routers, by their reports
+	kept    kept
+	health  health
+}
+
+// flight is one request on its way.
+type flight struct {
+	sent   model.Time
+	end    float64 // the server's count of tokens sent, once it was sent
+	unread float64
+	began  bool
+	delay  time.Duration // expected until the answer begins
+}
+
+func newServer(id model.BackendID, b Backend, now model.Time) *server {
+	return &server{Backend: b, id: id, at: now, kept: newKept()}
+}
+
+// advance lets the estimate of what was read grow.
+func (s *server) advance(now model.Time) {
+	if now <= s.at {
+		return
+	}
+	s.read = min(s.read+s.rate*(now-s.at).Seconds()/s.health.slowness(), s.sent)
+	s.at = now
+	for _, f := range s.flights {
+		if !f.began {
+			if now > f.sent+f.delay+overdue {
+				s.read = min(s.read, max(f.end-f.unread/2, 0))
+			}
+			break
+		}
+	}
+}
+
+// backlog returns the tokens that are still to be read.
+func (s *server) backlog(now model.Time) float64 {
+	s.advance(now)
+	return s.sent - s.read
+}
+
+// running returns how many requests run there, as far as known.
+func (s *server) running() int { return len(s.flights) + s.remote }
+
+// reading returns how long it takes to read so many tokens.
+func (s *server) reading(tokens float64) time.Duration {
+	if s.rate <= 0 {
+		return 0
+	}
+	return time.Duration(tokens / s.rate * s.health.slowness() * float64(time.Second))
+}
+
+// send counts a request that is sent there.
+func (s *server) send(now model.Time, unread float64, delay time.Duration) *flight {
+	s.advance(now)
+	s.sent += unread
+	s.ownSent += unread
+	f := &flight{sent: now, end: s.sent, unread: unread, delay: delay}
+	s.flights = append(s.flights, f)
+	return f
+}
+
+// sentElsewhere counts tokens that another router has sent there.
+func (s *server) sentElsewhere(now model.Time, tokens float64) {
+	s.advance(now)
+	s.sent += tokens
+}
+
+// began takes that an answer has begun: all that was sent before has been read.
+func (s *server) began(now model.Time, f *flight) {
+	s.advance(now)
+	f.began = true
+	s.read = max(s.read, f.end)
+	s.health.began(now-f.sent, f.delay)
+}
+
+// finished takes that a request has ended.
+func (s *server) finished(now model.Time, f *flight, ending Ending, random *rand.Rand) {
+	s.advance(now)
+	s.flights = slices.DeleteFunc(s.flights, func(o *flight) bool { return o == f })
+	if !f.began && ending != Done {
+		// Its tokens won't be read.
+		s.sent = max(s.sent-f.unread, s.read)
+		for _, o := range s.flights {
+			if o.end > f.end {
+				o.end -= f.unread
+			}
+		}
+	}
+	s.health.finished(now, ending, random)
+}
--- /dev/null
+++ b/core/prompt/tuning.go
@@ -0,0 +1,67 @@
+package prompt
+
+import (
+	"cmp"
+	"time"
+)
+
+// Tuning holds the constants of the decisions that a policy may set; 0 stands
+// for the default. docs/DESIGN.md has the runs they come from.
+type Tuning struct {
+	// ReadWeight is what reading a prompt counts for beyond the delay it makes,
+	// as it takes capacity from others.
+	ReadWeight float64
+	// RankPenalty is what each place in the order of rendezvous hashing counts.
+	RankPenalty time.Duration
+	// FarPenalty is what another data hall counts.
+	FarPenalty time.Duration
+	// FailureWeight is what a share of failures of 1 counts for, in seconds.
+	FailureWeight float64
+	// SlotDelay is the delay expected for each request beyond the slots.
+	SlotDelay time.Duration
+	// Begin is the greatest expected delay with which a request is sent, as a
+	// part of its objective; BeginOver the same beyond the account's share.
+	Begin     float64
+	BeginOver float64
+	// Wait is how long a request waits in the router, as a part of its
+	// objective; WaitNone how long where no backend server could serve it.
+	Wait     float64
+	WaitNone time.Duration
+	// Share is the part of the engines' rate that is shared out.
+	Share float64
+	// RetryAfter is when a refused caller is asked back at the soonest, and
+	// RetryOver when its account is beyond its share.
+	RetryAfter time.Duration
+	RetryOver  time.Duration
+	// RateFactor is how much faster an engine reads than its part of the rate
+	// that all make together, and DefaultRate its rate where none is known, in
+	// tokens a second.
+	RateFactor  float64
+	DefaultRate float64
+}
+
+func (t Tuning) withDefaults() Tuning {
+	t.ReadWeight = cmp.Or(t.ReadWeight, 1)
+	t.RankPenalty = cmp.Or(t.RankPenalty, 20*time.Millisecond)
+	t.FarPenalty = cmp.Or(t.FarPenalty, 5*time.Millisecond)
+	t.FailureWeight = cmp.Or(t.FailureWeight, 1)
+	t.SlotDelay = cmp.Or(t.SlotDelay, 30*time.Millisecond)
+	t.Begin = cmp.Or(t.Begin, 0.7)
+	t.BeginOver = cmp.Or(t.BeginOver, 0.2)
+	t.Wait = cmp.Or(t.Wait, 0.23)
+	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
+	t.Share = cmp.Or(t.Share, 1)
+	t.RetryAfter = cmp.Or(t.RetryAfter, 300*time.Millisecond)
+	t.RetryOver = cmp.Or(t.RetryOver, time.Second)
+	t.RateFactor = cmp.Or(t.RateFactor, 1.5)
+	t.DefaultRate = cmp.Or(t.DefaultRate, 50_000)
+	return t
+}
+
+// rateOf returns how many tokens an engine reads in a second.
+func (t Tuning) rateOf(all float64, engines int) float64 {
+	if all <= 0 || engines == 0 {
+		return t.DefaultRate
+	}
+	return all / float64(engines) * t.RateFactor
+}
--- a/core/view.go
+++ b/core/view.go
@@ -51,7 +51,8 @@
 func (c *Core) viewAccounts(out *wire.StatusResponse) {
 	for _, key := range c.ledger.Keys() {
 		account, known := c.config.Accounts[key.Account]
-		if !known {
+		_, pool := c.config.Pools[key.Pool]
+		if !known || !pool {
 			continue
 		}
 		status := &wire.AccountStatus{
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,7 @@
 	ctx      context.Context // ends when the caller has left
 	held     *scheduler.Request
 	sends    int
+	misses   int // backend servers that couldn't be reached
 	tried    []model.BackendID
 	relay    relay
 	keep     bool // the connection may carry another request
@@ -143,6 +144,12 @@
 			Class:   a.route.Class,
 			Input:   float64(a.meta.Prompt.Tokens),
 			Wait:    time.Until(a.deadline),
+
+			Route:     model.HashName(a.route.Name),
+			Prompt:    a.meta.Prompt,
+			Objective: a.route.Through.Objective,
+			Priority:  a.route.Through.Priority,
+			Except:    a.tried,
 		})
 	}
 	select {
@@ -186,14 +193,11 @@
 		Patient: time.Until(a.deadline), Undelimited: true,
 		Skip: a.isSurplus,
 	})
-	if exchange.NotSent(err) && a.ctx.Err() == nil {
-		a.held.Retry()
-		return false
-	}
-	if !exchange.NotSent(err) {
-		a.sends++
-		a.tried = append(a.tried, d.Backend)
+	if exchange.NotSent(err) {
+		return a.unreached(d)
 	}
+	a.sends++
+	a.tried = append(a.tried, d.Backend)
 	if err != nil {
 		return a.failed(err)
 	}
@@ -209,6 +213,26 @@
 // errNameless is the error for a success that doesn't say whose it is.
 var errNameless = errors.New("the answer names no request")
 
+// maxUnreached is how many backend servers that can't be reached are tried.
+const maxUnreached = 3
+
+// unreached handles a request of which nothing was sent. It returns false where
+// another backend server is tried.
+func (a *attempt) unreached(d scheduler.Decision) bool {
+	a.finish(core.NotSent, 0)
+	a.misses++
+	a.tried = append(a.tried, d.Backend)
+	if a.ctx.Err() != nil {
+		a.end(tooLate)
+		return true
+	}
+	if a.misses < maxUnreached {
+		return false
+	}
+	a.refuse(noAttempts, startRetryAfter)
+	return true
+}
+
 // take takes a backend server's answer.
 func (a *attempt) take(answer *exchange.Answer) bool {
 	defer answer.Close()
@@ -220,12 +244,12 @@
 		return a.notRun()
 	}
 	if answer.StatusCode() >= fasthttp.StatusInternalServerError && a.route.Repeatable && a.mayRetry() {
-		a.finish(core.Broken, 0)
+		a.finish(core.Failed, 0)
 		return false
 	}
 	err := a.relay.run(a, answer)
 	if err == nil {
-		a.finish(core.Done, 0)
+		a.finish(core.Done, a.relay.output())
 		a.count("done")
 		return true
 	}
@@ -234,7 +258,7 @@
 
 // notRun handles an answer that says that the request wasn't run.
 func (a *attempt) notRun() bool {
-	a.finish(core.Broken, 0)
+	a.finish(core.Rejected, 0)
 	if a.mayRetry() {
 		return false
 	}
@@ -245,12 +269,13 @@
 // failed handles a request that was sent and whose answer broke off. It returns
 // false where it is sent again.
 func (a *attempt) failed(cause error) bool {
-	a.finish(core.Broken, 0)
 	if errors.Is(a.ctx.Err(), context.Canceled) {
+		a.finish(core.Broken, 0)
 		a.keep = false
 		a.count("caller-left")
 		return true
 	}
+	a.finish(core.Failed, 0)
 	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
 		return false
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -25,8 +25,15 @@
 type relay struct {
 	begun  bool // part of the answer has been written
 	events events
+	parts  int // of a stream that were handed on
 }
 
+// tokensPerEvent is what an event of a stream is taken to hold.
+const tokensPerEvent = 3
+
+// output returns about how many tokens have been handed on.
+func (r *relay) output() float64 { return float64(r.parts * tokensPerEvent) }
+
 // resumeAt returns the event after which a stream is to be continued, "" for
 // its beginning.
 func (r *relay) resumeAt() string { return r.events.last }
@@ -91,9 +98,15 @@
 	r.events.resumable = a.route.Through.Resumable
 	r.events.begin(a.meta.LastEvent)
 	buffer := make([]byte, relayBuffer)
+	began := false
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
+			if !began {
+				began = true
+				a.held.Began()
+			}
+			r.parts++
 			if err := r.pass(a, answer, r.events.take(buffer[:n])); err != nil {
 				return err
 			}
--- a/policy/policies/policies.go
+++ b/policy/policies/policies.go
@@ -5,6 +5,7 @@
 	"github.com/tamarindstep/tamarindstep/policy"
 	"github.com/tamarindstep/tamarindstep/policy/fleetfair"
 	"github.com/tamarindstep/tamarindstep/policy/leastloaded"
+	"github.com/tamarindstep/tamarindstep/policy/promptaffinity"
 	"github.com/tamarindstep/tamarindstep/policy/staticsplit"
 )
 
@@ -13,6 +14,7 @@
 	fleetfair.Policy,
 	staticsplit.Policy,
 	leastloaded.Policy,
+	promptaffinity.Policy,
 }
 
 // Default is the policy in force where the configuration names none.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,7 +2,10 @@
 // directory of its own below this one; package policies lists them.
 package policy
 
-import "github.com/tamarindstep/tamarindstep/model"
+import (
+	"github.com/tamarindstep/tamarindstep/core/prompt"
+	"github.com/tamarindstep/tamarindstep/model"
+)
 
 // Order is the order in which waiting accounts are served.
 type Order uint8
@@ -58,4 +61,7 @@
 	// weight 1, beyond which a part of the grants goes round all of them, so
 	// that the one ahead doesn't starve while the other catches up. 0 for none.
 	CatchUpTokens float64
+	// ByPrompt is set where package core/prompt decides, at the router that has
+	// received a request; nothing above but the name matters then.
+	ByPrompt *prompt.Tuning
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -34,6 +34,12 @@
 	Waited     time.Duration
 	Refusal    core.Refusal
 	RetryAfter time.Duration
+
+	// What decided, where the policy decides by prompt.
+	Delay   time.Duration
+	Unread  int
+	Backlog int
+	Over    bool
 }
 
 // Observer is told of what the core wants from another service. Its functions,
@@ -180,9 +186,12 @@
 func (s *Service) act(a core.Action) {
 	switch a := a.(type) {
 	case core.Dispatch:
-		s.decide(a.ID, Decision{Dispatched: true, Backend: a.Backend, Waited: a.Waited})
+		s.decide(a.ID, Decision{
+			Dispatched: true, Backend: a.Backend, Waited: a.Waited,
+			Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over,
+		})
 	case core.Refuse:
-		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter})
+		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay})
 	case core.Send:
 		s.peers.Send(a.Address, a.Datagram)
 	case core.Watch:
@@ -260,6 +269,11 @@
 	r.service.Tell(core.Progress{ID: r.id, Output: output})
 }
 
+// Began tells that the answer has begun.
+func (r *Request) Began() {
+	r.service.Tell(core.Began{ID: r.id})
+}
+
 // Retry gives the request back after nothing of it was sent; the next decision
 // follows.
 func (r *Request) Retry() {
