core/prompt: judge the whole delay, let large prompts in where little is ahead

Cause 3: gnet's event loop sat on the only processor of the runtime in its wait: each start lost three seconds, and recovery with it. At least four are set now.

--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -15,6 +15,7 @@
 	delay   time.Duration // until the answer begins
 	unread  float64       // tokens of the prompt to be read
 	backlog float64       // tokens to be read before it
+	ahead   time.Duration // how long that takes
 	score   float64       // seconds; the least is the best
 }
 
@@ -44,10 +45,11 @@
 		return m.placeAtService(s)
 	}
 	p := place{server: s, backlog: s.backlog(m.now), unread: s.kept.unread(m.now, &r.Prompt)}
-	p.delay = baseDelay + s.reading(p.backlog+p.unread)
+	p.ahead = s.reading(p.backlog)
 	if over := s.running() - s.Slots; s.Slots > 0 && over >= 0 {
-		p.delay += time.Duration(over+1) * m.config.Tuning.SlotDelay
+		p.ahead += time.Duration(over+1) * m.config.Tuning.SlotDelay
 	}
+	p.delay = baseDelay + p.ahead + s.reading(p.unread)
 	extra := s.reading(p.unread).Seconds() * m.config.Tuning.ReadWeight
 	p.score = p.delay.Seconds() + extra + s.health.failures*m.config.Tuning.FailureWeight
 	if !s.Near {
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -48,7 +48,7 @@
 	}
 	p, ok := m.best(r)
 	over := !enough && m.had(r.Account, level) > 1
-	if ok && p.delay <= m.mayBegin(r, over, waited) {
+	if ok && m.mayBegin(r, p, over) {
 		m.dispatch(r, p, over)
 		return
 	}
@@ -61,23 +61,36 @@
 	case over:
 		m.refuse(r, OverShare, t.RetryOver)
 	default:
-		m.refuse(r, NoRoom, max(p.delay-m.mayBegin(r, over, 0), t.RetryAfter))
+		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, false), t.RetryAfter))
 	}
 }
 
-// mayBegin returns the longest expected delay with which a request is sent.
-func (m *Machine) mayBegin(r *request, over bool, waited time.Duration) time.Duration {
+// mayBegin tells whether a request is sent to the place found for it now. One
+// whose own prompt takes so long to read that it can hardly be in time is sent
+// where next to nothing is ahead of it: refusing it would do so for ever.
+func (m *Machine) mayBegin(r *request, p place, over bool) bool {
+	t := &m.config.Tuning
 	if r.Objective <= 0 {
-		return r.deadline - m.now
+		return true
 	}
-	t := &m.config.Tuning
-	if !m.config.Pools[r.Pool].Engine {
-		return r.Objective
+	if !p.server.engine {
+		return p.delay <= r.Objective
+	}
+	if p.delay <= m.mayDelay(r, over) {
+		return true
 	}
+	alone := p.delay - p.ahead
+	large := alone > time.Duration(t.Large*float64(r.Objective))
+	return large && !over && p.ahead <= time.Duration(t.BeginLarge*float64(r.Objective))
+}
+
+// mayDelay returns the longest expected delay with which a request is sent.
+func (m *Machine) mayDelay(r *request, over bool) time.Duration {
+	t := &m.config.Tuning
 	if over {
 		return time.Duration(t.BeginOver * float64(r.Objective))
 	}
-	return max(time.Duration(t.Begin*float64(r.Objective))-waited/2, baseDelay)
+	return time.Duration(t.Begin*float64(r.Objective)) - (m.now-r.arrived)/2
 }
 
 // mayWait returns how long a request waits before it is refused.
--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -19,10 +19,15 @@
 	FailureWeight float64
 	// SlotDelay is the delay expected for each request beyond the slots.
 	SlotDelay time.Duration
-	// Begin is the greatest expected delay with which a request is sent, as a
-	// part of its objective; BeginOver the same beyond the account's share.
-	Begin     float64
-	BeginOver float64
+	// Begin is the longest expected delay with which a request is sent, as a part
+	// of its objective; BeginOver the same beyond the account's share. Where the
+	// reading of a request's own prompt takes more than the part Large of its
+	// objective, it is sent if what is ahead of it takes at most the part
+	// BeginLarge.
+	Begin      float64
+	BeginOver  float64
+	BeginLarge float64
+	Large      float64
 	// Wait is how long a request waits in the router, as a part of its
 	// objective; WaitNone how long where no backend server could serve it.
 	Wait     float64
@@ -41,13 +46,15 @@
 }
 
 func (t Tuning) withDefaults() Tuning {
-	t.ReadWeight = cmp.Or(t.ReadWeight, 1)
+	t.ReadWeight = cmp.Or(t.ReadWeight, 3)
 	t.RankPenalty = cmp.Or(t.RankPenalty, 20*time.Millisecond)
 	t.FarPenalty = cmp.Or(t.FarPenalty, 5*time.Millisecond)
 	t.FailureWeight = cmp.Or(t.FailureWeight, 1)
 	t.SlotDelay = cmp.Or(t.SlotDelay, 30*time.Millisecond)
 	t.Begin = cmp.Or(t.Begin, 0.7)
 	t.BeginOver = cmp.Or(t.BeginOver, 0.2)
+	t.BeginLarge = cmp.Or(t.BeginLarge, 0.05)
+	t.Large = cmp.Or(t.Large, 0.6)
 	t.Wait = cmp.Or(t.Wait, 0.23)
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -46,8 +47,16 @@
 	return c
 }
 
+// minProcs is how many threads run Go code at the least. gnet's event loop waits
+// in a system call of its own: with one thread, what is ready to run meanwhile
+// would wait until the runtime notices, which took up to three seconds.
+const minProcs = 4
+
 // Main runs the daemon and returns the exit code.
 func Main() int {
+	if runtime.GOMAXPROCS(0) < minProcs {
+		runtime.GOMAXPROCS(minProcs)
+	}
 	if err := NewCommand().ExecuteContext(context.Background()); err != nil {
 		return 1
 	}
