core/prompt: how an account stands to what is owed, and to what really goes

Ruled out: the ledger's lag (half a second on a window of four); waiting order, which doesn't see what is sent on arrival. Conclusion: three standings, each with its own longest expected delay.

--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -12,9 +12,9 @@
 	if len(m.waiting) == 0 {
 		return
 	}
-	level, enough := m.share()
-	for _, r := range m.ranked(level) {
-		m.consider(r, level, enough)
+	l := m.levels()
+	for _, r := range m.ranked(l.owed) {
+		m.consider(r, l)
 	}
 }
 
@@ -39,7 +39,7 @@
 }
 
 // consider sends or refuses a request, or lets it wait on.
-func (m *Machine) consider(r *request, level float64, enough bool) {
+func (m *Machine) consider(r *request, l levels) {
 	t := &m.config.Tuning
 	waited := m.now - r.arrived
 	if m.now >= r.deadline {
@@ -47,9 +47,9 @@
 		return
 	}
 	p, ok := m.best(r)
-	over := !enough && m.had(r.Account, level) > 1
-	if ok && m.mayBegin(r, p, over) {
-		m.dispatch(r, p, over)
+	stands := m.standingOf(r.Account, l)
+	if ok && m.mayBegin(r, p, stands) {
+		m.dispatch(r, p, stands)
 		return
 	}
 	if waited < m.mayWait(r, ok) {
@@ -58,17 +58,17 @@
 	switch {
 	case !ok:
 		m.refuse(r, NoBackend, t.RetryAfter)
-	case over:
+	case stands != within:
 		m.refuse(r, OverShare, t.RetryOver)
 	default:
-		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, false), t.RetryAfter))
+		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, within), t.RetryAfter))
 	}
 }
 
 // mayBegin tells whether a request is sent to the place found for it now. One
 // whose own prompt takes so long to read that it can hardly be in time is sent
 // where next to nothing is ahead of it: refusing it would do so for ever.
-func (m *Machine) mayBegin(r *request, p place, over bool) bool {
+func (m *Machine) mayBegin(r *request, p place, stands standing) bool {
 	t := &m.config.Tuning
 	if r.Objective <= 0 {
 		return true
@@ -76,19 +76,23 @@
 	if !p.server.engine {
 		return p.delay <= r.Objective
 	}
-	if p.delay <= m.mayDelay(r, over) {
+	if p.delay <= m.mayDelay(r, stands) {
 		return true
 	}
 	alone := p.delay - p.ahead
 	large := alone > time.Duration(t.Large*float64(r.Objective))
-	return large && !over && p.ahead <= time.Duration(t.BeginLarge*float64(r.Objective))
+	return large && stands == within && p.ahead <= time.Duration(t.BeginLarge*float64(r.Objective))
 }
 
 // mayDelay returns the longest expected delay with which a request is sent.
-func (m *Machine) mayDelay(r *request, over bool) time.Duration {
+func (m *Machine) mayDelay(r *request, stands standing) time.Duration {
 	t := &m.config.Tuning
-	if over {
+	switch stands {
+	case over:
 		return time.Duration(t.BeginOver * float64(r.Objective))
+	case farOver:
+		return time.Duration(t.BeginFar * float64(r.Objective))
+	case within:
 	}
 	return time.Duration(t.Begin*float64(r.Objective)) - (m.now-r.arrived)/2
 }
@@ -118,7 +122,7 @@
 	})
 }
 
-func (m *Machine) dispatch(r *request, p place, over bool) {
+func (m *Machine) dispatch(r *request, p place, stands standing) {
 	m.removeWaiting(r)
 	s := p.server
 	r.server = s
@@ -132,6 +136,6 @@
 	}
 	m.actions = append(m.actions, Dispatch{
 		ID: r.ID, Backend: s.id, Waited: m.now - r.arrived, Delay: p.delay,
-		Unread: int(p.unread), Backlog: int(p.backlog), Over: over,
+		Unread: int(p.unread), Backlog: int(p.backlog), Over: stands != within,
 	})
 }
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -78,26 +78,43 @@
 	}
 }
 
-// share returns the max-min share of an account that asks for enough, in tokens
-// of the window; enough tells whether there is enough for all.
-func (m *Machine) share() (level float64, enough bool) {
+// levels are the max-min shares of accounts that ask for more, in tokens of the
+// window.
+type levels struct {
+	// owed is the share of what the engines are said to make, and real the share
+	// of what has begun in the window, where that is more.
+	owed, real float64
+	enough     bool // there is enough for all
+}
+
+// levels works out the shares.
+func (m *Machine) levels() levels {
 	capacity := m.config.TokensPerSecond * window.Seconds() * m.config.Tuning.Share
 	if capacity <= 0 {
-		return 0, true
+		return levels{enough: true}
 	}
 	var asked []float64
-	sum := 0.0
+	begun := 0.0
 	for _, h := range m.shares.accounts {
-		a := h.inWindow().Asked
-		if a > 0 {
-			asked = append(asked, a)
-			sum += a
+		a := h.inWindow()
+		begun += a.Begun
+		if a.Asked > 0 {
+			asked = append(asked, a.Asked)
 		}
 	}
-	if sum <= capacity {
-		return capacity, true
-	}
 	slices.Sort(asked)
+	var out levels
+	out.owed, out.enough = maxMin(asked, capacity)
+	out.owed += m.config.Tuning.Slack * capacity
+	out.real, _ = maxMin(asked, max(begun*m.config.Tuning.RealFactor, capacity))
+	out.real = max(out.real, out.owed)
+	return out
+}
+
+// maxMin returns the even share of those that ask for more than it, where
+// everybody else gets all they ask for; enough tells whether all do. asked is
+// sorted.
+func maxMin(asked []float64, capacity float64) (share float64, enough bool) {
 	left := capacity
 	for i, a := range asked {
 		even := left / float64(len(asked)-i)
@@ -106,7 +123,31 @@
 		}
 		left -= a
 	}
-	return left, true
+	return capacity, true
+}
+
+// standing is how an account stands to its share.
+type standing uint8
+
+const (
+	within  standing = iota // of what it is owed
+	over                    // beyond that, within an even part of what really goes
+	farOver                 // beyond both
+)
+
+// standingOf returns how an account stands.
+func (m *Machine) standingOf(account model.AccountID, l levels) standing {
+	h := m.shares.accounts[account]
+	if h == nil || l.enough {
+		return within
+	}
+	switch begun := h.inWindow().Begun; {
+	case begun <= l.owed:
+		return within
+	case begun <= l.real:
+		return over
+	}
+	return farOver
 }
 
 // had returns what part of the level an account has begun in the window.
--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -20,12 +20,14 @@
 	// SlotDelay is the delay expected for each request beyond the slots.
 	SlotDelay time.Duration
 	// Begin is the longest expected delay with which a request is sent, as a part
-	// of its objective; BeginOver the same beyond the account's share. Where the
+	// of its objective; BeginOver the same beyond what the account is owed, and
+	// BeginFar beyond an even part of what really goes as well. Where the
 	// reading of a request's own prompt takes more than the part Large of its
 	// objective, it is sent if what is ahead of it takes at most the part
 	// BeginLarge.
 	Begin      float64
 	BeginOver  float64
+	BeginFar   float64
 	BeginLarge float64
 	Large      float64
 	// Wait is how long a request waits in the router, as a part of its
@@ -34,6 +36,11 @@
 	WaitNone time.Duration
 	// Share is the part of the engines' rate that is shared out.
 	Share float64
+	// Slack is what each account may begin beyond its share, as a part of what is
+	// shared out.
+	Slack float64
+	// RealFactor is how much more than what has begun is taken to be possible.
+	RealFactor float64
 	// RetryAfter is when a refused caller is asked back at the soonest, and
 	// RetryOver when its account is beyond its share.
 	RetryAfter time.Duration
@@ -53,11 +60,14 @@
 	t.SlotDelay = cmp.Or(t.SlotDelay, 30*time.Millisecond)
 	t.Begin = cmp.Or(t.Begin, 0.7)
 	t.BeginOver = cmp.Or(t.BeginOver, 0.2)
+	t.BeginFar = cmp.Or(t.BeginFar, 0.1)
 	t.BeginLarge = cmp.Or(t.BeginLarge, 0.05)
 	t.Large = cmp.Or(t.Large, 0.6)
 	t.Wait = cmp.Or(t.Wait, 0.23)
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
+	t.Slack = cmp.Or(t.Slack, 0.16)
+	t.RealFactor = cmp.Or(t.RealFactor, 1.3)
 	t.RetryAfter = cmp.Or(t.RetryAfter, 300*time.Millisecond)
 	t.RetryOver = cmp.Or(t.RetryOver, time.Second)
 	t.RateFactor = cmp.Or(t.RateFactor, 1.5)
