retry budget, decision log, refusals that stay true after a run

Cause: second sends had no bound over the fleet; a repeatable request that had failed once and was then rejected was refused as not run; a backend server's own 503 without its word that nothing ran was handed on as a promise; a log line could block a request. Ruled out: a shared counter of second sends (a message a request).

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -17,6 +17,9 @@
 	loadsPeers = 16
 	// observeEvery is how often the accounts' amounts are taken from the ledger.
 	observeEvery = 100 * time.Millisecond
+	// retryBudgetPause is when a caller is asked back whose request can't be sent
+	// a second time.
+	retryBudgetPause = 300 * time.Millisecond
 	// askedPool marks, in the ledger, what accounts have asked for beside what
 	// has begun of it.
 	askedPool = 0xa5cedfff
@@ -56,6 +59,12 @@
 
 // arriveByPrompt takes a request that is decided on by its prompt.
 func (c *Core) arriveByPrompt(e Arrive) {
+	if !e.Repeat {
+		c.retries.Request(c.now, e.Pool)
+	} else if !c.retries.Take(c.now, e.Pool) {
+		c.do(Refuse{ID: e.ID, Reason: RetryBudget, RetryAfter: retryBudgetPause})
+		return
+	}
 	key := model.Key{Pool: e.Pool, Account: e.Account}
 	c.promptKeys[e.ID] = key
 	in := prompt.Request{
@@ -120,7 +129,7 @@
 	c.loadsChanged = true
 	c.do(Dispatch{
 		ID: a.ID, Backend: a.Backend, Waited: a.Waited,
-		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over,
+		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Age: a.Age,
 	})
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -48,6 +48,7 @@
 	"github.com/tamarindstep/tamarindstep/core/ledger"
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
+	"github.com/tamarindstep/tamarindstep/core/retry"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -60,6 +61,7 @@
 	members  *member.List
 	ledger   *ledger.Ledger
 	prompt   *prompt.Machine
+	retries  *retry.Budget
 	draining bool
 	actions  []Action
 	outbox   map[string]*wire.Datagram
@@ -124,10 +126,14 @@
 		lastGrant:  map[model.Key]uint64{},
 	}
 	c.prompt = prompt.New(now, random)
+	c.retries = retry.New(retry.Limits{})
 	c.ledger = ledger.New(self.Name, now, random.Uint64, c.lookAheadOf)
 	return c
 }
 
+// LimitRetries sets the fleet's retry budget, which is unlimited until then.
+func (c *Core) LimitRetries(limits retry.Limits) { c.retries = retry.New(limits) }
+
 // Step takes one event at a time that never goes back, and returns what is to
 // be done for it, in order.
 func (c *Core) Step(now model.Time, e Event) []Action {
--- a/core/event.go
+++ b/core/event.go
@@ -32,6 +32,9 @@
 	Objective time.Duration // until the answer should begin, 0 for none
 	Priority  int           // of the route; 0 is the highest
 	Except    []model.BackendID
+	// Repeat tells that the request was sent to a backend server before, so that
+	// it draws on the retry budget.
+	Repeat bool
 }
 
 // Began tells that the answer to a dispatched request has begun.
@@ -120,6 +123,7 @@
 	Unread  int           // tokens of the prompt to be read
 	Backlog int           // tokens to be read before it
 	Over    bool          // its account was beyond its share
+	Age     time.Duration // of the oldest word of another router on its load
 }
 
 // Refusal is why a request is refused.
@@ -133,6 +137,7 @@
 	Draining    Refusal = "draining"
 	Unreachable Refusal = "backends-unreachable"
 	Withdrawn   Refusal = "account-withdrawn"
+	RetryBudget Refusal = "retry-budget"
 )
 
 // Refuse refuses a request of which nothing was sent to a backend server.
--- a/core/placement.go
+++ b/core/placement.go
@@ -39,6 +39,7 @@
 	c.arrangeTree()
 	c.chooseWatchers(live)
 	c.prompt.SetRouters(len(live))
+	c.retries.SetRouters(len(live))
 	if c.config.Policy == nil || c.config.Policy.ByPrompt != nil {
 		return
 	}
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/model"
 )
@@ -25,6 +26,7 @@
 // peerLoad is what another router has told.
 type peerLoad struct {
 	boot uint64
+	at   model.Time // when it was last heard
 	sent map[model.BackendID]uint64
 	runs map[model.BackendID]uint32
 }
@@ -67,6 +69,7 @@
 		p = &peerLoad{boot: boot, sent: map[model.BackendID]uint64{}, runs: map[model.BackendID]uint32{}}
 		m.peers[router] = p
 	}
+	p.at = m.now
 	for _, l := range loads {
 		if s := m.servers[l.Backend]; s != nil {
 			if before := p.sent[l.Backend]; !first && l.Sent > before {
@@ -84,6 +87,15 @@
 	}
 }
 
+// oldestWord returns the age of the oldest word of another router.
+func (m *Machine) oldestWord() time.Duration {
+	age := time.Duration(0)
+	for _, p := range m.peers {
+		age = max(age, m.now-p.at)
+	}
+	return age
+}
+
 // ForgetRouter takes back what a router that is gone had running.
 func (m *Machine) ForgetRouter(router string) {
 	p := m.peers[router]
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -71,6 +71,7 @@
 	Unread  int           // tokens of the prompt that are to be read there
 	Backlog int           // tokens to be read there before it
 	Over    bool          // its account was beyond its share
+	Age     time.Duration // of the oldest word of another router on its load
 }
 
 // Reason is why a request is refused.
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -136,6 +136,6 @@
 	}
 	m.actions = append(m.actions, Dispatch{
 		ID: r.ID, Backend: s.id, Waited: m.now - r.arrived, Delay: p.delay,
-		Unread: int(p.unread), Backlog: int(p.backlog), Over: stands != within,
+		Unread: int(p.unread), Backlog: int(p.backlog), Over: stands != within, Age: m.oldestWord(),
 	})
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -12,6 +12,7 @@
 	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/claim"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/retry"
 	"github.com/tamarindstep/tamarindstep/fleet"
 	"github.com/tamarindstep/tamarindstep/front"
 	"github.com/tamarindstep/tamarindstep/gateway"
@@ -27,6 +28,9 @@
 	"github.com/tamarindstep/tamarindstep/vmlist"
 )
 
+// retryWindow is the span over which the retry budget is counted.
+const retryWindow = 10 * time.Second
+
 // callers is a service for callers.
 type callers interface {
 	kernel.Service
@@ -124,6 +128,7 @@
 	r.callers, r.leave = around.callers, around.leave
 	self := member.Member{Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Boot: rand.Uint64() | 1}
 	r.scheduler = scheduler.New(self, log, metrics)
+	r.scheduler.LimitRetries(retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: retryWindow})
 	gens := generation.New(around.source, log, metrics.Platform)
 	services := []kernel.Service{
 		telemetry.NewTraces(s.Name, s.TraceEndpoint),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/telemetry"
 )
 
 const stopTimeout = 10 * time.Second
@@ -35,11 +36,9 @@
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
 		s, err := read(cmd.Flags())
 		if err != nil {
+			cmd.SetErr(cmd.OutOrStdout())
 			return err
 		}
-		ignored := make(chan os.Signal, 1)
-		signal.Notify(ignored, syscall.SIGHUP)
-		defer signal.Stop(ignored)
 		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		return Run(ctx, s, cmd.OutOrStdout())
@@ -71,13 +70,16 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(out).Level(level).With().Timestamp().Str("router", s.Name).Logger()
 }
 
 // Run runs a router until the context ends or an operator drains it, and then
 // until its requests are done.
 func Run(ctx context.Context, s Settings, logTo io.Writer) error {
-	log := newLog(s, logTo)
+	lines := telemetry.NewLogWriter(logTo)
+	defer lines.Close()
+	log := newLog(s, lines)
 	r, err := build(ctx, s, log)
 	if err != nil {
 		return err
@@ -86,6 +88,8 @@
 		return err
 	}
 	defer r.close()
+	stopReloads := logReloads(log)
+	defer stopReloads()
 	log.Info().Str("callers", s.CallerListen).Str("peers", s.PeerListen).Msg("router started")
 	select {
 	case <-ctx.Done():
@@ -95,6 +99,23 @@
 	return r.stop()
 }
 
+// logReloads notes each request to read the settings anew. They are flags and
+// environment, which can't change while the process runs: what may change is in
+// the configuration, which is followed all the time.
+func logReloads(log zerolog.Logger) (stop func()) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			log.Info().Msg("reload asked for: settings stand until the process ends, the configuration is followed")
+		}
+	}()
+	return func() {
+		signal.Stop(reloads)
+		close(reloads)
+	}
+}
+
 // stop lets the requests that are here finish, and then the services.
 func (r *router) stop() error {
 	r.log.Info().Msg("draining")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/config"
@@ -38,7 +39,8 @@
 	ctx      context.Context // ends when the caller has left
 	held     *scheduler.Request
 	sends    int
-	misses   int // backend servers that couldn't be reached
+	ran      bool // it may have run somewhere
+	misses   int  // backend servers that couldn't be reached
 	tried    []model.BackendID
 	relay    relay
 	keep     bool // the connection may carry another request
@@ -150,6 +152,7 @@
 			Objective: a.route.Through.Objective,
 			Priority:  a.route.Through.Priority,
 			Except:    a.tried,
+			Repeat:    a.sends > 0,
 		})
 	}
 	select {
@@ -157,7 +160,7 @@
 		if d.Dispatched {
 			return d, true
 		}
-		a.refuse(notAdmitted, d.RetryAfter)
+		a.notDispatched(d)
 	case <-a.ctx.Done():
 		a.held.Abandon()
 		a.held.Finish(0, core.Cancelled)
@@ -166,6 +169,43 @@
 	return scheduler.Decision{}, false
 }
 
+// notDispatched answers a request that the core refuses: as not admitted where it
+// has never run, else with what its last backend server has come to.
+func (a *attempt) notDispatched(d scheduler.Decision) {
+	a.log("refused").Str("reason", string(d.Refusal)).Dur("waited_ms", d.Waited).Dur("delay_ms", d.Delay).
+		Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).Msg("request refused")
+	if a.ran || a.relay.begun {
+		a.giveUp(notAdmitted)
+		return
+	}
+	a.refuse(notAdmitted, d.RetryAfter)
+}
+
+// breakOff ends an answer so that its caller sees that it isn't whole.
+func (a *attempt) breakOff() {
+	a.keep = false
+	a.conn.abort()
+	a.count("broken")
+}
+
+// log returns a log line on the request.
+func (a *attempt) log(outcome string) *zerolog.Event {
+	route := ""
+	if a.route != nil {
+		route = a.route.Name
+	}
+	return a.service.log.Info().Str("request", a.meta.ID).Str("outcome", outcome).
+		Str("account", a.name).Str("route", route).Dur("age_ms", time.Since(a.began))
+}
+
+// logDispatch notes a decision with what it rests on.
+func (a *attempt) logDispatch(d scheduler.Decision, backend string, inForce *config.InForce) {
+	a.log("dispatched").Str("backend", backend).Int("send", a.sends+1).Dur("waited_ms", d.Waited).
+		Dur("delay_ms", d.Delay).Int("unread", d.Unread).Int("backlog", d.Backlog).Bool("over_share", d.Over).
+		Dur("loads_age_ms", d.Age).Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).
+		Msg("request dispatched")
+}
+
 // end answers a request of which nothing was sent, once its time is over or its
 // caller has left.
 func (a *attempt) end(r *refusal) {
@@ -174,7 +214,10 @@
 		a.count("caller-left")
 		return
 	}
-	a.refuse(r, startRetryAfter)
+	if a.ran {
+		r = timedOut
+	}
+	a.giveUp(r)
 }
 
 // send sends the request to the backend server decided on. It returns false
@@ -183,6 +226,7 @@
 	s := a.service
 	inForce := s.generation.InForce()
 	backend := inForce.Core.Backends[d.Backend]
+	a.logDispatch(d, backend.Name, inForce)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	a.req.CopyTo(req)
@@ -210,6 +254,16 @@
 	return id != "" && id != a.meta.ID
 }
 
+// promises are the statuses that tell a caller that its request wasn't run. A
+// backend server's is handed on only where it has said so in its own way.
+var promises = map[int]bool{
+	fasthttp.StatusTooManyRequests: true, fasthttp.StatusServiceUnavailable: true,
+	fasthttp.StatusRequestTimeout: true, fasthttp.StatusMisdirectedRequest: true,
+}
+
+// errFalsePromise is the error for such a status where the request may have run.
+var errFalsePromise = errors.New("the status would say that the request wasn't run")
+
 // errNameless is the error for a success that doesn't say whose it is.
 var errNameless = errors.New("the answer names no request")
 
@@ -229,7 +283,7 @@
 	if a.misses < maxUnreached {
 		return false
 	}
-	a.refuse(noAttempts, startRetryAfter)
+	a.giveUp(noAttempts)
 	return true
 }
 
@@ -243,13 +297,19 @@
 	if meta.NotRun {
 		return a.notRun()
 	}
+	if promises[answer.StatusCode()] {
+		return a.failed(errFalsePromise)
+	}
 	if answer.StatusCode() >= fasthttp.StatusInternalServerError && a.route.Repeatable && a.mayRetry() {
+		a.ran = true
+		a.log("failed").Int("status", answer.StatusCode()).Int("send", a.sends).Msg("backend server failed")
 		a.finish(core.Failed, 0)
 		return false
 	}
 	err := a.relay.run(a, answer)
 	if err == nil {
 		a.finish(core.Done, a.relay.output())
+		a.log("done").Int("status", answer.StatusCode()).Int("send", a.sends).Msg("request answered")
 		a.count("done")
 		return true
 	}
@@ -258,31 +318,46 @@
 
 // notRun handles an answer that says that the request wasn't run.
 func (a *attempt) notRun() bool {
+	a.log("rejected").Int("send", a.sends).Msg("backend server didn't run the request")
 	a.finish(core.Rejected, 0)
 	if a.mayRetry() {
 		return false
 	}
-	a.refuse(noAttempts, startRetryAfter)
+	a.giveUp(noAttempts)
 	return true
 }
 
+// giveUp answers a request that isn't tried any more: with a refusal that says it
+// wasn't run only where it has not run anywhere.
+func (a *attempt) giveUp(r *refusal) {
+	switch {
+	case a.relay.begun:
+		a.breakOff()
+	case a.ran:
+		a.refuse(brokeOff, 0)
+	default:
+		a.refuse(r, startRetryAfter)
+	}
+}
+
 // failed handles a request that was sent and whose answer broke off. It returns
 // false where it is sent again.
 func (a *attempt) failed(cause error) bool {
 	if errors.Is(a.ctx.Err(), context.Canceled) {
 		a.finish(core.Broken, 0)
 		a.keep = false
+		a.log("caller-left").Int("send", a.sends).Msg("caller left")
 		a.count("caller-left")
 		return true
 	}
+	a.ran = true
 	a.finish(core.Failed, 0)
+	a.log("broke-off").Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).Msg("answer broke off")
 	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
 		return false
 	}
 	if a.relay.begun {
-		a.keep = false
-		a.conn.abort()
-		a.count("broken")
+		a.breakOff()
 		return true
 	}
 	if a.ctx.Err() != nil {
@@ -306,6 +381,7 @@
 func (a *attempt) refuse(r *refusal, retryAfter time.Duration) {
 	a.service.metrics.Front.Refusals.WithLabelValues(r.code).Inc()
 	a.count(r.code)
+	a.log("answered").Int("status", r.status).Str("code", r.code).Dur("retry_after_ms", retryAfter).Msg("own answer")
 	if r.write(a.conn, retryAfter, !a.keep) != nil {
 		a.keep = false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/retry"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/peer"
@@ -40,6 +41,7 @@
 	Unread  int
 	Backlog int
 	Over    bool
+	Age     time.Duration // of the oldest word of another router
 }
 
 // Observer is told of what the core wants from another service. Its functions,
@@ -70,10 +72,15 @@
 	waiters   map[core.RequestID]chan Decision
 	observers []Observer
 
+	retries retry.Limits
+
 	cancel context.CancelFunc
 	ended  chan struct{}
 }
 
+// LimitRetries sets the fleet's retry budget; it must be done before the start.
+func (s *Service) LimitRetries(limits retry.Limits) { s.retries = limits }
+
 // New returns the service of a router.
 func New(self member.Member, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
 	return &Service{
@@ -153,6 +160,7 @@
 func (s *Service) run(ctx context.Context) {
 	defer close(s.ended)
 	c := core.New(s.now(), s.self, rand.Uint64())
+	c.LimitRetries(s.retries)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -188,7 +196,7 @@
 	case core.Dispatch:
 		s.decide(a.ID, Decision{
 			Dispatched: true, Backend: a.Backend, Waited: a.Waited,
-			Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over,
+			Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Age: a.Age,
 		})
 	case core.Refuse:
 		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay})
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -40,7 +40,7 @@
 	State    string `json:"state"`
 }
 
-// VMList is the platform's lagging list of live and leaving VMs.
+// List is the platform's lagging list of live and leaving VMs.
 type List interface {
 	VMs(ctx context.Context) ([]VM, error)
 }
