--- a/core/prompt/kept.go
+++ b/core/prompt/kept.go
@@ -1,39 +1,34 @@
 package prompt
 
 import (
-	"time"
-
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
-// keptFor is how long a part is taken to be kept after it was last used, as far
-// as known: by then other parts have taken its place.
-const keptFor = 15 * time.Second
-
 // maxKept is how many parts are remembered of one backend server.
 const maxKept = 4096
 
-// kept remembers which parts of prompts a backend server was last sent, and
-// when.
-type kept struct{ used map[uint32]model.Time }
+// kept remembers which parts of prompts a backend server was sent, and how much
+// it had been sent to read by then: what it reads takes the place of what was
+// used the longest ago.
+type kept struct{ used map[uint32]float64 }
 
-func newKept() kept { return kept{used: map[uint32]model.Time{}} }
+func newKept() kept { return kept{used: map[uint32]float64{}} }
 
 // partKey is how routers name a part to each other.
 func partKey(id uint64) uint32 { return uint32(id) ^ uint32(id>>32) }
 
-// touch notes that a part was used.
-func (k kept) touch(now model.Time, part uint32) {
+// touch notes that a part was used when so many tokens had been sent to be read.
+func (k kept) touch(sent float64, part uint32, room float64) {
 	if len(k.used) >= maxKept {
-		k.forget(now)
+		k.forget(sent, room)
 	}
-	k.used[part] = max(k.used[part], now)
+	k.used[part] = max(k.used[part], sent)
 }
 
-// forget drops what is too old, and all if that isn't enough.
-func (k kept) forget(now model.Time) {
+// forget drops what has given way, and all if that isn't enough.
+func (k kept) forget(sent, room float64) {
 	for part, used := range k.used {
-		if now > used+keptFor {
+		if sent > used+room {
 			delete(k.used, part)
 		}
 	}
@@ -42,16 +37,17 @@
 	}
 }
 
-func (k kept) has(now model.Time, part uint32) bool {
+func (k kept) has(sent float64, part uint32, room float64) bool {
 	used, ok := k.used[part]
-	return ok && now <= used+keptFor
+	return ok && sent <= used+room
 }
 
-// unread returns how many tokens of a prompt are to be read.
-func (k kept) unread(now model.Time, p *model.Prompt) float64 {
+// unread returns how many tokens of a prompt are to be read at a backend server:
+// a part is found only where all parts before it are.
+func (s *server) unread(p *model.Prompt) float64 {
 	unread := p.Tokens
 	for _, part := range p.Parts {
-		if !k.has(now, partKey(part.ID)) {
+		if !s.kept.has(s.sent, partKey(part.ID), s.room) {
 			break
 		}
 		unread -= part.Tokens
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -82,7 +82,7 @@
 	}
 	for _, n := range news {
 		if s := m.servers[n.Backend]; s != nil {
-			s.kept.touch(m.now, n.Part)
+			s.kept.touch(s.sent, n.Part, s.room)
 		}
 	}
 }
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -44,7 +44,7 @@
 	if !s.engine {
 		return m.placeAtService(s)
 	}
-	p := place{server: s, backlog: s.backlog(m.now), unread: s.kept.unread(m.now, &r.Prompt)}
+	p := place{server: s, backlog: s.backlog(m.now), unread: s.unread(&r.Prompt)}
 	p.ahead = s.reading(p.backlog)
 	if over := s.running() - s.Slots; s.Slots > 0 && over >= 0 {
 		p.ahead += time.Duration(over+1) * m.config.Tuning.SlotDelay
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -201,7 +201,7 @@
 		}
 		s.Backend = b
 		s.engine = c.Pools[b.Pool].Engine
-		s.memory = c.Pools[b.Pool].Memory
+		s.room = m.config.Tuning.KeptPart * float64(c.Pools[b.Pool].Memory)
 		s.rate = m.config.Tuning.rateOf(c.TokensPerSecond, engines[b.Pool])
 	}
 	m.order = sortedIDs(m.servers)
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -129,7 +129,7 @@
 	r.flight = s.send(m.now, p.unread, p.delay)
 	for i, part := range r.Prompt.Parts {
 		key := partKey(part.ID)
-		s.kept.touch(m.now, key)
+		s.kept.touch(s.sent, key, s.room)
 		if i < len(r.Prompt.Parts)-1 {
 			m.tell(s.id, key)
 		}
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -21,7 +21,7 @@
 	Backend
 	id     model.BackendID
 	engine bool
-	memory int
+	room   float64 // tokens read after which a part that wasn't used has given way
 	rate   float64 // tokens read in a second
 	gone   bool
 
--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -48,13 +48,16 @@
 	// RateFactor is how much faster an engine reads than its part of the rate
 	// that all make together, and DefaultRate its rate where none is known, in
 	// tokens a second.
-	RateFactor  float64
+	RateFactor float64
+	// KeptPart is the part of an engine's memory that it may read anew before
+	// what wasn't used meanwhile has given way.
+	KeptPart    float64
 	DefaultRate float64
 }
 
 func (t Tuning) withDefaults() Tuning {
 	t.ReadWeight = cmp.Or(t.ReadWeight, 3)
-	t.RankPenalty = cmp.Or(t.RankPenalty, 20*time.Millisecond)
+	t.RankPenalty = cmp.Or(t.RankPenalty, 60*time.Millisecond)
 	t.FarPenalty = cmp.Or(t.FarPenalty, 5*time.Millisecond)
 	t.FailureWeight = cmp.Or(t.FailureWeight, 1)
 	t.SlotDelay = cmp.Or(t.SlotDelay, 30*time.Millisecond)
@@ -70,6 +73,7 @@
 	t.RealFactor = cmp.Or(t.RealFactor, 1.3)
 	t.RetryAfter = cmp.Or(t.RetryAfter, 300*time.Millisecond)
 	t.RetryOver = cmp.Or(t.RetryOver, time.Second)
+	t.KeptPart = cmp.Or(t.KeptPart, 0.85)
 	t.RateFactor = cmp.Or(t.RateFactor, 1.5)
 	t.DefaultRate = cmp.Or(t.DefaultRate, 50_000)
 	return t
