--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -70,7 +70,7 @@
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
 	t.Slack = cmp.Or(t.Slack, 0.16)
-	t.RealFactor = cmp.Or(t.RealFactor, 1.3)
+	t.RealFactor = cmp.Or(t.RealFactor, 1.15)
 	t.RetryAfter = cmp.Or(t.RetryAfter, 300*time.Millisecond)
 	t.RetryOver = cmp.Or(t.RetryOver, time.Second)
 	t.KeptPart = cmp.Or(t.KeptPart, 0.85)
