--- /dev/null
+++ b/emulator/agenda.go
@@ -0,0 +1,62 @@
+package emulator
+
+import (
+	"container/heap"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// event is something that happens at a time; of two at one time, the one that
+// was planned first goes first.
+type event struct {
+	at  model.Time
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// agenda is virtual time.
+type agenda struct {
+	now    model.Time
+	seq    uint64
+	events events
+}
+
+// at plans something.
+func (a *agenda) at(t model.Time, do func()) {
+	a.seq++
+	heap.Push(&a.events, event{max(t, a.now), a.seq, do})
+}
+
+// run lets time pass until there is nothing left to happen before the end.
+func (a *agenda) run(until model.Time) {
+	for len(a.events) > 0 && a.events[0].at <= until {
+		e := heap.Pop(&a.events).(event)
+		a.now = e.at
+		e.do()
+	}
+	a.now = until
+}
--- /dev/null
+++ b/emulator/emulator.go
@@ -0,0 +1,271 @@
+// Package emulator runs the decisions of a whole fleet of routers, the real
+// package core, before emulated engines and callers, under virtual time. The
+// same experiment gives the same figures at every run.
+//
+// An engine is its batch, the reading of prompts between the tokens of others,
+// and the memory of parts that gives way to newer ones. What routers tell each
+// other takes the time of the link. Left out are connections, the platform's
+// store, and faults other than overload: the fleet is listed from the start and
+// its configuration doesn't change.
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/policy"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// Experiment is what is run.
+type Experiment struct {
+	Policy  *policy.Policy
+	Routers int
+	Engines int
+	Halls   int
+	Engine  Engine
+	Load    Load
+	// TokensPerSecond is what the engines are said to make, 0 for not said.
+	TokensPerSecond float64
+	Link            time.Duration // one way between two routers
+	CallerLink      time.Duration // one way between a caller and a router
+	WarmUp          time.Duration // before requests count
+	Length          time.Duration
+	Seed            uint64
+}
+
+// Default is a fleet of the size the users have today.
+func Default(p *policy.Policy) Experiment {
+	return Experiment{
+		Policy: p, Routers: 9, Engines: 9, Halls: 3, Engine: DefaultEngine, Load: DefaultLoad,
+		TokensPerSecond: 290_000, Link: 500 * time.Microsecond, CallerLink: time.Millisecond,
+		WarmUp: 5 * time.Second, Length: 30 * time.Second, Seed: 1,
+	}
+}
+
+const (
+	poolName = "assistant"
+	// settle is how long the routers have to find each other.
+	settle = 5 * time.Second
+	// callerPatience is the part of its deadline for which a refused caller
+	// waits at the most before it comes back.
+	callerPatience = 3
+)
+
+// node is one router.
+type node struct {
+	name   string
+	core   *core.Core
+	wakeAt model.Time
+	calls  map[core.RequestID]*call
+	nextID core.RequestID
+}
+
+// world is an experiment under way.
+type world struct {
+	Experiment
+	time    agenda
+	source  *source
+	random  *rand.Rand
+	nodes   []*node
+	byName  map[string]*node
+	engines map[model.BackendID]*engine
+	calls   []*call
+	bytes   int64
+}
+
+// Run runs an experiment and returns its figures.
+func Run(e Experiment) Result {
+	random := rand.New(rand.NewPCG(e.Seed, 1))
+	w := &world{
+		Experiment: e, random: random, source: newSource(e.Load, random),
+		byName: map[string]*node{}, engines: map[model.BackendID]*engine{},
+	}
+	w.build()
+	w.time.run(settle)
+	for kind := range e.Load.Kinds {
+		for account := range e.Load.Accounts {
+			w.planNext(kind, account)
+		}
+	}
+	w.time.run(settle + e.WarmUp + e.Length)
+	return w.result()
+}
+
+// build starts the routers and the engines.
+func (w *world) build() {
+	config := w.config()
+	var listed []member.Listed
+	for i := range w.Routers {
+		listed = append(listed, member.Listed{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("router-%d", i), DataHall: w.hall(i)})
+	}
+	for i, l := range listed {
+		self := member.Member{Name: l.Name, Address: l.Address, DataHall: l.DataHall, Boot: uint64(i + 1)}
+		n := &node{name: l.Name, core: core.New(0, self, w.Seed+uint64(i)), calls: map[core.RequestID]*call{}}
+		w.nodes = append(w.nodes, n)
+		w.byName[n.name] = n
+	}
+	for _, n := range w.nodes {
+		w.step(n, core.Configure{Config: config})
+		w.step(n, core.Routers{Listed: listed})
+	}
+}
+
+func (w *world) hall(i int) string { return fmt.Sprintf("hall-%d", i%max(w.Halls, 1)) }
+
+func (w *world) config() *core.Config {
+	out := &core.Config{
+		Generation: 1, Policy: w.Policy, TokensPerSecond: w.TokensPerSecond,
+		Accounts: map[model.AccountID]core.Account{}, Backends: map[model.BackendID]core.Backend{},
+		Pools: map[model.PoolID]core.Pool{
+			model.Pool(poolName): {Name: poolName, FollowLoad: true, MemoryTokens: w.Engine.Memory},
+		},
+	}
+	for i := range w.Load.Accounts {
+		out.Accounts[model.Account(accountName(i))] = core.Account{Name: accountName(i), Weight: 1}
+	}
+	for i := range w.Engines {
+		name := fmt.Sprintf("engine-%d", i)
+		out.Backends[model.Backend(name)] = core.Backend{
+			Name: name, Pool: model.Pool(poolName), DataHall: w.hall(i), Slots: w.Engine.Slots,
+		}
+		w.engines[model.Backend(name)] = newEngine(w.Engine, &w.time)
+	}
+	return out
+}
+
+func accountName(i int) string { return fmt.Sprintf("account-%d", i) }
+
+// step gives a router an event and carries out what it decides.
+func (w *world) step(n *node, e core.Event) {
+	for _, a := range n.core.Step(w.time.now, e) {
+		w.act(n, a)
+	}
+	w.planWake(n)
+}
+
+func (w *world) planWake(n *node) {
+	wake := n.core.Wake()
+	if n.wakeAt > w.time.now && n.wakeAt <= wake {
+		return
+	}
+	n.wakeAt = wake
+	w.time.at(wake, func() {
+		if n.wakeAt == wake {
+			w.step(n, core.Tick{})
+		}
+	})
+}
+
+func (w *world) act(n *node, a core.Action) {
+	switch a := a.(type) {
+	case core.Send:
+		w.send(a)
+	case core.Dispatch:
+		w.dispatch(n, a)
+	case core.Refuse:
+		w.refused(n, a)
+	}
+}
+
+func (w *world) send(a core.Send) {
+	to := w.byName[a.To]
+	d := proto.Clone(a.Datagram).(*wire.Datagram)
+	w.bytes += int64(proto.Size(d))
+	w.time.at(w.time.now+w.Link, func() { w.step(to, core.Receive{Datagram: d}) })
+}
+
+// planNext plans an account's next request of a kind.
+func (w *world) planNext(kind, account int) {
+	third := w.Length / 3
+	into := w.time.now - settle - w.WarmUp
+	hot := into > third && into < 2*third
+	w.time.at(w.time.now+w.source.gap(kind, account, hot), func() {
+		c := w.source.draw(kind, account, w.time.now)
+		w.calls = append(w.calls, c)
+		w.try(c)
+		w.planNext(kind, account)
+	})
+}
+
+// try sends a caller's request to a router.
+func (w *world) try(c *call) {
+	c.tries++
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	k := w.Load.Kinds[c.kind]
+	w.time.at(w.time.now+w.CallerLink, func() {
+		n.nextID++
+		n.calls[n.nextID] = c
+		w.step(n, core.Arrive{
+			ID: n.nextID, Account: model.Account(accountName(c.account)), Pool: model.Pool(poolName),
+			Input: float64(c.prompt.Tokens), Wait: k.Deadline - (w.time.now - c.sent),
+			Route: uint32(c.kind), Prompt: c.prompt, Objective: k.Objective,
+		})
+	})
+}
+
+func (w *world) dispatch(n *node, a core.Dispatch) {
+	c := n.calls[a.ID]
+	e := w.engines[a.Backend]
+	k := w.Load.Kinds[c.kind]
+	last := model.Time(0)
+	pause := func() {
+		c.broken = c.broken || last > 0 && w.time.now-last > k.Pause
+		last = w.time.now
+	}
+	c.run = &run{prompt: &c.prompt, output: c.output}
+	c.run.first = func() {
+		pause()
+		c.first = w.time.now + w.CallerLink - c.sent
+		w.step(n, core.Began{ID: a.ID})
+	}
+	c.run.each = func() {
+		pause()
+		w.step(n, core.Progress{ID: a.ID, Output: float64(c.run.made)})
+	}
+	c.run.done = func() {
+		c.done = true
+		delete(n.calls, a.ID)
+		w.step(n, core.Finish{ID: a.ID, Output: float64(c.output), Ending: core.Done})
+	}
+	c.at = e
+	if !e.accept(c.run) {
+		w.time.at(w.time.now, func() { w.step(n, core.Finish{ID: a.ID, Ending: core.Rejected}) })
+		w.comeBack(n, a.ID, 0)
+		return
+	}
+	w.time.at(c.sent+k.Deadline, func() { w.leave(n, a.ID) })
+}
+
+// leave lets a caller leave whose time is over.
+func (w *world) leave(n *node, id core.RequestID) {
+	c := n.calls[id]
+	if c == nil {
+		return
+	}
+	delete(n.calls, id)
+	c.at.drop(c.run)
+	w.step(n, core.Finish{ID: id, Output: float64(c.run.made), Ending: core.Broken})
+}
+
+func (w *world) refused(n *node, a core.Refuse) { w.comeBack(n, a.ID, a.RetryAfter) }
+
+// comeBack lets a caller that was refused come back where it does.
+func (w *world) comeBack(n *node, id core.RequestID, after time.Duration) {
+	c := n.calls[id]
+	delete(n.calls, id)
+	if c == nil || c.tries > w.Load.Retries {
+		return
+	}
+	left := w.Load.Kinds[c.kind].Deadline - (w.time.now - c.sent)
+	if left <= 0 {
+		return
+	}
+	w.time.at(w.time.now+min(after, left/callerPatience), func() { w.try(c) })
+}
