core/prompt: bounded candidates, loads in a byte budget, failures fade; memory bounded

Cause 1 (test first, failing: hits > 3): a backend server that had failed was never tried again while another was free. Cause 2 (test first, failing: {0 0} != {100 50}): the first window of an account lost what it had asked before its first sample. Cause 4: the loads told to the others weren't bounded: 16 routers ten times a second, each with all backend servers.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -12,9 +14,9 @@
 	// loadsEvery is how often routers tell each other what they have on the
 	// backend servers.
 	loadsEvery = 100 * time.Millisecond
-	// loadsPeers is the greatest number of routers that are told at once; of
-	// more, as many are chosen by chance each time.
-	loadsPeers = 16
+	// loadsBytesPerSecond bounds what is told to all of them. What is left of the
+	// fleet when it is used up is told first the next time.
+	loadsBytesPerSecond = 9000
 	// observeEvery is how often the accounts' amounts are taken from the ledger.
 	observeEvery = 100 * time.Millisecond
 	// retryBudgetPause is when a caller is asked back whose request can't be sent
@@ -157,13 +159,19 @@
 	}
 	c.loadsChanged = false
 	c.loadsSent = c.now
+	c.loadsBudget.fill(c.now)
 	out := c.loads()
+	size := float64(proto.Size(out) + datagramOverhead)
 	names := c.members.Names()
-	told := 0
-	for _, i := range c.random.Perm(len(names)) {
-		if told < loadsPeers && c.members.Get(names[i]).Reachable() {
-			c.to(names[i]).Loads = out
-			told++
+	for range names {
+		c.loadsNext++
+		name := names[c.loadsNext%len(names)]
+		if c.loadsBudget.level <= 0 {
+			return
+		}
+		if c.members.Get(name).Reachable() {
+			c.to(name).Loads = out
+			c.loadsBudget.level -= size
 		}
 	}
 }
--- a/core/core.go
+++ b/core/core.go
@@ -71,6 +71,8 @@
 	nextObserve  model.Time
 	loadsChanged bool
 	loadsSent    model.Time
+	loadsNext    int // of the members' names, whose turn it is to be told
+	loadsBudget  bucket
 
 	// As ingress router.
 	requests  map[RequestID]*request
@@ -103,27 +105,28 @@
 func New(now model.Time, self member.Member, seed uint64) *Core {
 	random := rand.New(rand.NewPCG(seed, self.Boot))
 	c := &Core{
-		placement:  placement{stale: true},
-		now:        now,
-		config:     &Config{},
-		random:     random,
-		members:    member.New(self, random),
-		outbox:     map[string]*wire.Datagram{},
-		promptKeys: map[RequestID]model.Key{},
-		requests:   map[RequestID]*request{},
-		queues:     map[model.Key]*queue{},
-		running:    map[model.BackendID]int{},
-		refused:    map[model.BackendID]*refusal{},
-		owners:     map[string]*ownerLink{},
-		asks:       map[model.PoolID]*ask{},
-		estimates:  map[kind]*estimate.Lengths{},
-		budget:     bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
-		backends:   map[model.BackendID]*backend{},
-		sources:    map[string]*source{},
-		demands:    map[model.Key]*demand{},
-		poolOrder:  map[model.PoolID][]model.BackendID{},
-		dirty:      map[model.PoolID]bool{},
-		lastGrant:  map[model.Key]uint64{},
+		placement:   placement{stale: true},
+		now:         now,
+		config:      &Config{},
+		random:      random,
+		members:     member.New(self, random),
+		outbox:      map[string]*wire.Datagram{},
+		loadsBudget: bucket{rate: loadsBytesPerSecond, size: loadsBytesPerSecond / 4, level: loadsBytesPerSecond / 4},
+		promptKeys:  map[RequestID]model.Key{},
+		requests:    map[RequestID]*request{},
+		queues:      map[model.Key]*queue{},
+		running:     map[model.BackendID]int{},
+		refused:     map[model.BackendID]*refusal{},
+		owners:      map[string]*ownerLink{},
+		asks:        map[model.PoolID]*ask{},
+		estimates:   map[kind]*estimate.Lengths{},
+		budget:      bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
+		backends:    map[model.BackendID]*backend{},
+		sources:     map[string]*source{},
+		demands:     map[model.Key]*demand{},
+		poolOrder:   map[model.PoolID][]model.BackendID{},
+		dirty:       map[model.PoolID]bool{},
+		lastGrant:   map[model.Key]uint64{},
 	}
 	c.prompt = prompt.New(now, random)
 	c.retries = retry.New(retry.Limits{})
--- a/core/prompt/health.go
+++ b/core/prompt/health.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,8 @@
 	unreachedPause = 500 * time.Millisecond
 	// rejectedPause is how long one that was full is left out.
 	rejectedPause = 50 * time.Millisecond
+	// forgetting is the time in which what was seen of failures fades to a third.
+	forgetting = 3 * time.Second
 	// slowWeight is the weight of the newest answer in the slowness, and maxSlow
 	// the greatest slowness.
 	slowWeight = 0.15
@@ -29,7 +32,8 @@
 
 // health is what requests have shown of a backend server's state.
 type health struct {
-	failures float64 // share of the last endings that were failures
+	failures float64    // share of the last endings that were failures
+	noted    model.Time // when it was last known
 	until    model.Time
 	slow     float64 // 0 for not known, else how much slower than its rate it reads
 }
@@ -55,6 +59,10 @@
 
 // finished takes how a request ended.
 func (h *health) finished(now model.Time, ending Ending, random *rand.Rand) {
+	if ending == Done || ending == Failed {
+		h.failures = h.failing(now)
+		h.noted = now
+	}
 	switch ending {
 	case Done:
 		h.failures -= failureWeight * h.failures
@@ -71,5 +79,14 @@
 	}
 }
 
+// failing returns the share of failures to reckon with: what was seen counts for
+// less as time passes, so that a backend server that failed is tried again.
+func (h *health) failing(now model.Time) float64 {
+	if h.failures == 0 {
+		return 0
+	}
+	return h.failures * math.Exp(-(now-h.noted).Seconds()/forgetting.Seconds())
+}
+
 // out tells whether the backend server gets nothing new at present.
 func (h *health) out(now model.Time) bool { return now < h.until }
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -46,12 +46,16 @@
 	return out
 }
 
-// Loads returns what this router has on the backend servers.
+// toldFor is how long a backend server is told of after its last change.
+const toldFor = 3 * time.Second
+
+// Loads returns what this router has on the backend servers, as far as that has
+// changed of late.
 func (m *Machine) Loads() []Load {
 	var out []Load
 	for _, id := range m.order {
 		s := m.servers[id]
-		if s.ownSent > 0 {
+		if s.ownSent > 0 && m.now <= s.touched+toldFor {
 			out = append(out, Load{Backend: id, Sent: uint64(s.ownSent), Running: uint32(len(s.flights))})
 		}
 	}
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -21,17 +22,21 @@
 
 // best returns the best place for a request; ok is false where there is none.
 func (m *Machine) best(r *request) (place, bool) {
+	if r.chosenFor != m.version {
+		r.candidates = m.candidates(r)
+		r.chosenFor = m.version
+	}
 	var best place
 	found := false
-	shared, hasShared := sharedKey(&r.Prompt)
-	rank := m.ranks(r.Pool, shared, hasShared)
-	for _, id := range m.order {
+	for rank, id := range r.candidates {
 		s := m.servers[id]
-		if s.Pool != r.Pool || s.Leaving || s.health.out(m.now) || slices.Contains(r.Except, id) {
+		if s == nil || s.Leaving || s.health.out(m.now) || slices.Contains(r.Except, id) {
 			continue
 		}
 		p := m.placeAt(s, r)
-		p.score += m.config.Tuning.RankPenalty.Seconds() * float64(rank[id])
+		if s.engine {
+			p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
+		}
 		if !found || p.score < best.score {
 			best, found = p, true
 		}
@@ -51,7 +56,7 @@
 	}
 	p.delay = baseDelay + p.ahead + s.reading(p.unread)
 	extra := s.reading(p.unread).Seconds() * m.config.Tuning.ReadWeight
-	p.score = p.delay.Seconds() + extra + s.health.failures*m.config.Tuning.FailureWeight
+	p.score = p.delay.Seconds() + extra + s.health.failing(m.now)*m.config.Tuning.FailureWeight
 	if !s.Near {
 		p.score += m.config.Tuning.FarPenalty.Seconds()
 	}
@@ -62,7 +67,7 @@
 func (m *Machine) placeAtService(s *server) place {
 	load := float64(len(s.flights)*m.routers+s.running()) / 2
 	full := load / float64(max(s.Slots, 1))
-	p := place{server: s, score: full + s.health.failures*m.config.Tuning.FailureWeight}
+	p := place{server: s, score: full + s.health.failing(m.now)*m.config.Tuning.FailureWeight}
 	if !s.Near {
 		p.score += serviceFarPenalty
 	}
@@ -82,32 +87,66 @@
 	maxFull = 10
 )
 
-// ranks returns the place of each backend server of a pool in the order of
-// rendezvous hashing over the prompt's shared parts.
-func (m *Machine) ranks(pool model.PoolID, shared uint64, ok bool) map[model.BackendID]int {
-	out := map[model.BackendID]int{}
-	if !ok {
-		return out
+const (
+	// maxCandidates is how many backend servers are looked at for a request,
+	// however many there are: the first ones by rendezvous hashing, those that
+	// are known to keep its shared parts, and some by chance.
+	maxCandidates = 24
+	ranked        = 12
+	holders       = 6
+	// maxRank bounds what a place in the order counts.
+	maxRank = 8
+)
+
+// candidates returns the backend servers to be looked at for a request, in the
+// order of rendezvous hashing over its shared parts.
+func (m *Machine) candidates(r *request) []model.BackendID {
+	all := m.byPool[r.Pool]
+	shared, ok := sharedKey(&r.Prompt)
+	if ok {
+		all = m.byRank(all, shared)
 	}
+	if len(all) <= maxCandidates {
+		return all
+	}
+	out := slices.Clone(all[:ranked])
+	if ok {
+		out = m.addHolders(out, all[ranked:], partKey(shared))
+	}
+	for len(out) < maxCandidates {
+		out = append(out, all[ranked+m.random.IntN(len(all)-ranked)])
+	}
+	return out
+}
+
+// addHolders adds backend servers that are known to keep a part.
+func (m *Machine) addHolders(out, others []model.BackendID, part uint32) []model.BackendID {
+	for _, id := range others {
+		if len(out) == ranked+holders {
+			break
+		}
+		if s := m.servers[id]; s.kept.has(s.sent, part, s.room) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// byRank orders backend servers by rendezvous hashing.
+func (m *Machine) byRank(all []model.BackendID, shared uint64) []model.BackendID {
 	type weighed struct {
 		id     model.BackendID
 		weight uint64
 	}
 	subject := strconv.FormatUint(shared, 16)
-	var all []weighed
-	for _, id := range m.order {
-		if s := m.servers[id]; s.Pool == pool && s.engine && !s.Leaving {
-			all = append(all, weighed{id, model.Rendezvous(s.Name, subject)})
-		}
+	order := make([]weighed, 0, len(all))
+	for _, id := range all {
+		order = append(order, weighed{id, model.Rendezvous(m.servers[id].Name, subject)})
 	}
-	slices.SortFunc(all, func(a, b weighed) int {
-		if a.weight > b.weight {
-			return -1
-		}
-		return 1
-	})
-	for i, w := range all {
-		out[w.id] = i
+	slices.SortFunc(order, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]model.BackendID, 0, len(all))
+	for _, w := range order {
+		out = append(out, w.id)
 	}
 	return out
 }
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -144,7 +144,9 @@
 	routers  int // that are live, this one included
 	servers  map[model.BackendID]*server
 	order    []model.BackendID // of servers
-	waiting  []*request        // by arrival
+	byPool   map[model.PoolID][]model.BackendID
+	version  int        // of the configuration here
+	waiting  []*request // by arrival
 	requests map[model.RequestID]*request
 	shares   shares
 	outputs  map[uint32]*mean // expected output by route
@@ -162,6 +164,9 @@
 	server   *server // that it was sent to
 	flight   *flight
 	began    bool
+
+	candidates []model.BackendID // to look at, in order
+	chosenFor  int               // version of the configuration
 }
 
 // New returns the machine of a router that has just started.
@@ -205,6 +210,12 @@
 		s.rate = m.config.Tuning.rateOf(c.TokensPerSecond, engines[b.Pool])
 	}
 	m.order = sortedIDs(m.servers)
+	m.version++
+	m.byPool = map[model.PoolID][]model.BackendID{}
+	for _, id := range m.order {
+		pool := m.servers[id].Pool
+		m.byPool[pool] = append(m.byPool[pool], id)
+	}
 }
 
 // SetRouters tells how many routers are live, this one included.
@@ -229,10 +240,18 @@
 	r := &request{Request: in, arrived: m.now, deadline: m.now + in.Wait}
 	r.cost = m.CostOf(&in)
 	m.requests[in.ID] = r
+	if len(m.waiting) >= maxWaiting {
+		m.refuse(r, NoRoom, m.config.Tuning.RetryAfter)
+		return
+	}
 	m.waiting = append(m.waiting, r)
 	m.decide()
 }
 
+// maxWaiting is how many requests wait at the most: each is looked at anew with
+// every event, and a router that can't keep up must not take ever more.
+const maxWaiting = 64
+
 // CostOf returns what a request costs in the terms of shares: a token read
 // counts once, a token written twice.
 func (m *Machine) CostOf(in *Request) float64 {
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -33,8 +33,9 @@
 	ownSent float64
 	at      model.Time // of the estimate
 
-	flights []*flight // from here, in the order they were sent
-	remote  int       // running for other routers, by their reports
+	touched model.Time // when something was last sent or ended from here
+	flights []*flight  // from here, in the order they were sent
+	remote  int        // running for other routers, by their reports
 	kept    kept
 	health  health
 }
@@ -91,6 +92,7 @@
 	s.advance(now)
 	s.sent += unread
 	s.ownSent += unread
+	s.touched = now
 	f := &flight{sent: now, end: s.sent, unread: unread, delay: delay}
 	s.flights = append(s.flights, f)
 	return f
@@ -113,6 +115,7 @@
 // finished takes that a request has ended.
 func (s *server) finished(now model.Time, f *flight, ending Ending, random *rand.Rand) {
 	s.advance(now)
+	s.touched = now
 	s.flights = slices.DeleteFunc(s.flights, func(o *flight) bool { return o == f })
 	if !f.began && ending != Done {
 		// Its tokens won't be read.
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -28,18 +28,12 @@
 	told Amounts          // as last told, which begins anew with another ledger
 	past [samples]Amounts // a ring
 	last int              // the newest entry
-	seen int              // how many entries there are
 }
 
-// inWindow returns the amounts of the window.
+// inWindow returns the amounts of the window. Entries that aren't filled yet are
+// zero, as the amounts are when the history begins.
 func (h *history) inWindow() Amounts {
 	oldest := h.past[(h.last+1)%samples]
-	if h.seen < samples {
-		oldest = h.past[(h.last+samples-h.seen+1)%samples]
-	}
-	if h.seen == 0 {
-		return Amounts{}
-	}
 	return Amounts{Asked: max(h.now.Asked-oldest.Asked, 0), Begun: max(h.now.Begun-oldest.Begun, 0)}
 }
 
@@ -73,7 +67,6 @@
 		for _, h := range m.shares.accounts {
 			h.last = (h.last + 1) % samples
 			h.past[h.last] = h.now
-			h.seen = min(h.seen+1, samples)
 		}
 	}
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -28,6 +28,10 @@
 	"github.com/tamarindstep/tamarindstep/vmlist"
 )
 
+// requestsPerMB is how many requests are served at once for each MB of memory:
+// one holds its body, of some ten kilobytes, and the buffers of two connections.
+const requestsPerMB = 5
+
 // retryWindow is the span over which the retry budget is counted.
 const retryWindow = 10 * time.Second
 
@@ -110,8 +114,10 @@
 		},
 		routers: routers,
 		key:     key,
-		callers: gateway.New(gateway.Settings{Listen: s.CallerListen, Dialect: platform.Dialect{}}, log, metrics),
-		leave:   routers.Leave,
+		callers: gateway.New(gateway.Settings{
+			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
+		}, log, metrics),
+		leave: routers.Leave,
 	}, nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -46,6 +47,13 @@
 	return c
 }
 
+const (
+	bytesPerMB = 1 << 20
+	// memoryPart is the part of the memory from which the runtime collects
+	// garbage more often.
+	memoryPart = 0.6
+)
+
 // minProcs is how many threads run Go code at the least. gnet's event loop waits
 // in a system call of its own: with one thread, what is ready to run meanwhile
 // would wait until the runtime notices, which took up to three seconds.
@@ -79,6 +87,7 @@
 func Run(ctx context.Context, s Settings, logTo io.Writer) error {
 	lines := telemetry.NewLogWriter(logTo)
 	defer lines.Close()
+	debug.SetMemoryLimit(int64(s.MemoryMB * memoryPart * bytesPerMB))
 	log := newLog(s, lines)
 	r, err := build(ctx, s, log)
 	if err != nil {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -30,6 +30,7 @@
 	Drain         time.Duration
 	RetryRatio    float64
 	RetrySlack    float64
+	MemoryMB      float64
 	LogLevel      string
 	LogFormat     string
 	TraceEndpoint string
@@ -50,6 +51,7 @@
 	f.String("drain-seconds", "900", "how long a stopping router waits for its requests, in seconds")
 	f.String("retry-ratio", "0.2", "second sends for each request, over the fleet")
 	f.String("retry-slack", "50", "second sends beyond that in ten seconds, over the fleet")
+	f.String("memory-mb", "512", "memory that the process may use, in MB; it takes fewer requests at once where there is less")
 	f.String("log-level", "info", "debug, info, warn or error")
 	f.String("log-format", "json", "json or console")
 	f.String("trace-endpoint", "", "URL that takes OTLP traces over HTTP; none are sent without")
@@ -73,6 +75,7 @@
 		Drain:         time.Duration(r.Number("drain-seconds", 1) * float64(time.Second)),
 		RetryRatio:    r.Number("retry-ratio", 0),
 		RetrySlack:    r.Number("retry-slack", 0),
+		MemoryMB:      r.Number("memory-mb", 32),
 		LogLevel:      r.Word("log-level", "debug", "info", "warn", "error"),
 		LogFormat:     r.Word("log-format", "json", "console"),
 		TraceEndpoint: r.Text("trace-endpoint"),
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,6 +51,10 @@
 func (s *Service) handle(c *callerConn, req *fasthttp.Request) bool {
 	a := &attempt{service: s, conn: c, req: req, began: time.Now()}
 	a.keep = !req.Header.ConnectionClose() && !s.draining.Load()
+	if s.open.Load() > int64(s.settings.MaxRequests) {
+		a.refuse(tooMany, startRetryAfter)
+		return a.keep
+	}
 	if refused := a.understand(); refused != nil {
 		a.refuse(refused, startRetryAfter)
 		return a.keep
@@ -227,14 +231,14 @@
 	inForce := s.generation.InForce()
 	backend := inForce.Core.Backends[d.Backend]
 	a.logDispatch(d, backend.Name, inForce)
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	a.req.CopyTo(req)
+	req := &fasthttp.Request{}
+	a.req.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(a.req.Body())
 	s.settings.Dialect.Forward(&req.Header, Forward{
 		Backend: backend.Name, Account: a.name, TimeLeft: time.Until(a.deadline), LastEvent: a.relay.resumeAt(),
 	})
 	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
-		Patient: time.Until(a.deadline), Undelimited: true,
+		Patient: time.Until(a.deadline), Undelimited: true, Stable: true,
 		Skip: a.isSurplus,
 	})
 	if exchange.NotSent(err) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 type Settings struct {
 	Listen  string
 	Dialect Dialect
+	// MaxRequests is how many requests are served at once; more are refused.
+	MaxRequests int
 }
 
 // Service serves callers.
@@ -148,8 +150,7 @@
 // serveOne serves one request, and tells whether the connection may carry
 // another.
 func (s *Service) serveOne(c *callerConn) bool {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
+	req := &fasthttp.Request{} // not from a pool: the exchange may still write its body
 	refused, err := c.readRequest(req, limitsOf(s.generation.InForce()))
 	if err != nil {
 		return false
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -26,6 +26,7 @@
 	bodyTooLarge   = &refusal{fasthttp.StatusRequestEntityTooLarge, "body-too-large", true}
 	headerTooLarge = &refusal{fasthttp.StatusRequestHeaderFieldsTooLarge, "header-too-large", true}
 	noConfig       = &refusal{fasthttp.StatusServiceUnavailable, "no-configuration", false}
+	tooMany        = &refusal{fasthttp.StatusServiceUnavailable, "too-many-requests", false}
 	stopping       = &refusal{fasthttp.StatusServiceUnavailable, "stopping", false}
 	tooLate        = &refusal{fasthttp.StatusServiceUnavailable, "too-late", false}
 	notAdmitted    = &refusal{fasthttp.StatusServiceUnavailable, "not-admitted", false}
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -51,15 +51,17 @@
 	if len(req.Body()) <= inlineBody {
 		return a.conn.writeAll(req)
 	}
-	own := fasthttp.AcquireRequest()
-	req.CopyTo(own)
+	own := &fasthttp.Request{}
+	if a.options.Stable {
+		req.Header.CopyTo(&own.Header)
+		own.SetBodyRaw(req.Body())
+	} else {
+		req.CopyTo(own)
+	}
 	written := make(chan error, 1)
 	a.written = written
 	conn := a.conn
-	go func() {
-		written <- conn.writeAll(own)
-		fasthttp.ReleaseRequest(own)
-	}()
+	go func() { written <- conn.writeAll(own) }()
 	return nil
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -112,6 +112,9 @@
 	// Undelimited allows an answer whose end is that of its connection. It is
 	// whole only where the connection ends in order.
 	Undelimited bool
+	// Stable promises that the request's body isn't changed or used again, so
+	// that it needn't be copied.
+	Stable bool
 	// Skip tells of an answer's head whether it is a surplus one, to an earlier
 	// request, that is to be passed over. nil passes over none.
 	Skip func(*fasthttp.ResponseHeader) bool
