A backend server that falls silent is left; a planned stop ends in its time

The caller's leaving told nothing against the silent one. Test first, failing: TestPlatformSilentServerIsLeft (no 200 before the time). Changed: a request that may be repeated waits for twice its objective, then the next backend server is asked, within attempts and budget; a caller that leaves after long silence counts as a failure of the backend server. Ruled out: the same for streams (a late first event is more often a backlog, and reading the prompt twice makes it longer).

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -310,7 +310,7 @@
 		m.removeWaiting(r)
 		return
 	}
-	r.server.finished(m.now, r.flight, ending, m.random)
+	r.server.finished(m.now, r.flight, m.judged(r, ending), m.random)
 	if ending == Done && output > 0 {
 		if m.outputs[r.Route] == nil {
 			m.outputs[r.Route] = &mean{value: output}
@@ -320,6 +320,20 @@
 	m.decide()
 }
 
+// silence is how many times its objective a request must have gone without any
+// answer for its caller's leaving to tell against the backend server.
+const silence = 2
+
+// judged returns what the ending of a request says of its backend server: one that
+// was silent until the caller left has failed.
+func (m *Machine) judged(r *request, ending Ending) Ending {
+	mute := !r.began && r.Objective > 0 && m.now-r.flight.sent > silence*r.Objective
+	if ending == Left && mute {
+		return Failed
+	}
+	return ending
+}
+
 // Tick lets time pass.
 func (m *Machine) Tick(now model.Time) {
 	m.now = max(m.now, now)
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -152,6 +152,22 @@
 	is.True(hits > 3)  // but it is tried
 }
 
+// TestSilenceTellsAgainstAServer lets callers leave after long silence, and others
+// at once.
+func TestSilenceTellsAgainstAServer(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(1)
+	s := m.servers[model.Backend("engine-0")]
+	m.Arrive(0, ask(1, 1, 1, 100))
+	dispatched(t, m)
+	m.Finish(100*time.Millisecond, 1, Left, 0)
+	is.Equal(s.health.failures, 0.0)
+	m.Arrive(time.Second, ask(2, 1, 1, 100))
+	dispatched(t, m)
+	m.Finish(4*time.Second, 2, Left, 0)
+	is.True(s.health.failures > 0)
+}
+
 // TestOneFailureInAHundredChangesNothing lets few requests fail everywhere.
 func TestOneFailureInAHundredChangesNothing(t *testing.T) {
 	is := is.New(t)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,7 +20,12 @@
 	"github.com/tamarindstep/tamarindstep/telemetry"
 )
 
-const stopTimeout = 10 * time.Second
+const (
+	stopTimeout = 10 * time.Second
+	// drainPart is the part of the time for a planned stop in which requests are
+	// finished; the rest is for the services' own end.
+	drainPart = 0.92
+)
 
 // NewCommand returns the daemon's command.
 func NewCommand() *cobra.Command {
@@ -129,7 +134,7 @@
 func (r *router) stop() error {
 	r.log.Info().Msg("draining")
 	r.scheduler.Tell(core.Drain{})
-	ctx, cancel := context.WithTimeout(context.Background(), r.drainFor)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainPart*float64(r.drainFor)))
 	defer cancel()
 	r.callers.Drain(ctx)
 	end, cancelEnd := context.WithTimeout(context.Background(), stopTimeout)
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -304,6 +304,20 @@
 	await(t, "the backend server is told", func() bool { return w.runsOf(r.ID)[0].Left })
 }
 
+// TestPlatformSilentServerIsLeft lets one of two backend servers fall silent: a
+// request that may be repeated is answered by the other, in good time.
+func TestPlatformSilentServerIsLeft(t *testing.T) {
+	w := newWorld(t, 1)
+	w.services[0].Behave(users.Behaviour{Gap: time.Minute})
+	for range 6 {
+		r := w.request("GET", "/look/1")
+		began := time.Now()
+		got := users.Call(w.routers[0].callers, r)
+		w.is.Equal(got.Status, 200)
+		w.is.True(time.Since(began) < 10*time.Second) // the caller's own time
+	}
+}
+
 func TestPlatformTimeIsKept(t *testing.T) {
 	w := newWorld(t, 1)
 	w.behave(w.services, users.Behaviour{Gap: time.Minute})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -238,7 +238,7 @@
 		Backend: backend.Name, Account: a.name, TimeLeft: time.Until(a.deadline), LastEvent: a.relay.resumeAt(),
 	})
 	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
-		Patient: time.Until(a.deadline), Undelimited: true, Stable: true,
+		Patient: a.patience(), Undelimited: true, Stable: true,
 		Skip: a.isSurplus,
 	})
 	if exchange.NotSent(err) {
@@ -252,6 +252,26 @@
 	return a.take(answer)
 }
 
+const (
+	// silentFor is how many times its objective a request may go unanswered by a
+	// backend server before another is asked, where that is allowed, and
+	// minPatience the least of it.
+	silentFor   = 2
+	minPatience = 200 * time.Millisecond
+)
+
+// patience returns how long a backend server may be silent. One that may have
+// fallen dark isn't waited for while another can still answer in time.
+func (a *attempt) patience() time.Duration {
+	left := time.Until(a.deadline)
+	through := a.route.Through
+	another := a.route.Repeatable && !through.Streaming && a.sends+1 < through.Attempts
+	if !another || through.Objective <= 0 {
+		return left
+	}
+	return min(left, max(silentFor*through.Objective, minPatience))
+}
+
 // isSurplus tells whether an answer names another request than this one.
 func (a *attempt) isSurplus(h *fasthttp.ResponseHeader) bool {
 	id := a.service.settings.Dialect.Answer(h).ID
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -42,6 +42,7 @@
 	listener net.Listener
 	store    *Store
 	ended    sync.WaitGroup
+	closed   chan struct{}
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Backend{Name: name, Pool: pool, Hall: hall, listener: listener, store: store, conns: map[net.Conn]bool{}}
+	b := &Backend{Name: name, Pool: pool, Hall: hall, listener: listener, store: store, conns: map[net.Conn]bool{}, closed: make(chan struct{})}
 	b.Announce("ready")
 	b.ended.Add(1)
 	go b.accept()
@@ -93,8 +94,17 @@
 	return b.turned
 }
 
+// pause lets time pass, unless it ends meanwhile.
+func (b *Backend) pause(gap time.Duration) {
+	select {
+	case <-time.After(gap):
+	case <-b.closed:
+	}
+}
+
 // Close ends it.
 func (b *Backend) Close() {
+	close(b.closed)
 	_ = b.listener.Close()
 	b.mu.Lock()
 	for c := range b.conns {
@@ -214,7 +224,7 @@
 const plainBody = "the whole answer"
 
 func (b *Backend) plain(c net.Conn, x Behaviour, id string) bool {
-	time.Sleep(x.Gap)
+	b.pause(x.Gap)
 	status := x.Status
 	if status == 0 {
 		status = http.StatusOK
@@ -251,7 +261,7 @@
 		return b.left(run)
 	}
 	for n := from + 1; n <= x.Events; n++ {
-		time.Sleep(x.Gap)
+		b.pause(x.Gap)
 		event := Event(n)
 		cut := x.CutAfter > 0 && n > x.CutAfter
 		if cut && x.CutInside {
