core/prompt: one pass over what waits in ten milliseconds; a router that can't keep up refuses

Each event went over all that waited. Ruled out: the link, the store, the memory (127 MB at the peak). Also: at most 16 resting connections to a backend server, before 64 (4,222 descriptors on that router).

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -153,6 +153,7 @@
 	peers    map[string]*peerLoad
 	news     []Placement
 	actions  []Action
+	passed   model.Time // when all that waits was last gone over
 }
 
 // request is a request that waits or runs.
@@ -172,7 +173,7 @@
 // New returns the machine of a router that has just started.
 func New(now model.Time, random *rand.Rand) *Machine {
 	return &Machine{
-		now: now, random: random, routers: 1,
+		now: now, random: random, routers: 1, passed: now - recheck,
 		servers:  map[model.BackendID]*server{},
 		requests: map[model.RequestID]*request{},
 		shares:   newShares(),
@@ -245,6 +246,11 @@
 		return
 	}
 	m.waiting = append(m.waiting, r)
+	if len(m.waiting) == 1 {
+		m.consider(r, m.levels())
+		m.passed = m.now
+		return
+	}
 	m.decide()
 }
 
@@ -308,6 +314,7 @@
 	delete(m.requests, id)
 	if r.server == nil {
 		m.removeWaiting(r)
+		m.decide()
 		return
 	}
 	r.server.finished(m.now, r.flight, m.judged(r, ending), m.random)
@@ -348,7 +355,7 @@
 	if len(m.waiting) == 0 {
 		return never
 	}
-	return m.now + recheck
+	return m.passed + recheck
 }
 
 // recheck is how often what waits is looked at anew.
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -7,11 +7,13 @@
 )
 
 // decide goes over what waits, in the order in which it is served, and sends or
-// refuses what is due.
+// refuses what is due; once in recheck at the most, as a pass over a long queue
+// takes time that a busy router doesn't have for each event.
 func (m *Machine) decide() {
-	if len(m.waiting) == 0 {
+	if len(m.waiting) == 0 || m.now < m.passed+recheck {
 		return
 	}
+	m.passed = m.now
 	l := m.levels()
 	for _, r := range m.ranked(l.owed) {
 		m.consider(r, l)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,7 +51,7 @@
 func (s *Service) handle(c *callerConn, req *fasthttp.Request) bool {
 	a := &attempt{service: s, conn: c, req: req, began: time.Now()}
 	a.keep = !req.Header.ConnectionClose() && !s.draining.Load()
-	if s.open.Load() > int64(s.settings.MaxRequests) {
+	if s.open.Load() > int64(s.settings.MaxRequests) || s.scheduler.Behind() {
 		a.refuse(tooMany, startRetryAfter)
 		return a.keep
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,7 +52,7 @@
 
 const (
 	idleFor    = 20 * time.Second
-	maxIdle    = 64
+	maxIdle    = 16
 	bufferSize = 4096
 	// keepAliveMargin is how much sooner than the server says a connection is
 	// taken for too old.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -138,6 +138,12 @@
 	}
 }
 
+// Behind tells whether the core can't keep up with its events.
+func (s *Service) Behind() bool { return len(s.events) > behindFrom }
+
+// behindFrom is how many events wait when the core counts as behind.
+const behindFrom = 200
+
 // Look runs a function on the core, between two events, and waits for it. The
 // function must only read.
 func (s *Service) Look(look func(*core.Core)) {
