scheduler: a router whose timers go off late refuses, with when to come back

Ruled out: the queue of events alone as the sign (never 200 long). Conclusion: what a router can carry shows in its own timers.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -76,6 +77,7 @@
 	observers []Observer
 
 	retries retry.Limits
+	lag     atomic.Int64 // how late timers go off in the mean, in nanoseconds
 
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -141,11 +143,26 @@
 	}
 }
 
-// Behind tells whether the core can't keep up with its events.
-func (s *Service) Behind() bool { return len(s.events) > behindFrom }
+// Behind tells whether this process can't keep up: events wait, or its timers go
+// off late.
+func (s *Service) Behind() bool {
+	return len(s.events) > behindFrom || time.Duration(s.lag.Load()) > lagFrom
+}
+
+const (
+	// behindFrom is how many events wait when the process counts as behind, and
+	// lagFrom how late its timers go off in the mean.
+	behindFrom = 200
+	lagFrom    = 30 * time.Millisecond
+	// lagWeight is the part, one in so many, of the newest timer in the mean.
+	lagWeight = 16
+)
 
-// behindFrom is how many events wait when the core counts as behind.
-const behindFrom = 200
+// noteLag takes how late a timer went off.
+func (s *Service) noteLag(late time.Duration) {
+	mean := s.lag.Load()
+	s.lag.Store(mean + (int64(max(late, 0))-mean)/lagWeight)
+}
 
 // Look runs a function on the core, between two events, and waits for it. The
 // function must only read.
@@ -172,6 +189,7 @@
 	c.LimitRetries(s.retries)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	due := s.now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -181,9 +199,11 @@
 		case look := <-s.ask:
 			look(c)
 		case <-timer.C:
+			s.noteLag(s.now() - due)
 			s.step(c, core.Tick{})
 		}
-		timer.Reset(max(c.Wake()-s.now(), 0))
+		due = max(c.Wake(), s.now())
+		timer.Reset(due - s.now())
 	}
 }
 
