--- /dev/null
+++ b/emulator/callers.go
@@ -0,0 +1,97 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// planNext plans an account's next request of a kind.
+func (w *world) planNext(kind, account int) {
+	third := w.Length / 3
+	into := w.time.now - settle - w.WarmUp
+	hot := into > third && into < 2*third
+	w.time.at(w.time.now+w.source.gap(kind, account, hot), func() {
+		c := w.source.draw(kind, account, w.time.now)
+		w.calls = append(w.calls, c)
+		w.try(c)
+		w.planNext(kind, account)
+	})
+}
+
+// try sends a caller's request to a router.
+func (w *world) try(c *call) {
+	c.tries++
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	k := w.Load.Kinds[c.kind]
+	w.time.at(w.time.now+w.CallerLink, func() {
+		n.nextID++
+		n.calls[n.nextID] = c
+		w.step(n, core.Arrive{
+			ID: n.nextID, Account: model.Account(accountName(c.account)), Pool: model.Pool(poolName),
+			Input: float64(c.prompt.Tokens), Wait: k.Deadline - (w.time.now - c.sent),
+			Route: uint32(c.kind), Prompt: c.prompt, Objective: k.Objective,
+		})
+	})
+}
+
+func (w *world) dispatch(n *node, a core.Dispatch) {
+	c := n.calls[a.ID]
+	e := w.engines[a.Backend]
+	k := w.Load.Kinds[c.kind]
+	last := model.Time(0)
+	pause := func() {
+		c.broken = c.broken || last > 0 && w.time.now-last > k.Pause
+		last = w.time.now
+	}
+	c.run = &run{prompt: &c.prompt, output: c.output}
+	c.run.first = func() {
+		pause()
+		c.first = w.time.now + w.CallerLink - c.sent
+		w.step(n, core.Began{ID: a.ID})
+	}
+	c.run.each = func() {
+		pause()
+		w.step(n, core.Progress{ID: a.ID, Output: float64(c.run.made)})
+	}
+	c.run.done = func() {
+		c.done = true
+		delete(n.calls, a.ID)
+		w.step(n, core.Finish{ID: a.ID, Output: float64(c.output), Ending: core.Done})
+	}
+	c.at = e
+	if !e.accept(c.run) {
+		w.time.at(w.time.now, func() { w.step(n, core.Finish{ID: a.ID, Ending: core.Rejected}) })
+		w.comeBack(n, a.ID, 0)
+		return
+	}
+	w.time.at(c.sent+k.Deadline, func() { w.leave(n, a.ID) })
+}
+
+// leave lets a caller leave whose time is over.
+func (w *world) leave(n *node, id core.RequestID) {
+	c := n.calls[id]
+	if c == nil {
+		return
+	}
+	delete(n.calls, id)
+	c.at.drop(c.run)
+	w.step(n, core.Finish{ID: id, Output: float64(c.run.made), Ending: core.Broken})
+}
+
+func (w *world) refused(n *node, a core.Refuse) { w.comeBack(n, a.ID, a.RetryAfter) }
+
+// comeBack lets a caller that was refused come back where it does.
+func (w *world) comeBack(n *node, id core.RequestID, after time.Duration) {
+	c := n.calls[id]
+	delete(n.calls, id)
+	if c == nil || c.tries > w.Load.Retries {
+		return
+	}
+	left := w.Load.Kinds[c.kind].Deadline - (w.time.now - c.sent)
+	if left <= 0 {
+		return
+	}
+	w.time.at(w.time.now+min(after, left/callerPatience), func() { w.try(c) })
+}
--- /dev/null
+++ b/gateway/send.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+)
+
+// send sends the request to the backend server decided on. It returns false
+// where another decision is needed.
+func (a *attempt) send(d scheduler.Decision) bool {
+	s := a.service
+	inForce := s.generation.InForce()
+	backend := inForce.Core.Backends[d.Backend]
+	a.logDispatch(d, backend.Name, inForce)
+	req := &fasthttp.Request{}
+	a.req.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(a.req.Body())
+	s.settings.Dialect.Forward(&req.Header, Forward{
+		Backend: backend.Name, Account: a.name, TimeLeft: time.Until(a.deadline), LastEvent: a.relay.resumeAt(),
+		CopyFrom: inForce.AddressOf(d.CopyFrom),
+	})
+	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
+		Patient: a.patience(), Undelimited: true, Stable: true,
+		Skip: a.isSurplus,
+	})
+	if exchange.NotSent(err) {
+		return a.unreached(d)
+	}
+	a.sends++
+	a.tried = append(a.tried, d.Backend)
+	if err != nil {
+		return a.failed(err)
+	}
+	return a.take(answer)
+}
+
+const (
+	// silentFor is how many times its objective a request may go unanswered by a
+	// backend server before another is asked, where that is allowed, and
+	// minPatience the least of it.
+	silentFor   = 2
+	minPatience = 200 * time.Millisecond
+)
+
+// patience returns how long a backend server may be silent. One that may have
+// fallen dark isn't waited for while another can still answer in time.
+func (a *attempt) patience() time.Duration {
+	left := time.Until(a.deadline)
+	through := a.route.Through
+	another := a.route.Repeatable && !through.Streaming && a.sends+1 < through.Attempts
+	if !another || through.Objective <= 0 {
+		return left
+	}
+	return min(left, max(silentFor*through.Objective, minPatience))
+}
+
+// isSurplus tells whether an answer names another request than this one.
+func (a *attempt) isSurplus(h *fasthttp.ResponseHeader) bool {
+	id := a.service.settings.Dialect.Answer(h).ID
+	return id != "" && id != a.meta.ID
+}
+
+// promises are the statuses that tell a caller that its request wasn't run. A
+// backend server's is handed on only where it has said so in its own way.
+var promises = map[int]bool{
+	fasthttp.StatusTooManyRequests: true, fasthttp.StatusServiceUnavailable: true,
+	fasthttp.StatusRequestTimeout: true, fasthttp.StatusMisdirectedRequest: true,
+}
+
+// errFalsePromise is the error for such a status where the request may have run.
+var errFalsePromise = errors.New("the status would say that the request wasn't run")
+
+// errNameless is the error for a success that doesn't say whose it is.
+var errNameless = errors.New("the answer names no request")
+
+// maxUnreached is how many backend servers that can't be reached are tried.
+const maxUnreached = 3
+
+// unreached handles a request of which nothing was sent. It returns false where
+// another backend server is tried.
+func (a *attempt) unreached(d scheduler.Decision) bool {
+	a.finish(core.NotSent, 0)
+	a.misses++
+	a.tried = append(a.tried, d.Backend)
+	if a.ctx.Err() != nil {
+		a.end(tooLate)
+		return true
+	}
+	if a.misses < maxUnreached {
+		return false
+	}
+	a.giveUp(noAttempts)
+	return true
+}
+
+// take takes a backend server's answer.
+func (a *attempt) take(answer *exchange.Answer) bool {
+	defer answer.Close()
+	meta := a.service.settings.Dialect.Answer(&answer.Header)
+	if meta.ID == "" && answer.StatusCode() < fasthttp.StatusBadRequest {
+		return a.failed(errNameless)
+	}
+	if meta.NotRun {
+		return a.notRun()
+	}
+	if promises[answer.StatusCode()] {
+		return a.failed(errFalsePromise)
+	}
+	if answer.StatusCode() >= fasthttp.StatusInternalServerError && a.route.Repeatable && a.mayRetry() {
+		a.ran = true
+		a.log("failed").Int("status", answer.StatusCode()).Int("send", a.sends).Msg("backend server failed")
+		a.finish(core.Failed, 0)
+		return false
+	}
+	err := a.relay.run(a, answer)
+	if err == nil {
+		a.finish(core.Done, a.relay.output())
+		a.log("done").Int("status", answer.StatusCode()).Int("send", a.sends).Msg("request answered")
+		a.count("done")
+		return true
+	}
+	return a.failed(err)
+}
+
+// notRun handles an answer that says that the request wasn't run.
+func (a *attempt) notRun() bool {
+	a.log("rejected").Int("send", a.sends).Msg("backend server didn't run the request")
+	a.finish(core.Rejected, 0)
+	if a.mayRetry() {
+		return false
+	}
+	a.giveUp(noAttempts)
+	return true
+}
+
+// giveUp answers a request that isn't tried any more: with a refusal that says it
+// wasn't run only where it has not run anywhere.
+func (a *attempt) giveUp(r *refusal) {
+	switch {
+	case a.relay.begun:
+		a.breakOff()
+	case a.ran:
+		a.refuse(brokeOff, 0)
+	default:
+		a.refuse(r, startRetryAfter)
+	}
+}
+
+// failed handles a request that was sent and whose answer broke off. It returns
+// false where it is sent again.
+func (a *attempt) failed(cause error) bool {
+	if errors.Is(a.ctx.Err(), context.Canceled) {
+		a.finish(core.Broken, 0)
+		a.keep = false
+		a.log("caller-left").Int("send", a.sends).Msg("caller left")
+		a.count("caller-left")
+		return true
+	}
+	a.ran = true
+	a.finish(core.Failed, 0)
+	a.log("broke-off").Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).Msg("answer broke off")
+	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
+		return false
+	}
+	if a.relay.begun {
+		a.breakOff()
+		return true
+	}
+	if a.ctx.Err() != nil {
+		a.refuse(timedOut, 0)
+		return true
+	}
+	a.refuse(brokeOff, 0)
+	return true
+}
--- /dev/null
+++ b/generation/apply.go
@@ -0,0 +1,98 @@
+package generation
+
+import (
+	"context"
+	"crypto/rand"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/config/check/checks"
+	"github.com/tamarindstep/tamarindstep/store"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// Apply is a request to put a new configuration in force.
+type Apply struct {
+	ID   string // the same for every try of one apply
+	Base uint64 // the generation that it builds on
+	Text []byte
+}
+
+// NewApplyID returns an identifier that no other apply has.
+func NewApplyID() string { return rand.Text() }
+
+// Apply swaps the configuration in the store, and returns its generation. It
+// is accepted once the store has it. Findings are returned as an error.
+func (s *Service) Apply(ctx context.Context, a Apply) (uint64, error) {
+	if s.foreign {
+		return 0, Foreign.New("the configuration is put into the store by others")
+	}
+	_, findings := checks.File("configuration", a.Text)
+	if err := findings.Err(); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	sent := false
+	for {
+		generation, done, err := s.tryApply(ctx, a, &sent)
+		if done {
+			return generation, err
+		}
+		select {
+		case <-ctx.Done():
+			if sent {
+				return 0, Unknown.New("the store's answer is lost and it can't be read back")
+			}
+			return 0, store.Unavailable.Wrap(err, "nothing was applied")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// tryApply reads the store and swaps. done tells whether the outcome is known.
+// A swap whose answer was lost is settled by the next try: either the apply's
+// identifier is there, or the swap is made again on the same revision, which
+// only one of the two can win.
+func (s *Service) tryApply(ctx context.Context, a Apply, sent *bool) (generation uint64, done bool, err error) {
+	s.metrics.StoreCalls.WithLabelValues("get").Inc()
+	v, err := s.store.Get(ctx, Key)
+	if err != nil {
+		return 0, false, err
+	}
+	before := &wire.Document{}
+	if err := proto.Unmarshal(v.Data, before); err != nil {
+		return 0, true, config.Corrupt.Wrap(err, "the store's configuration can't be read")
+	}
+	if slices.Contains(before.Applies, a.ID) {
+		s.installValue(v)
+		return before.Generation, true, nil
+	}
+	if before.Generation != a.Base {
+		return 0, true, Conflict.New("the last generation is %d, not %d", before.Generation, a.Base)
+	}
+	after, err := config.NewDocument(before, a.ID, a.Text)
+	if err != nil {
+		return 0, true, err
+	}
+	data, err := proto.Marshal(after)
+	if err != nil {
+		return 0, true, err
+	}
+	s.metrics.StoreCalls.WithLabelValues("swap").Inc()
+	next, swapped, err := s.store.Swap(ctx, Key, v.Revision, data)
+	if err != nil {
+		s.metrics.StoreFailures.WithLabelValues("swap").Inc()
+		*sent = *sent || errorx.IsOfType(err, store.Ambiguous)
+		return 0, false, err
+	}
+	if !swapped {
+		return 0, false, nil
+	}
+	s.installValue(next)
+	return after.Generation, true, nil
+}
