--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,7 +11,6 @@
 
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
-	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 )
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"time"
 
