emulator: the test of overload runs long enough to mean something

Why the test was wrong: it measured the start, when every prompt is read for the first time, whatever the policy.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -39,14 +39,17 @@
 	is.True(affinity.InTime > 2*least.InTime)
 }
 
-// TestOverloadStaysFair lets some accounts send many times their usual: the small
-// ones, which ask for less than an even part, are better off than the mean.
+// TestOverloadStaysFair lets some accounts send many times their usual, long enough
+// for the engines to have read what is shared: the small ones, which ask for less
+// than an even part, are served nearly as on a calm day.
 func TestOverloadStaysFair(t *testing.T) {
 	is := is.New(t)
-	e := short("prompt-affinity")
+	e := Default(policies.Find("prompt-affinity"))
 	e.Load.Hot, e.Load.Factor = 4, 1.5
 	r := Run(e)
-	is.True(r.WorstAccount > 1.2*r.InTime)
+	is.True(r.WorstAccount > 0.7)
+	is.True(r.WorstAccount > 1.4*r.InTime)
+	is.True(r.InTime > 0.4)
 	is.True(r.Late < r.InTime) // most of what can't be in time is refused
 }
 
