e2e: a soak of real routers under drawn faults, checked from outside

Faults: routers killed, stopped, paused and replaced; the store down, or shut for one router; backend servers that drop, reject, answer early, surplus, unframed or broken, and that leave. Checked: at most once, no refusal of what ran, whole answers of one's own. A first form hung until its time was over, as callers of a paused router were waited for before it was resumed: a fault of the test, no router's.

--- /dev/null
+++ b/e2e/soak_test.go
@@ -0,0 +1,202 @@
+package e2e
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+// The soak runs for a few seconds in CI with a fixed seed; by hand with others:
+//
+//	go test ./e2e -run TestSoak -soak.seed 7 -soak.seeds 50 -soak.seconds 20
+var (
+	soakSeed    = flag.Uint64("soak.seed", 1, "first seed of the soak")
+	soakSeeds   = flag.Int("soak.seeds", 1, "how many seeds are run")
+	soakSeconds = flag.Int("soak.seconds", 6, "how long each is run")
+)
+
+// soak is a fleet under faults that are drawn, with what its callers saw.
+type soak struct {
+	*world
+	random *rand.Rand
+	paused map[int]bool
+	spare  int // number of the next backend server
+
+	mu   sync.Mutex
+	seen []seen
+}
+
+// seen is a request with what its caller got for it.
+type seen struct {
+	request users.Request
+	answer  users.Answer
+}
+
+const soakCallers = 10
+
+// TestSoak lets faults come from outside, in series and one over another, and
+// checks from what callers and backend servers saw that a request which may not be
+// repeated runs at most once, that none is refused as not run and run, and that a
+// success is whole and the caller's own.
+func TestSoak(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed) })
+	}
+}
+
+func runSoak(t *testing.T, seed uint64) {
+	s := &soak{world: newWorld(t, 3), random: rand.New(rand.NewPCG(seed, 1)), paused: map[int]bool{}}
+	s.behave(s.engines, users.Behaviour{Events: 20, Gap: 2 * time.Millisecond})
+	s.behave(s.services, users.Behaviour{Gap: time.Millisecond})
+	until := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
+	var callers sync.WaitGroup
+	for n := range soakCallers {
+		callers.Go(func() { s.call(n, seed, until) })
+	}
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(50+s.random.IntN(400)) * time.Millisecond)
+		s.fault()
+	}
+	s.heal() // first, as callers of a paused router wait for it
+	callers.Wait()
+	s.check()
+}
+
+// call sends requests until the time is over.
+func (s *soak) call(n int, seed uint64, until time.Time) {
+	random := rand.New(rand.NewPCG(seed, uint64(n)+2))
+	paths := []string{"/chat/1", "/review/1", "/claim/1", "/look/1"}
+	for i := 0; time.Now().Before(until); i++ {
+		path := paths[random.IntN(len(paths))]
+		r := users.Request{
+			Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("soak-%d-%d", n, i), Body: "the body",
+			TimeLeft: 2 * time.Second,
+		}
+		s.mu.Lock()
+		to := s.routers[random.IntN(len(s.routers))].callers
+		s.mu.Unlock()
+		got := users.Call(to, r)
+		s.mu.Lock()
+		s.seen = append(s.seen, seen{r, got})
+		s.mu.Unlock()
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+}
+
+// fault draws a fault and lets it come.
+func (s *soak) fault() {
+	i := s.random.IntN(len(s.routers))
+	switch s.random.IntN(9) {
+	case 0:
+		s.replace(i, syscall.SIGKILL)
+	case 1:
+		s.replace(i, syscall.SIGTERM)
+	case 2:
+		s.pause(i)
+	case 3:
+		s.doors[i].Shut()
+	case 4:
+		s.doors[i].Open()
+	case 5:
+		s.store.SetDown(s.random.IntN(2) == 0)
+	case 6:
+		s.misbehave(s.services)
+	case 7:
+		s.misbehave(s.engines)
+	case 8:
+		s.replaceBackend()
+	}
+}
+
+// replace ends a router by a signal, waits for its end, and starts it anew.
+func (s *soak) replace(i int, signal syscall.Signal) {
+	s.resume(i)
+	old := s.routers[i]
+	_ = old.cmd.Process.Signal(signal)
+	<-old.exited
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers[i] = s.start(i)
+	s.doors[i] = s.doors[len(s.doors)-1]
+}
+
+func (s *soak) pause(i int) {
+	if s.paused[i] {
+		s.resume(i)
+		return
+	}
+	s.paused[i] = true
+	_ = s.routers[i].cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+func (s *soak) resume(i int) {
+	_ = s.routers[i].cmd.Process.Signal(syscall.SIGCONT)
+	s.paused[i] = false
+}
+
+// misbehave lets one of the backend servers misbehave, or be well again.
+func (s *soak) misbehave(backends []*users.Backend) {
+	ways := []users.Behaviour{
+		{}, {Drop: true}, {Reject: true}, {Surplus: true}, {Early: true}, {Unframed: true},
+		{Unframed: true, Reset: true}, {CutAfter: 7, CutInside: true}, {Status: 500}, {Nameless: true},
+	}
+	x := ways[s.random.IntN(len(ways))]
+	x.Gap = 2 * time.Millisecond
+	if backends[0].Pool == "engines" {
+		x.Events = 20
+	}
+	backends[s.random.IntN(len(backends))].Behave(x)
+}
+
+// replaceBackend announces that a backend server leaves and starts another.
+func (s *soak) replaceBackend() {
+	s.spare++
+	old := s.services[s.random.IntN(len(s.services))]
+	old.Announce("draining")
+	s.services = append(s.services, s.backend(fmt.Sprintf("service-spare-%d", s.spare), "entries"))
+}
+
+// heal ends the faults that last, so that every process can be ended.
+func (s *soak) heal() {
+	for i := range s.routers {
+		s.resume(i)
+	}
+	s.store.SetDown(false)
+}
+
+// check holds what callers got against what backend servers ran.
+func (s *soak) check() {
+	served := 0
+	for _, x := range s.seen {
+		runs := s.runsOf(x.request.ID)
+		once := x.request.Path == "/claim/1" || x.request.Path == "/chat/1"
+		if once && len(runs) > 1 {
+			s.t.Errorf("%s %s ran %d times", x.request.ID, x.request.Path, len(runs))
+		}
+		if once && (x.answer.Status == 503 || x.answer.Status == 429) && len(runs) > 0 {
+			s.t.Errorf("%s %s was refused as not run, and ran", x.request.ID, x.request.Path)
+		}
+		if x.answer.Status != 200 || x.answer.Err != nil {
+			continue
+		}
+		served++
+		want := "the whole answer"
+		if x.request.Path == "/chat/1" || x.request.Path == "/review/1" {
+			want = whole(20)
+		}
+		if x.answer.ID != x.request.ID || x.answer.Body != want {
+			s.t.Errorf("%s %s got the answer to %q: %q", x.request.ID, x.request.Path, x.answer.ID, x.answer.Body)
+		}
+	}
+	if served == 0 {
+		s.t.Error("nothing was served")
+	}
+	s.t.Logf("%d requests, %d served", len(s.seen), served)
+}
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -145,6 +145,9 @@
 	}
 }
 
+// callTimeout bounds a call whose router never answers.
+const callTimeout = 30 * time.Second
+
 // Call sends a request over a connection of its own.
 func Call(address string, r Request) Answer {
 	c, err := Dial(address)
@@ -152,6 +155,9 @@
 		return Answer{Err: err}
 	}
 	defer c.Close()
+	if err := c.conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return Answer{Err: err}
+	}
 	if err := c.Send(r); err != nil {
 		return Answer{Err: err}
 	}
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -107,6 +107,9 @@
 	d.server.CloseClientConnections()
 }
 
+// Open lets calls in again.
+func (d *Door) Open() { d.shut.Store(false) }
+
 // Close ends the store.
 func (s *Store) Close() {
 	s.SetDown(true)
