--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(CURDIR)/bin/tools
 REVIVE := $(TOOLS)/revive
 
-.PHONY: build demo test lint unit bench proto clean
+.PHONY: build demo test lint unit bench emulate proto clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -29,6 +29,10 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 60m ./...
 
+# emulate compares the routing policies on emulated engines.
+emulate: build
+	bin/tamarind-emulate --plot bin/emulate.svg
+
 proto:
 	protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative wire/peer.proto
 
