gateway: a request's own time ends before its connection's

The read from the backend server ran out at the same moment as the request's time; where its timer came first, the end was taken for an answer that broke off. Test first, failing: 200 requests at once, some of them 502. Ruled out: the backend server (it was silent); load as such, which only moves the two timers: they are a second apart now. Conclusion: two timers for one moment are a race.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -325,6 +326,16 @@
 	got := users.Call(w.routers[0].callers, w.request("GET", "/look/short/1"))
 	w.is.Equal(got.Status, 504)
 	w.is.True(time.Since(began) >= time.Second) // its route's timeout, not sooner
+	var calls sync.WaitGroup
+	statuses := make([]int, 200)
+	for i := range statuses {
+		r := w.request("GET", "/look/short/1")
+		calls.Go(func() { statuses[i] = users.Call(w.routers[0].callers, r).Status })
+	}
+	calls.Wait()
+	for _, status := range statuses {
+		w.is.True(status == 504 || status == 503) // never 502: nothing broke off
+	}
 }
 
 // TestPlatformShunnedRouterFollows turns one router away from the store. What the
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,6 +47,10 @@
 	// minPatience the least of it.
 	silentFor   = 2
 	minPatience = 200 * time.Millisecond
+	// afterDeadline is how much later than the request's own time the connection
+	// to the backend server runs out: the request's time must end first, so that
+	// its end isn't taken for an answer that broke off.
+	afterDeadline = time.Second
 )
 
 // patience returns how long a backend server may be silent. One that may have
@@ -56,9 +60,9 @@
 	through := a.route.Through
 	another := a.route.Repeatable && !through.Streaming && a.sends+1 < through.Attempts
 	if !another || through.Objective <= 0 {
-		return left
+		return left + afterDeadline
 	}
-	return min(left, max(silentFor*through.Objective, minPatience))
+	return min(left+afterDeadline, max(silentFor*through.Objective, minPatience))
 }
 
 // isSurplus tells whether an answer names another request than this one.
