e2e: what a router spends of a processor on a streamed request

Cause: on the grown sites small routers saturate, and nothing in the tree measured what a request costs.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -17,7 +17,7 @@
 
 // world is a fleet on the users' platform.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	is       *is.I
 	store    *users.Store
 	engines  []*users.Backend
@@ -33,6 +33,7 @@
 
 var routes = []users.Route{
 	{Name: "chat", Path: "/chat/", Kind: "streaming", Pool: "engines", Attempts: 1, Timeout: 20 * time.Second},
+	{Name: "unhurried", Path: "/unhurried/", Kind: "streaming", Pool: "engines", Attempts: 1, Timeout: 20 * time.Second, Unhurried: true},
 	{Name: "review", Path: "/review/", Kind: "streaming", Pool: "engines", Attempts: 2, Resumable: true, Timeout: 20 * time.Second},
 	{Name: "claim", Path: "/claim/", Kind: "unsafe", Pool: "entries", Attempts: 1, Timeout: 20 * time.Second},
 	{Name: "look", Path: "/look/", Kind: "safe", Pool: "entries", Attempts: 2, Timeout: 20 * time.Second},
@@ -41,7 +42,7 @@
 
 // newWorld starts a store, two engines, two plain services and routers, each at
 // an IP of its own.
-func newWorld(t *testing.T, routers int) *world {
+func newWorld(t testing.TB, routers int) *world {
 	t.Helper()
 	w := &world{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}}
 	t.Cleanup(w.store.Close)
@@ -104,7 +105,7 @@
 }
 
 // await waits for what must come.
-func await(t *testing.T, what string, happened func() bool) {
+func await(t testing.TB, what string, happened func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(generous)
 	for !happened() {
--- /dev/null
+++ b/e2e/processor_test.go
@@ -0,0 +1,78 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+const (
+	// streamEvents and streamGap are those of a middling stream, and streamBody
+	// the size of its request in bytes.
+	streamEvents = 24
+	streamGap    = 40 * time.Millisecond
+	streamBody   = 9000
+	// streamCallers is how many callers ask at once.
+	streamCallers = 100
+	// moreEngines is how many engines beside the usual ones have slots for all.
+	moreEngines = 30
+	// ticksPerSecond is the unit of the times in /proc.
+	ticksPerSecond = 100
+)
+
+// BenchmarkPlatformProcessor measures the processor time that a router spends on
+// a streamed request, its part of the fleet's talk included.
+func BenchmarkPlatformProcessor(b *testing.B) {
+	w := newWorld(b, 1)
+	for i := range moreEngines {
+		w.engines = append(w.engines, w.backend(fmt.Sprintf("engine-more-%d", i), "engines"))
+	}
+	w.behave(w.engines, users.Behaviour{Events: streamEvents, Gap: streamGap})
+	before := processorTime(b, w.routers[0])
+	var callers sync.WaitGroup
+	var last, served atomic.Int64
+	for range streamCallers {
+		callers.Go(func() {
+			for n := last.Add(1); n <= int64(b.N); n = last.Add(1) {
+				r := users.Request{
+					Method: "POST", Path: "/unhurried/1", Key: callerKey, ID: fmt.Sprintf("stream-%d", n),
+					Body: strings.Repeat("x", streamBody),
+				}
+				if users.Call(w.routers[0].callers, r).Status == 200 {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	spent := processorTime(b, w.routers[0]) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
+	b.ReportMetric(float64(served.Load())/float64(b.N), "served/req")
+}
+
+// processorTime returns the time that a router's process has had of processors.
+func processorTime(b *testing.B, r *router) time.Duration {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	ticks := 0
+	for _, field := range fields[11:13] { // utime and stime
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -18,6 +18,16 @@
 	Attempts               int
 	Resumable              bool
 	Timeout                time.Duration
+	// Unhurried is a route without an objective.
+	Unhurried bool
+}
+
+// objective returns the time, in milliseconds, in which an answer should begin.
+func (r Route) objective() int {
+	if r.Unhurried {
+		return 0
+	}
+	return 800
 }
 
 // Host is the host of every route.
@@ -39,7 +49,7 @@
 		pools[r.Pool] = true
 		listed = append(listed, map[string]any{
 			"name": r.Name, "host": Host, "path_prefix": r.Path, "kind": r.Kind, "service": r.Pool,
-			"timeout_ms": r.Timeout.Milliseconds(), "slo_ms": 800, "priority": 1, "max_attempts": r.Attempts,
+			"timeout_ms": r.Timeout.Milliseconds(), "slo_ms": r.objective(), "priority": 1, "max_attempts": r.Attempts,
 			"resumable": r.Resumable, "gap_slo_ms": 400,
 		})
 	}
