gateway: a router that is behind turns new connections away unread

Cause: on the grown sites a hot account's callers all reach one router of 0.192 cores, some 700 requests a second. Change: a new connection of a router that is behind gets its refusal, with when to come back, before anything is read; one that is open is closed after its refusal. Being behind also counts how late the core comes to events, not timers alone. Test first, failing: the whole refusal must reach a caller whose body is unread. Ruled out: backend servers (only 17 streams were cut at their deadline there), descriptors (7,111 at a router that may have 8,192).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,7 +50,8 @@
 func (s *Service) handle(c *callerConn, req *fasthttp.Request) bool {
 	a := &attempt{service: s, conn: c, req: req, began: time.Now()}
 	a.keep = !req.Header.ConnectionClose() && !s.draining.Load()
-	if s.open.Load() > int64(s.settings.MaxRequests) || s.scheduler.Behind() {
+	if s.overloaded() {
+		a.keep = false // the next one is turned away unread, by another router if need be
 		a.refuse(tooMany, startRetryAfter)
 		return a.keep
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,10 +58,12 @@
 	generation *generation.Service
 	back       *back.Service
 
-	listener net.Listener
-	draining atomic.Bool
-	ending   atomic.Bool // no new requests are taken
-	open     atomic.Int64
+	listener  net.Listener
+	draining  atomic.Bool
+	ending    atomic.Bool // no new requests are taken
+	open      atomic.Int64
+	shed      atomic.Int64 // connections turned away that are still open
+	shedNoted *occasional
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -70,7 +72,7 @@
 
 // New returns the service.
 func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}}
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional()}
 }
 
 // Name implements kernel.Service.
@@ -82,7 +84,7 @@
 }
 
 // Start implements kernel.Service.
-func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+func (s *Service) Start(ctx context.Context, k *kernel.Kernel) error {
 	var failures [3]error
 	s.scheduler, failures[0] = kernel.Lookup[*scheduler.Service](k, scheduler.ServiceName)
 	s.generation, failures[1] = kernel.Lookup[*generation.Service](k, generation.ServiceName)
@@ -91,7 +93,9 @@
 		return err
 	}
 	var err error
-	if s.listener, err = net.Listen("tcp", s.settings.Listen); err != nil {
+	// A caller that is gone is found by the time its request has, and its idle time.
+	listen := net.ListenConfig{KeepAlive: -1}
+	if s.listener, err = listen.Listen(ctx, "tcp", s.settings.Listen); err != nil {
 		return err
 	}
 	s.ended.Add(1)
@@ -121,6 +125,10 @@
 			time.Sleep(drainPoll) // out of descriptors, say
 			continue
 		}
+		if s.overloaded() {
+			s.turnAway(c)
+			continue
+		}
 		s.ended.Add(1)
 		go s.serve(c)
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -37,6 +37,14 @@
 
 // write writes the refusal to a caller.
 func (r *refusal) write(c *callerConn, retryAfter time.Duration, last bool) error {
+	if _, err := c.writer.Write(r.text(retryAfter, last)); err != nil {
+		return err
+	}
+	return c.flush()
+}
+
+// text returns the whole answer; last tells the caller that its connection ends.
+func (r *refusal) text(retryAfter time.Duration, last bool) []byte {
 	body := fmt.Sprintf("{\"error\":%q}\n", r.code)
 	head := "HTTP/1.1 " + strconv.Itoa(r.status) + " " + fasthttp.StatusMessage(r.status) + "\r\n" +
 		"Content-Type: application/json\r\n" +
@@ -47,8 +55,5 @@
 	if last {
 		head += "Connection: close\r\n"
 	}
-	if _, err := c.writer.WriteString(head + "\r\n" + body); err != nil {
-		return err
-	}
-	return c.flush()
+	return []byte(head + "\r\n" + body)
 }
--- /dev/null
+++ b/gateway/shed_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+)
+
+// TestTurnedAwayCallersGetTheirAnswer lets callers send long requests to a router
+// that serves none: each must get a whole refusal, with when to come back, though
+// nothing of its request is read.
+func TestTurnedAwayCallersGetTheirAnswer(t *testing.T) {
+	is := is.New(t)
+	metrics := telemetry.NewMetrics()
+	s := New(Settings{MaxRequests: -1}, zerolog.Nop(), metrics)
+	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
+	var err error
+	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s.ended.Add(1)
+	go s.accept()
+	defer func() { is.NoErr(s.Stop(t.Context())) }()
+	for range 50 {
+		c, err := net.Dial("tcp", s.listener.Addr().String())
+		is.NoErr(err)
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 17000\r\n\r\n"+strings.Repeat("x", 17000))
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.True(resp.Header.Get("Retry-After") != "")
+		is.True(resp.Close)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.NoErr(c.Close())
+	}
+}
--- a/scheduler/lag_test.go
+++ b/scheduler/lag_test.go
@@ -9,20 +9,20 @@
 
 func TestOnePauseIsNotBeingBehind(t *testing.T) {
 	is := is.New(t)
-	s := &Service{}
-	s.noteLag(time.Minute)
-	is.True(!s.Behind())
+	l := &lag{}
+	l.note(time.Minute)
+	is.True(!l.behind())
 }
 
 func TestLateTimersAreBeingBehind(t *testing.T) {
 	is := is.New(t)
-	s := &Service{}
+	l := &lag{}
 	for range 5 {
-		s.noteLag(time.Second)
+		l.note(time.Second)
 	}
-	is.True(s.Behind())
+	is.True(l.behind())
 	for range 4 * lagWeight {
-		s.noteLag(0)
+		l.note(0)
 	}
-	is.True(!s.Behind())
+	is.True(!l.behind())
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,6 +47,12 @@
 	Copied   int // tokens
 }
 
+// told is an event for the core, and when it was told.
+type told struct {
+	event core.Event
+	at    model.Time
+}
+
 // Observer is told of what the core wants from another service. Its functions,
 // any of which may be nil, are called from the core's goroutine and must not
 // block.
@@ -66,7 +71,7 @@
 	self    member.Member
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
-	events  chan core.Event
+	events  chan told
 	ask     chan func(*core.Core)
 	began   time.Time
 	peers   *peer.Service
@@ -77,7 +82,7 @@
 	observers []Observer
 
 	retries retry.Limits
-	lag     atomic.Int64 // how late timers go off in the mean, in nanoseconds
+	lag     lag
 
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -92,7 +97,7 @@
 		self:    self,
 		log:     log,
 		metrics: metrics,
-		events:  make(chan core.Event, queueSize),
+		events:  make(chan told, queueSize),
 		ask:     make(chan func(*core.Core)),
 		began:   time.Now(),
 		waiters: map[core.RequestID]chan Decision{},
@@ -138,34 +143,19 @@
 // Tell gives the core an event.
 func (s *Service) Tell(e core.Event) {
 	select {
-	case s.events <- e:
+	case s.events <- told{e, s.now()}:
 	case <-s.ended:
 	}
 }
 
-// Behind tells whether this process can't keep up: events wait, or its timers go
-// off late.
+// Behind tells whether this process can't keep up: events wait, or what is due is
+// late.
 func (s *Service) Behind() bool {
-	return len(s.events) > behindFrom || time.Duration(s.lag.Load()) > lagFrom
+	return len(s.events) > behindFrom || s.lag.behind()
 }
 
-const (
-	// behindFrom is how many events wait when the process counts as behind, and
-	// lagFrom how late its timers go off in the mean.
-	behindFrom = 200
-	lagFrom    = 30 * time.Millisecond
-	// maxLag is the most that one timer counts for: a process that was paused was
-	// late once, which doesn't tell that it can't keep up.
-	maxLag = 4 * lagFrom
-	// lagWeight is the part, one in so many, of the newest timer in the mean.
-	lagWeight = 16
-)
-
-// noteLag takes how late a timer went off.
-func (s *Service) noteLag(late time.Duration) {
-	mean := s.lag.Load()
-	s.lag.Store(mean + (int64(min(max(late, 0), maxLag))-mean)/lagWeight)
-}
+// behindFrom is how many events wait when the process counts as behind.
+const behindFrom = 200
 
 // Look runs a function on the core, between two events, and waits for it. The
 // function must only read.
@@ -197,12 +187,13 @@
 		select {
 		case <-ctx.Done():
 			return
-		case e := <-s.events:
-			s.step(c, e)
+		case t := <-s.events:
+			s.lag.note(s.now() - t.at)
+			s.step(c, t.event)
 		case look := <-s.ask:
 			look(c)
 		case <-timer.C:
-			s.noteLag(s.now() - due)
+			s.lag.note(s.now() - due)
 			s.step(c, core.Tick{})
 		}
 		due = max(c.Wake(), s.now())
