core/prompt: homes of prompts are trusted as their answers show, and copied from

Change: a router learns from its own answers how often the first choice by rendezvous hashing had kept what it never sent there, expects that, and lets other engines copy from it. Tests first, failing: TestHomesAreTrustedAsTheyAnswer, TestCopiesComeFromHomes. Ruled out: telling loads more often, which costs bytes by the square of the routers. Conclusion: what all routers would do alike needs no message.

--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -30,6 +30,7 @@
 	}
 	var best place
 	found := false
+	r.home = m.homeOf(r)
 	holder := m.holderOf(r)
 	for rank, id := range r.candidates {
 		s := m.servers[id]
@@ -52,9 +53,9 @@
 	if !s.engine {
 		return m.placeAtService(s)
 	}
-	p := place{server: s, backlog: s.backlog(m.now), unread: s.unread(&r.Prompt)}
+	p := place{server: s, backlog: s.backlog(m.now), unread: m.unreadAt(s, r)}
 	p.ahead = s.reading(p.backlog)
-	p.copyFrom(holder, &r.Prompt)
+	m.copyFrom(&p, holder, r)
 	if over := s.running() - s.Slots; s.Slots > 0 && over >= 0 {
 		p.ahead += time.Duration(over+1) * m.config.Tuning.SlotDelay
 	}
@@ -88,7 +89,7 @@
 		if s == nil || s.health.out(m.now) {
 			continue
 		}
-		if unread := s.unread(&r.Prompt); unread < least {
+		if unread := m.unreadAt(s, r); unread < least {
 			best, least = s, unread
 		}
 	}
@@ -96,11 +97,11 @@
 }
 
 // copyFrom lets a place copy what another backend server keeps of a prompt.
-func (p *place) copyFrom(holder *server, prompt *model.Prompt) {
+func (m *Machine) copyFrom(p *place, holder *server, r *request) {
 	if holder == nil || holder == p.server {
 		return
 	}
-	unread := holder.unread(prompt)
+	unread := m.unreadAt(holder, r)
 	if p.unread-unread < minCopied {
 		return
 	}
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -20,7 +20,9 @@
 // The one where the answer begins soonest, with the reading of the prompt counted
 // more than once, as it takes capacity from others. Where none is known to keep
 // the prompt's shared parts, rendezvous hashing over them lets all routers choose
-// alike.
+// alike. In a large fleet a router hears little of what the others have sent where,
+// so it learns from its own requests how often the first choice, their home, has
+// kept what this router never sent there, and expects as much of it from then on.
 //
 // # Accounts
 //
@@ -162,6 +164,7 @@
 	news     []Placement
 	actions  []Action
 	passed   model.Time // when all that waits was last gone over
+	homes    homes
 }
 
 // request is a request that waits or runs.
@@ -174,6 +177,7 @@
 	flight   *flight
 	began    bool
 
+	home       *server           // to which routers that know nothing send it
 	candidates []model.BackendID // to look at, in order
 	chosenFor  int               // version of the configuration
 }
@@ -310,6 +314,7 @@
 	}
 	r.began = true
 	r.server.began(m.now, r.flight)
+	m.homes.learn(m.now-r.flight.sent, r.flight)
 	m.decide()
 }
 
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -129,6 +129,7 @@
 	s := p.server
 	r.server = s
 	r.flight = s.send(m.now, p.unread, p.delay)
+	m.markHome(r, p)
 	for i, part := range r.Prompt.Parts {
 		key := partKey(part.ID)
 		s.kept.touch(s.sent, key, s.room)
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -48,6 +48,9 @@
 	unread float64
 	began  bool
 	delay  time.Duration // expected until the answer begins
+	// ifKept and ifCold are when the answer would begin if the shared parts, of
+	// which this router doesn't know, are kept or aren't; 0 where it knows.
+	ifKept, ifCold time.Duration
 }
 
 func newServer(id model.BackendID, b Backend, now model.Time) *server {
