core: a restarted router counts from the fleet's amounts; gateway: buffers are used again

Second: a refusal that reads its request spent a third of its processor time on buffers and their collection. Test first, failing: TestRestartedRouterJudgesOnlyTheWindow. Ruled out: lifts of the ledger, which this policy doesn't use. Conclusion: amounts are compared only with amounts of the same view.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -82,6 +82,10 @@
 
 // observe takes an account's amounts from the ledger.
 func (c *Core) observe(key model.Key) {
+	if known := c.ledger.Known(); known != c.amountsKnown {
+		c.amountsKnown = known
+		c.prompt.Rebase()
+	}
 	c.prompt.Observe(key.Account, prompt.Amounts{
 		Asked: c.ledger.Virtual(askedKey(key)).Tokens(),
 		Begun: c.ledger.Virtual(key).Tokens(),
--- a/core/core.go
+++ b/core/core.go
@@ -68,6 +68,7 @@
 
 	// Where decisions are made by prompt.
 	promptKeys   map[RequestID]model.Key
+	amountsKnown bool // the ledger holds the fleet's amounts
 	nextObserve  model.Time
 	loadsChanged bool
 	loadsSent    model.Time
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -28,6 +28,8 @@
 	told Amounts          // as last told, which begins anew with another ledger
 	past [samples]Amounts // a ring
 	last int              // the newest entry
+	// rebased is set where the next amounts only say from where to count on.
+	rebased bool
 }
 
 // inWindow returns the amounts of the window. Entries that aren't filled yet are
@@ -52,11 +54,33 @@
 		h = &history{told: a}
 		m.shares.accounts[account] = h
 	}
+	if h.rebased {
+		h.rebased = false
+		h.told = a
+		return
+	}
 	h.now.Asked += max(a.Asked-h.told.Asked, 0)
 	h.now.Begun += max(a.Begun-h.told.Begun, 0)
 	h.told = a
 }
 
+// Rebase makes the next amounts of each account those to count on from: the ledger
+// holds another view of the fleet from now on.
+func (m *Machine) Rebase() {
+	for _, h := range m.shares.accounts {
+		h.rebased = true
+	}
+}
+
+// Amounts returns what an account has asked for, and what has begun of it, in the
+// window.
+func (m *Machine) Amounts(account model.AccountID) Amounts {
+	if h := m.shares.accounts[account]; h != nil {
+		return h.inWindow()
+	}
+	return Amounts{}
+}
+
 // Sample lets the window move on; it is due as often as sampleEvery.
 func (m *Machine) Sample(now model.Time) {
 	for now >= m.shares.sampled+sampleEvery {
--- /dev/null
+++ b/core/restart_test.go
@@ -0,0 +1,59 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/policy/promptaffinity"
+)
+
+// submitPrompt sends a request that is decided on by its prompt.
+func (f *fleet) submitPrompt(n *node, account model.AccountID, tokens int) {
+	f.nextID++
+	id := f.nextID
+	f.jobs[id] = &job{id: id, account: account, pool: model.Pool(assistant), output: 20, node: n, arrived: f.now}
+	f.step(n, Arrive{
+		ID: id, Account: account, Pool: model.Pool(assistant), Wait: time.Second,
+		Prompt: model.Prompt{Tokens: tokens, Hint: 20},
+	})
+}
+
+// TestRestartedRouterJudgesOnlyTheWindow restarts a router that gets requests before
+// it hears of the fleet. What an account had since the fleet's start must not count
+// for the window of four seconds when it is heard: it would be refused as if it had
+// taken it all just now.
+func TestRestartedRouterJudgesOnlyTheWindow(t *testing.T) {
+	const (
+		tokens   = 1000
+		every    = 20 * time.Millisecond
+		inWindow = 4 * float64(time.Second/every) * (tokens + 2*20)
+	)
+	is := is.New(t)
+	f := newFleet(1, todaysConfig(promptaffinity.Policy), todaysHalls)
+	account := model.Account(accountNames(1)[0])
+	restarted := f.nodes[4]
+	for i := range 1500 {
+		now := time.Duration(i) * every
+		f.runUntil(now)
+		switch now {
+		case 24 * time.Second:
+			f.kill(restarted)
+		case 25 * time.Second:
+			f.start(restarted)
+		}
+		n := f.nodes[i%len(f.nodes)]
+		if now >= 25*time.Second {
+			n = restarted
+		}
+		if !n.down {
+			f.submitPrompt(n, account, tokens)
+		}
+		if now >= 25*time.Second {
+			is.True(restarted.core.prompt.Amounts(account).Asked < 1.2*inWindow)
+		}
+	}
+	is.True(restarted.core.prompt.Amounts(account).Asked > 0.8*inWindow)
+}
--- a/e2e/processor_test.go
+++ b/e2e/processor_test.go
@@ -36,13 +36,32 @@
 	}
 	w.behave(w.engines, users.Behaviour{Events: streamEvents, Gap: streamGap})
 	before := processorTime(b, w.routers[0])
+	served := callMany(w, "/unhurried/1", b.N)
+	spent := processorTime(b, w.routers[0]) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
+	b.ReportMetric(float64(served)/float64(b.N), "served/req")
+}
+
+// BenchmarkPlatformRefusal measures the processor time that a router spends on a
+// request that it reads and refuses, each on a new connection.
+func BenchmarkPlatformRefusal(b *testing.B) {
+	w := newWorld(b, 1)
+	before := processorTime(b, w.routers[0])
+	callMany(w, "/nowhere/", b.N)
+	spent := processorTime(b, w.routers[0]) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
+}
+
+// callMany makes so many requests of a path, each on a new connection, and returns
+// how many were served.
+func callMany(w *world, path string, requests int) int64 {
 	var callers sync.WaitGroup
 	var last, served atomic.Int64
 	for range streamCallers {
 		callers.Go(func() {
-			for n := last.Add(1); n <= int64(b.N); n = last.Add(1) {
+			for n := last.Add(1); n <= int64(requests); n = last.Add(1) {
 				r := users.Request{
-					Method: "POST", Path: "/unhurried/1", Key: callerKey, ID: fmt.Sprintf("stream-%d", n),
+					Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("stream-%d", n),
 					Body: strings.Repeat("x", streamBody),
 				}
 				if users.Call(w.routers[0].callers, r).Status == 200 {
@@ -52,9 +71,7 @@
 		})
 	}
 	callers.Wait()
-	spent := processorTime(b, w.routers[0]) - before
-	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
-	b.ReportMetric(float64(served.Load())/float64(b.N), "served/req")
+	return served.Load()
 }
 
 // processorTime returns the time that a router's process has had of processors.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,7 @@
 	ctx      context.Context // ends when the caller has left
 	held     *scheduler.Request
 	sends    int
+	lent     bool // an exchange may still write the request's body
 	ran      bool // it may have run somewhere
 	misses   int  // backend servers that couldn't be reached
 	tried    []model.BackendID
@@ -49,6 +50,11 @@
 // carry another.
 func (s *Service) handle(c *callerConn, req *fasthttp.Request) bool {
 	a := &attempt{service: s, conn: c, req: req, began: time.Now()}
+	defer func() {
+		if !a.lent {
+			fasthttp.ReleaseRequest(req)
+		}
+	}()
 	a.keep = !req.Header.ConnectionClose() && !s.draining.Load()
 	if s.overloaded() {
 		a.keep = false // the next one is turned away unread, by another router if need be
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,12 +22,32 @@
 	busy   atomic.Bool // a request is being read or served
 }
 
+// buffers are those of connections that have ended: a flooded router would spend
+// much of its processor on collecting them.
+var (
+	readers sync.Pool // of *bufio.Reader
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, answerBuffer) }}
+)
+
 func newCallerConn(c net.Conn, headerBytes int) *callerConn {
-	return &callerConn{
-		Conn:   c,
-		reader: bufio.NewReaderSize(c, headerBytes),
-		writer: bufio.NewWriterSize(c, answerBuffer),
+	out := &callerConn{Conn: c, writer: writers.Get().(*bufio.Writer)}
+	out.writer.Reset(c)
+	if reader, ok := readers.Get().(*bufio.Reader); ok && reader.Size() == headerBytes {
+		reader.Reset(c)
+		out.reader = reader
+		return out
 	}
+	out.reader = bufio.NewReaderSize(c, headerBytes)
+	return out
+}
+
+// release closes the connection, which nothing reads from or writes to any more.
+func (c *callerConn) release() {
+	_ = c.Close()
+	c.reader.Reset(nil)
+	c.writer.Reset(nil)
+	readers.Put(c.reader)
+	writers.Put(c.writer)
 }
 
 // answerBuffer is the size of the buffer that an answer is written through, in
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,10 +142,10 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	defer func() {
-		_ = c.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		c.release()
 	}()
 	for s.serveOne(c) {
 		c.busy.Store(false)
@@ -158,12 +158,14 @@
 // serveOne serves one request, and tells whether the connection may carry
 // another.
 func (s *Service) serveOne(c *callerConn) bool {
-	req := &fasthttp.Request{} // not from a pool: the exchange may still write its body
+	req := fasthttp.AcquireRequest()
 	refused, err := c.readRequest(req, limitsOf(s.generation.InForce()))
 	if err != nil {
+		fasthttp.ReleaseRequest(req)
 		return false
 	}
 	if refused != nil {
+		fasthttp.ReleaseRequest(req)
 		s.metrics.Front.Refusals.WithLabelValues(refused.code).Inc()
 		_ = refused.write(c, 0, true)
 		return false
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -19,6 +19,7 @@
 	inForce := s.generation.InForce()
 	backend := inForce.Core.Backends[d.Backend]
 	a.logDispatch(d, backend.Name, inForce)
+	a.lent = true
 	req := &fasthttp.Request{}
 	a.req.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(a.req.Body())
