peer: on one processor datagrams come by the runtime's poller, not gnet's loop

Cause: gnet's event loop waits in a system call of its own. With one processor the Go runtime hands its work to another thread at each datagram and back, and needed four threads so that nothing waited for the hand-over: half of what a router spent.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -138,7 +138,9 @@
 	gens := generation.New(around.source, log, metrics.Platform)
 	services := []kernel.Service{
 		telemetry.NewTraces(s.Name, s.TraceEndpoint),
-		peer.New(peer.Settings{Name: s.Name, Boot: self.Boot, Listen: s.PeerListen, Key: []byte(around.key)}, metrics.Peer),
+		peer.New(peer.Settings{
+			Name: s.Name, Boot: self.Boot, Listen: s.PeerListen, Key: []byte(around.key), EventLoop: s.EventLoop,
+		}, metrics.Peer),
 		r.scheduler,
 		fleet.New(s.Name, around.routers, log),
 		gens,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,16 +59,13 @@
 	memoryPart = 0.6
 )
 
-// minProcs is how many threads run Go code at the least. gnet's event loop waits
-// in a system call of its own: with one thread, what is ready to run meanwhile
-// would wait until the runtime notices, which took up to three seconds.
-const minProcs = 4
+// eventLoopProcs is how many threads run Go code at the least beside an event loop.
+// It waits in a system call of its own: with one thread, what is ready to run
+// meanwhile would wait until the runtime notices, which took up to three seconds.
+const eventLoopProcs = 4
 
 // Main runs the daemon and returns the exit code.
 func Main() int {
-	if runtime.GOMAXPROCS(0) < minProcs {
-		runtime.GOMAXPROCS(minProcs)
-	}
 	if err := NewCommand().ExecuteContext(context.Background()); err != nil {
 		return 1
 	}
@@ -92,6 +89,9 @@
 func Run(ctx context.Context, s Settings, logTo io.Writer) error {
 	lines := telemetry.NewLogWriter(logTo)
 	defer lines.Close()
+	if s.EventLoop && runtime.GOMAXPROCS(0) < eventLoopProcs {
+		runtime.GOMAXPROCS(eventLoopProcs)
+	}
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryPart * bytesPerMB))
 	log := newLog(s, lines)
 	r, err := build(ctx, s, log)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"runtime"
 	"time"
 
 	"github.com/spf13/pflag"
@@ -14,6 +15,13 @@
 	interfacePlatform = "platform"
 )
 
+// The values of the setting peer-receiver.
+const (
+	receiverAuto      = "auto"
+	receiverEventLoop = "event-loop"
+	receiverRuntime   = "runtime"
+)
+
 // Settings are the router's settings, checked.
 type Settings struct {
 	Interface     string
@@ -22,6 +30,7 @@
 	CallerListen  string
 	AdminListen   string
 	PeerListen    string
+	EventLoop     bool // receives the other routers' datagrams
 	Store         string
 	VMList        string // of the own interface
 	OperatorToken string // of the own interface
@@ -43,6 +52,8 @@
 	f.String("caller-listen", "", "IP and port for callers")
 	f.String("admin-listen", "", "IP and port for operators, health and counters")
 	f.String("peer-listen", "", "IP and port for the other routers, UDP and TCP; as the VM list has it")
+	f.String("peer-receiver", receiverAuto, "how the other routers' datagrams are received: by gnet's event-loop, by the "+
+		"Go runtime, or auto: by the event loop where there are several processors")
 	f.String("store", "", "IP and port of the platform's key-value service")
 	f.String("vm-list", "", "IP and port of the platform's VM list; own interface only")
 	f.String("operator-token-file", "", "file with the operators' token; own interface only")
@@ -80,6 +91,8 @@
 		LogFormat:     r.Word("log-format", "json", "console"),
 		TraceEndpoint: r.Text("trace-endpoint"),
 	}
+	receiver := r.Word("peer-receiver", receiverAuto, receiverEventLoop, receiverRuntime)
+	s.EventLoop = receiver == receiverEventLoop || receiver == receiverAuto && runtime.NumCPU() > 1
 	if s.Interface == interfaceOwn {
 		s.VMList = r.Address("vm-list")
 		s.OperatorToken = r.Secret("operator-token-file")
--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -26,11 +26,20 @@
 
 func startPeer(t *testing.T, is *is.I, name, key string) *Service {
 	t.Helper()
+	return startAt(t, is, Settings{Name: name, Boot: 1, Listen: freeAddress(is), Key: []byte(key)})
+}
+
+// freeAddress returns a loopback address whose port is free.
+func freeAddress(is *is.I) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	address := l.Addr().String()
-	is.NoErr(l.Close())
-	s := New(Settings{Name: name, Boot: 1, Listen: address, Key: []byte(key)}, telemetry.NewMetrics().Peer)
+	defer func() { is.NoErr(l.Close()) }()
+	return l.Addr().String()
+}
+
+func startAt(t *testing.T, is *is.I, settings Settings) *Service {
+	t.Helper()
+	s := New(settings, telemetry.NewMetrics().Peer)
 	is.NoErr(s.Start(context.Background(), nil))
 	t.Cleanup(func() { is.NoErr(s.Stop(context.Background())) })
 	return s
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -28,6 +26,9 @@
 	Boot   uint64
 	Listen string // IP and port, for both UDP and TCP
 	Key    []byte
+	// EventLoop receives datagrams by gnet's event loop, which takes a thread of
+	// its own, and not by the Go runtime's poller.
+	EventLoop bool
 }
 
 // Service is the routers' link to one another.
@@ -40,7 +41,7 @@
 	receive func(*wire.Datagram)
 	known   map[string]string // address by name, as last sent to
 
-	engine  gnet.Engine
+	in      receiver
 	booted  chan error
 	out     *net.UDPConn
 	calls   net.Listener
@@ -51,13 +52,18 @@
 
 // New returns the service.
 func New(settings Settings, metrics *telemetry.Peer) *Service {
-	return &Service{
+	s := &Service{
 		settings: settings,
 		metrics:  metrics,
 		session:  newSession(settings.Name, settings.Boot, settings.Key),
 		known:    map[string]string{},
 		booted:   make(chan error, 2),
+		in:       &runtimePoller{},
 	}
+	if settings.EventLoop {
+		s.in = &eventLoop{}
+	}
+	return s
 }
 
 // Name implements kernel.Service.
@@ -102,42 +108,19 @@
 
 func (s *Service) listenDatagrams() {
 	defer s.ended.Done()
-	s.booted <- gnet.Run(&events{service: s}, "udp://"+s.settings.Listen,
-		gnet.WithMulticore(false), gnet.WithLogLevel(logging.FatalLevel))
+	s.in.run(s.settings.Listen, func(err error) { s.booted <- err }, s.take)
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
-	err := s.engine.Stop(ctx)
+	err := s.in.stop(ctx)
 	_ = s.calls.Close()
 	_ = s.out.Close()
 	s.ended.Wait()
 	return err
 }
 
-// events takes gnet's calls.
-type events struct {
-	gnet.BuiltinEventEngine
-	service *Service
-}
-
-// OnBoot implements gnet.EventHandler.
-func (e *events) OnBoot(engine gnet.Engine) gnet.Action {
-	e.service.engine = engine
-	e.service.booted <- nil
-	return gnet.None
-}
-
-// OnTraffic implements gnet.EventHandler: it takes one datagram.
-func (e *events) OnTraffic(c gnet.Conn) gnet.Action {
-	b, err := c.Next(-1)
-	if err == nil {
-		e.service.take(b, c.RemoteAddr())
-	}
-	return gnet.None
-}
-
 func (s *Service) take(b []byte, from net.Addr) {
 	s.metrics.ReceivedBytes.Add(float64(len(b)))
 	s.mu.Lock()
--- /dev/null
+++ b/peer/receiver_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/telemetry"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// receivers are the ways to receive datagrams, by whether they are event loops.
+var receivers = map[string]bool{"event loop": true, "runtime's poller": false}
+
+// TestDatagramsArrive sends datagrams between a router of each kind.
+func TestDatagramsArrive(t *testing.T) {
+	for name, loop := range receivers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			key := []byte("one key for both")
+			a := startAt(t, is, Settings{Name: "a", Boot: 1, Listen: freeAddress(is), Key: key, EventLoop: !loop})
+			b := startAt(t, is, Settings{Name: "b", Boot: 2, Listen: freeAddress(is), Key: key, EventLoop: loop})
+			got := make(chan *wire.Datagram, 16)
+			b.OnDatagram(func(d *wire.Datagram) { got <- d })
+			rumours := []*wire.Rumour{{Name: "a", Address: a.settings.Listen}}
+			for range 400 {
+				a.Send(b.settings.Listen, &wire.Datagram{To: "b", From: "a", Rumours: rumours})
+				select {
+				case d := <-got:
+					is.Equal(d.From, "a")
+					return
+				case <-time.After(50 * time.Millisecond): // greeted first, or lost
+				}
+			}
+			t.Fatal("no datagram came")
+		})
+	}
+}
+
+// TestAddressInUse starts a second router at the same address.
+func TestAddressInUse(t *testing.T) {
+	for name, loop := range receivers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := startAt(t, is, Settings{Name: "a", Boot: 1, Listen: freeAddress(is), Key: []byte("key"), EventLoop: loop})
+			b := New(Settings{Name: "b", Boot: 1, Listen: a.settings.Listen, Key: []byte("key")}, telemetry.NewMetrics().Peer)
+			is.True(b.Start(context.Background(), nil) != nil)
+		})
+	}
+}
