core/prompt: places in a router's queue are shared by accounts

Change: at most 12 places an account; where the queue is full, the account with the most gives up its newest. Such refusals have a reason of their own, queue-full. Tests first, failing: TestFloodLeavesPlacesToOthers, TestQueueIsSharedByAccounts. Conclusion: who floods pays with its own places.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -88,6 +88,7 @@
 	NoBackend Reason = "no-backend" // there is none that could serve it
 	NoRoom    Reason = "no-room"    // it couldn't begin in time anywhere
 	OverShare Reason = "over-share" // its account has had its share, and others wait
+	QueueFull Reason = "queue-full" // too many wait here, or too many of its account
 	TooLate   Reason = "too-late"   // its time is over
 )
 
@@ -254,8 +255,7 @@
 	r := &request{Request: in, arrived: m.now, deadline: m.now + in.Wait}
 	r.cost = m.CostOf(&in)
 	m.requests[in.ID] = r
-	if len(m.waiting) >= maxWaiting {
-		m.refuse(r, NoRoom, m.config.Tuning.RetryAfter)
+	if !m.makeRoom(r) {
 		return
 	}
 	m.waiting = append(m.waiting, r)
@@ -267,10 +267,6 @@
 	m.decide()
 }
 
-// maxWaiting is how many requests wait at the most: each is looked at anew with
-// every event, and a router that can't keep up must not take ever more.
-const maxWaiting = 64
-
 // CostOf returns what a request costs in the terms of shares: a token read
 // counts once, a token written twice.
 func (m *Machine) CostOf(in *Request) float64 {
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
 )
 
 // decide goes over what waits, in the order in which it is served, and sends or
@@ -20,6 +22,57 @@
 	}
 }
 
+const (
+	// maxWaiting is how many requests wait at the most, and maxWaitingOf how many of
+	// one account. Each is looked at anew in every pass, for which a router that is
+	// flooded by one account has no time; and the others need places too.
+	maxWaiting   = 64
+	maxWaitingOf = 12
+)
+
+// makeRoom finds a place in the queue for a request; where there is none, it refuses
+// that request, or the newest one of the account that has the most, and tells
+// whether the request may wait.
+func (m *Machine) makeRoom(r *request) bool {
+	waiting := map[model.AccountID]int{}
+	for _, o := range m.waiting {
+		waiting[o.Account]++
+	}
+	own := waiting[r.Account]
+	if own >= maxWaitingOf {
+		m.refuseUnseen(r)
+		return false
+	}
+	if len(m.waiting) < maxWaiting {
+		return true
+	}
+	var last *request
+	for _, o := range m.waiting {
+		if last == nil || waiting[o.Account] >= waiting[last.Account] {
+			last = o
+		}
+	}
+	if waiting[last.Account] <= own+1 {
+		last = r
+	}
+	m.refuseUnseen(last)
+	return last != r
+}
+
+// refuseUnseen refuses a request for which there is no place in the queue.
+func (m *Machine) refuseUnseen(r *request) {
+	m.drop(r)
+	m.actions = append(m.actions, Refuse{
+		ID: r.ID, Reason: QueueFull, RetryAfter: m.config.Tuning.RetryAfter, Waited: m.now - r.arrived,
+	})
+}
+
+// drop forgets a request of which nothing was sent.
+func (m *Machine) drop(r *request) {
+	m.removeWaiting(r)
+	delete(m.requests, r.ID)
+}
+
 // ranked returns what waits in the order in which it is served: by priority,
 // then by the part of its share that its account has had, then by arrival.
 func (m *Machine) ranked(level float64) []*request {
@@ -113,8 +166,7 @@
 }
 
 func (m *Machine) refuse(r *request, reason Reason, retryAfter time.Duration) {
-	m.removeWaiting(r)
-	delete(m.requests, r.ID)
+	m.drop(r)
 	delay := time.Duration(0)
 	if p, ok := m.best(r); ok {
 		delay = p.delay
--- /dev/null
+++ b/core/prompt/queue_test.go
@@ -0,0 +1,54 @@
+package prompt
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// TestFloodLeavesPlacesToOthers floods a router whose engines are full with the
+// requests of one account: a request of another one must still find a place, and the
+// flood only so many.
+func TestFloodLeavesPlacesToOthers(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(1)
+	for _, s := range m.servers {
+		s.sentElsewhere(0, 200_000)
+	}
+	const flood, quiet = 1, 2
+	for i := range 300 {
+		m.Arrive(0, ask(model.RequestID(i+1), flood, uint64(i), 1000))
+	}
+	is.Equal(len(m.Take()), 300-maxWaitingOf) // refused at once
+	m.Arrive(time.Millisecond, ask(1000, quiet, 7, 1000))
+	is.Equal(len(m.Take()), 0) // it waits
+	is.True(m.Has(1000))
+}
+
+// TestQueueIsSharedByAccounts fills the queue from many accounts: whoever has the
+// most gives up a place.
+func TestQueueIsSharedByAccounts(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(1)
+	for _, s := range m.servers {
+		s.sentElsewhere(0, 200_000)
+	}
+	id := model.RequestID(0)
+	for account := range model.AccountID(6) {
+		for range maxWaitingOf {
+			id++
+			m.Arrive(0, ask(id, account+1, uint64(id), 1000))
+		}
+	}
+	is.Equal(len(m.waiting), maxWaiting)
+	held := map[model.AccountID]int{}
+	for _, r := range m.waiting {
+		held[r.Account]++
+	}
+	for account := range model.AccountID(6) {
+		is.True(held[account+1] >= maxWaiting/6-1)
+	}
+}
