generation: watches rest after a change, and begin once the others are known

Change: a watch rests for 150 ms after a change, and none begins in a router's first 1.5 s. Test first, failing: TestPlatformBurstsTakeFewCalls. Ruled out: the routers' leases, a tenth of a call each. Conclusion: the bounds on what is in force are seconds; a sixth of one is cheap.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -460,3 +460,22 @@
 		return users.Call(w.routers[0].callers, w.request("GET", "/look/1")).Status == 401
 	})
 }
+
+// TestPlatformBurstsTakeFewCalls lets many backend servers announce themselves one
+// after the other: the routers that watch must not call the store for each.
+func TestPlatformBurstsTakeFewCalls(t *testing.T) {
+	const burst = 30
+	w := newWorld(t, 3)
+	time.Sleep(3 * time.Second) // until they have found each other
+	before := w.store.Calls("/kv-watch")
+	for i := range burst {
+		w.services = append(w.services, w.backend(fmt.Sprintf("service-more-%d", i), "entries"))
+		time.Sleep(5 * time.Millisecond)
+	}
+	last := w.services[len(w.services)-1]
+	await(t, "the last one is known", func() bool {
+		_ = users.Call(w.routers[0].callers, w.request("GET", "/look/1"))
+		return len(last.Runs()) > 0
+	})
+	w.is.True(w.store.Calls("/kv-watch")-before < burst*4/3) // two routers watch
+}
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -76,18 +76,16 @@
 	if s.catalog.discovery == nil {
 		return
 	}
+	rest(ctx, watchSettle-time.Since(s.began))
 	for ctx.Err() == nil {
 		if s.listCatalog(ctx) != nil {
 			s.pause()
 			continue
 		}
 		for ctx.Err() == nil && s.followCatalog(ctx) == nil {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
+			rest(ctx, watchPause)
 		}
+		rest(ctx, retryPause)
 	}
 }
 
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -46,6 +46,13 @@
 const Key = "tamarindstep/configuration"
 
 const (
+	// watchPause is how long a watch rests after a change: changes come in bursts,
+	// and every call is counted.
+	watchPause = 150 * time.Millisecond
+	// watchSettle is how long after its start a router doesn't watch: until it knows
+	// the others, each takes itself for one of those that do.
+	watchSettle = 1500 * time.Millisecond
+
 	retryPause   = 250 * time.Millisecond
 	fetchTimeout = 2 * time.Second
 	applyTimeout = 10 * time.Second
@@ -120,6 +127,7 @@
 	inForce atomic.Pointer[config.InForce]
 	ready   atomic.Bool
 
+	began    time.Time
 	mu       sync.Mutex
 	document *wire.Document
 	file     *config.File // of the document
@@ -137,7 +145,7 @@
 func New(source Source, log zerolog.Logger, metrics *telemetry.Platform) *Service {
 	s := &Service{
 		store: source.Store, format: source.Format, foreign: source.Format != nil,
-		log: log, metrics: metrics, watch: make(chan bool, 16),
+		log: log, metrics: metrics, watch: make(chan bool, 16), began: time.Now(),
 		catalog: catalog{discovery: source.Discovery},
 	}
 	if !s.foreign {
@@ -207,12 +215,7 @@
 	}
 }
 
-func (s *Service) pause() {
-	select {
-	case <-s.run.Done():
-	case <-time.After(retryPause):
-	}
-}
+func (s *Service) pause() { rest(s.run, retryPause) }
 
 // readStore reads the store and tells whether it answered.
 func (s *Service) readStore() bool {
@@ -322,8 +325,20 @@
 	}
 }
 
+// rest waits for so long, or until the context ends.
+func rest(ctx context.Context, long time.Duration) {
+	if long <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(long):
+	}
+}
+
 func (s *Service) watchStore(ctx context.Context) {
 	defer s.ended.Done()
+	rest(ctx, watchSettle-time.Since(s.began))
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		revision := s.revision
@@ -336,6 +351,7 @@
 			continue
 		}
 		s.installValue(v)
+		rest(ctx, watchPause)
 	}
 }
 
