gateway: the request of a crowded account is refused by its header, its body unread

Change: where a router is behind, or an account has enough requests waiting here for a decision, a request with a large body is refused once its header is read; the answer says when to come back, and the connection ends after it. Tests: TestCrowdedAccountIsRefusedByHeader, TestTurnedAwayCallersGetTheirAnswer. Ruled out: not being ready while flooded, as the flood moves to the next router. Conclusion: what is refused must cost a small part of what is served.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,8 @@
 	account model.AccountID
 	name    string // of the account
 
+	refused  *refusal // found by its header
+	shed     bool     // it is refused for what there is to do here
 	began    time.Time
 	deadline time.Time
 	ctx      context.Context // ends when the caller has left
@@ -46,30 +48,41 @@
 	keep     bool // the connection may carry another request
 }
 
-// handle serves a request that was read, and tells whether the connection may
-// carry another.
-func (s *Service) handle(c *callerConn, req *fasthttp.Request) bool {
-	a := &attempt{service: s, conn: c, req: req, began: time.Now()}
-	defer func() {
-		if !a.lent {
-			fasthttp.ReleaseRequest(req)
-		}
-	}()
-	a.keep = !req.Header.ConnectionClose() && !s.draining.Load()
+// admit finds, by the header alone, what the request is and whether it is refused.
+func (a *attempt) admit() {
+	s := a.service
+	a.began = time.Now()
+	a.keep = !a.req.Header.ConnectionClose() && !s.draining.Load()
 	if s.overloaded() {
-		a.keep = false // the next one is turned away unread, by another router if need be
-		a.refuse(tooMany, startRetryAfter)
-		return a.keep
+		a.keep = false // the next one is turned away unread, or goes to another router
+		a.refused, a.shed = tooMany, true
+		return
+	}
+	a.refused = a.understand()
+	if a.refused == nil && s.pending.of(a.account) >= maxPending {
+		a.refused, a.shed = crowded, true
 	}
-	if refused := a.understand(); refused != nil {
-		a.refuse(refused, startRetryAfter)
+}
+
+// release gives the request back where nothing may still write its body.
+func (a *attempt) release() {
+	if !a.lent {
+		fasthttp.ReleaseRequest(a.req)
+	}
+}
+
+// handle serves a request that was read, and tells whether the connection may
+// carry another.
+func (a *attempt) handle() bool {
+	if a.refused != nil {
+		a.refuse(a.refused, startRetryAfter)
 		return a.keep
 	}
 	ctx, left := context.WithDeadline(context.Background(), a.deadline)
 	defer left()
 	a.ctx = ctx
 	gone := make(chan struct{})
-	stop := c.watch(func() { close(gone); left() })
+	stop := a.conn.watch(func() { close(gone); left() })
 	a.serve()
 	stop()
 	select {
@@ -149,6 +162,8 @@
 // decide waits for the core's decision; ok is false where the request has
 // ended without one.
 func (a *attempt) decide() (scheduler.Decision, bool) {
+	a.service.pending.add(a.account, 1)
+	defer a.service.pending.add(a.account, -1)
 	if a.held == nil {
 		a.held = a.service.scheduler.Submit(core.Arrive{
 			Account: a.account,
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -20,6 +20,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	busy   atomic.Bool // a request is being read or served
+	// detached is set where the connection is closed elsewhere.
+	detached bool
 }
 
 // buffers are those of connections that have ended: a flooded router would spend
@@ -43,7 +45,9 @@
 
 // release closes the connection, which nothing reads from or writes to any more.
 func (c *callerConn) release() {
-	_ = c.Close()
+	if !c.detached {
+		_ = c.Close()
+	}
 	c.reader.Reset(nil)
 	c.writer.Reset(nil)
 	readers.Put(c.reader)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	open      atomic.Int64
 	shed      atomic.Int64 // connections turned away that are still open
 	shedNoted *occasional
+	pending   pending
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -158,21 +159,29 @@
 // serveOne serves one request, and tells whether the connection may carry
 // another.
 func (s *Service) serveOne(c *callerConn) bool {
-	req := fasthttp.AcquireRequest()
-	refused, err := c.readRequest(req, limitsOf(s.generation.InForce()))
+	limits := limitsOf(s.generation.InForce())
+	a := &attempt{service: s, conn: c, req: fasthttp.AcquireRequest()}
+	defer a.release()
+	refused, err := c.readHeader(a.req, limits)
+	if err == nil && refused == nil {
+		a.admit()
+		if a.shed && large(a.req) {
+			a.refuseUnread()
+			return false
+		}
+		refused, err = c.readBody(a.req, limits)
+	}
 	if err != nil {
-		fasthttp.ReleaseRequest(req)
 		return false
 	}
 	if refused != nil {
-		fasthttp.ReleaseRequest(req)
 		s.metrics.Front.Refusals.WithLabelValues(refused.code).Inc()
 		_ = refused.write(c, 0, true)
 		return false
 	}
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	return s.handle(c, req)
+	return a.handle()
 }
 
 // Drain lets a stopping router finish: callers are told to go elsewhere as
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -27,6 +27,7 @@
 	headerTooLarge = &refusal{fasthttp.StatusRequestHeaderFieldsTooLarge, "header-too-large", true}
 	noConfig       = &refusal{fasthttp.StatusServiceUnavailable, "no-configuration", false}
 	tooMany        = &refusal{fasthttp.StatusServiceUnavailable, "too-many-requests", false}
+	crowded        = &refusal{fasthttp.StatusServiceUnavailable, "queue-full", false}
 	stopping       = &refusal{fasthttp.StatusServiceUnavailable, "stopping", false}
 	tooLate        = &refusal{fasthttp.StatusServiceUnavailable, "too-late", false}
 	notAdmitted    = &refusal{fasthttp.StatusServiceUnavailable, "not-admitted", false}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,9 +43,9 @@
 // errIdle is the error for a connection that ended before another request.
 var errIdle = errors.New("no further request")
 
-// readRequest reads one request. A refusal tells what to answer where the bytes
-// are no proper request; the connection can't be used after it.
-func (c *callerConn) readRequest(req *fasthttp.Request, limits config.CallerLimits) (*refusal, error) {
+// readHeader reads one request up to its body. A refusal tells what to answer where
+// the bytes are no proper request; the connection can't be used after it.
+func (c *callerConn) readHeader(req *fasthttp.Request, limits config.CallerLimits) (*refusal, error) {
 	if err := c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
 		return nil, err
 	}
@@ -69,9 +69,10 @@
 	if ambiguousLength(req.Header.RawHeaders()) {
 		return malformed, nil
 	}
-	return c.readBody(req, limits)
+	return nil, nil
 }
 
+// readBody reads the body of a request whose header was read.
 func (c *callerConn) readBody(req *fasthttp.Request, limits config.CallerLimits) (*refusal, error) {
 	if req.Header.ContentLength() > limits.BodyBytes {
 		return bodyTooLarge, nil
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -2,7 +2,12 @@
 
 import (
 	"net"
+	"sync"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/model"
 )
 
 const (
@@ -30,6 +35,11 @@
 		_ = c.Close()
 		return
 	}
+	s.linger(c)
+}
+
+// linger ends a connection that carries its last answer, and closes it after a while.
+func (s *Service) linger(c net.Conn) {
 	half, ok := c.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil || s.shed.Load() >= maxShed {
 		_ = c.Close()
@@ -41,3 +51,47 @@
 		s.shed.Add(-1)
 	})
 }
+
+// largeBody is the size, in bytes, of the smallest body that costs more to read than
+// a new connection does to accept.
+const largeBody = 4 << 10
+
+// large tells whether a request's body is large, or its size isn't known.
+func large(req *fasthttp.Request) bool {
+	n := req.Header.ContentLength()
+	return n == -1 || n >= largeBody
+}
+
+// refuseUnread refuses a request of which only the header was read.
+func (a *attempt) refuseUnread() {
+	a.keep = false
+	a.refuse(a.refused, startRetryAfter)
+	a.conn.detached = true
+	a.service.linger(a.conn.Conn)
+}
+
+// maxPending is how many requests of an account may wait for a decision when the
+// next one is refused by its header: more than the core lets wait, so that its rules
+// hold as long as the router keeps up.
+const maxPending = 16
+
+// pending counts the requests of each account that wait for a decision.
+type pending struct {
+	mu     sync.Mutex
+	counts map[model.AccountID]int
+}
+
+func (p *pending) add(account model.AccountID, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.counts == nil {
+		p.counts = map[model.AccountID]int{}
+	}
+	p.counts[account] += n
+}
+
+func (p *pending) of(account model.AccountID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts[account]
+}
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -45,3 +46,29 @@
 		is.NoErr(c.Close())
 	}
 }
+
+// TestCrowdedAccountIsRefusedByHeader lets an account have as many requests pending as
+// it may: its next large one is refused whole though its body never comes.
+func TestCrowdedAccountIsRefusedByHeader(t *testing.T) {
+	is := is.New(t)
+	metrics := telemetry.NewMetrics()
+	s := New(Settings{MaxRequests: 10}, zerolog.Nop(), metrics)
+	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
+	ours, theirs := net.Pipe()
+	a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: 7}
+	a.req.Header.SetContentLength(100_000)
+	s.pending.add(7, maxPending)
+	is.True(large(a.req))
+	is.True(s.pending.of(a.account) >= maxPending)
+	a.refused = crowded
+	go func() {
+		a.refuseUnread()
+		a.conn.release()
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(theirs), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Close)
+	s.pending.add(7, -1)
+	is.True(s.pending.of(7) < maxPending)
+}
