core/prompt: a router's own lag tells nothing against its backend servers

Cause: a router that is late takes first tokens for later than they came. Change: a request carries how late its process is; so much later its answer is expected. As many requests of an account are refused by the header as the core lets wait. Test first, failing: TestOwnLagTellsNothingAgainstServers. Ruled out: engines that are slow in truth: the same ones answered others in time. Conclusion: what is measured at a late router has its own lateness in it.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -71,7 +71,7 @@
 	c.promptKeys[e.ID] = key
 	in := prompt.Request{
 		ID: e.ID, Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt,
-		Objective: e.Objective, Wait: e.Wait, Priority: e.Priority, Except: e.Except,
+		Objective: e.Objective, Wait: e.Wait, Priority: e.Priority, Except: e.Except, Lag: e.Lag,
 	}
 	if cost := c.prompt.CostOf(&in); cost > 0 && len(e.Except) == 0 {
 		c.ledger.Add(c.now, askedKey(key), model.ServiceOf(cost, 1))
--- a/core/event.go
+++ b/core/event.go
@@ -35,6 +35,8 @@
 	// Repeat tells that the request was sent to a backend server before, so that
 	// it draws on the retry budget.
 	Repeat bool
+	// Lag is how late this process comes to what is due at present.
+	Lag time.Duration
 }
 
 // Began tells that the answer to a dispatched request has begun.
--- a/core/prompt/home_test.go
+++ b/core/prompt/home_test.go
@@ -59,3 +59,24 @@
 	is.Equal(third.CopyFrom, home)
 	is.True(third.Unread < 1500)
 }
+
+// TestOwnLagTellsNothingAgainstServers lets a router that is late itself take answers
+// for begun as much later: its backend servers must not look slow.
+func TestOwnLagTellsNothingAgainstServers(t *testing.T) {
+	is := is.New(t)
+	const lag = 150 * time.Millisecond
+	m := newMachine(1)
+	now := time.Duration(0)
+	for i := range 40 {
+		now += 2 * time.Second
+		r := ask(model.RequestID(i+1), 1, uint64(i), 1000)
+		r.Lag = lag
+		m.Arrive(now, r)
+		d := dispatched(t, m)
+		m.Began(now+d.Delay+lag, r.ID)
+		m.Finish(now+time.Second, r.ID, Done, 50)
+	}
+	for _, s := range m.servers {
+		is.True(s.health.slowness() < 1.1)
+	}
+}
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -56,6 +56,9 @@
 	Objective time.Duration // until the answer should begin, 0 for none
 	Wait      time.Duration // until it can't be served any more
 	Priority  int           // 0 is the highest
+	// Lag is how late this process comes to what is due: so much later it also takes
+	// an answer for begun, which tells nothing against the backend server.
+	Lag time.Duration
 	// Except are the backend servers that it was sent to before.
 	Except []model.BackendID
 }
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -180,7 +180,7 @@
 	m.removeWaiting(r)
 	s := p.server
 	r.server = s
-	r.flight = s.send(m.now, p.unread, p.delay)
+	r.flight = s.send(m.now, p.unread, p.delay+r.Lag)
 	m.markHome(r, p)
 	for i, part := range r.Prompt.Parts {
 		key := partKey(part.ID)
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -71,9 +71,9 @@
 }
 
 // maxPending is how many requests of an account may wait for a decision when the
-// next one is refused by its header: more than the core lets wait, so that its rules
-// hold as long as the router keeps up.
-const maxPending = 16
+// next one is refused by its header: as many as the core lets wait, whose rules then
+// seldom have to refuse a request that was read.
+const maxPending = 12
 
 // pending counts the requests of each account that wait for a decision.
 type pending struct {
--- a/scheduler/lag.go
+++ b/scheduler/lag.go
@@ -27,5 +27,9 @@
 	l.mean.Store(mean + (int64(min(max(late, 0), maxLag))-mean)/lagWeight)
 }
 
+// ofAnswers returns how late this process takes an answer for begun: the goroutine
+// that reads it and then the core come late.
+func (l *lag) ofAnswers() time.Duration { return 2 * time.Duration(l.mean.Load()) }
+
 // behind tells whether the process can't keep up.
 func (l *lag) behind() bool { return time.Duration(l.mean.Load()) > lagFrom }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -292,6 +292,7 @@
 	r := &Request{service: s, id: a.ID, Decisions: make(chan Decision, 1)}
 	s.waiters[a.ID] = r.Decisions
 	s.mu.Unlock()
+	a.Lag = s.lag.ofAnswers()
 	s.Tell(a)
 	return r
 }
