--- a/claim/claim.go
+++ b/claim/claim.go
@@ -29,10 +29,10 @@
 const (
 	// shards is the number of shards; all routers must have the same.
 	shards = 16
-	// writesPerSecond is what the claims of the whole fleet may take of the
-	// store's writes.
-	writesPerSecond = 50.0
-	burst           = 6.0
+	// writesPart is what the claims of the whole fleet may take of the store's
+	// writes.
+	writesPart = 0.5
+	burst      = 6.0
 	// forwardTimeout is how long a router waits for the one that commits.
 	forwardTimeout = 2 * time.Second
 )
@@ -75,6 +75,7 @@
 // Service claims keys.
 type Service struct {
 	store   store.Store
+	writes  float64 // a second, of all shards together
 	metrics *telemetry.Platform
 	began   time.Time
 
@@ -88,9 +89,10 @@
 	ended  sync.WaitGroup
 }
 
-// New returns the service.
-func New(store store.Store, metrics *telemetry.Platform) *Service {
-	return &Service{store: store, metrics: metrics, began: time.Now()}
+// New returns the service; storeWrites is how many writes a second the store takes
+// from the whole fleet.
+func New(store store.Store, storeWrites float64, metrics *telemetry.Platform) *Service {
+	return &Service{store: store, writes: storeWrites * writesPart, metrics: metrics, began: time.Now()}
 }
 
 // Name implements kernel.Service.
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -30,7 +30,7 @@
 const askQueue = 1024
 
 func newRunner(s *Service, index int) *runner {
-	pace := claims.Pace{PerSecond: writesPerSecond / shards, Burst: burst}
+	pace := claims.Pace{PerSecond: s.writes / shards, Burst: burst}
 	return &runner{
 		service: s, index: index, shard: claims.NewShard(pace),
 		asks: make(chan asked, askQueue), replies: make(chan claims.Reply, 1),
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -144,7 +144,7 @@
 		r.scheduler,
 		fleet.New(s.Name, around.routers, log),
 		gens,
-		claim.New(around.source.Store, metrics.Platform),
+		claim.New(around.source.Store, s.StoreWrites, metrics.Platform),
 		back.New(),
 		status.New(s.Name, r.drain),
 		admin.New(s.AdminListen, s.OperatorToken, metrics.Registry, r.isDraining),
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -29,3 +29,22 @@
 	is.Equal(strings.Join(got, ", "), "TS3000 --admin-listen, TS3003 --log-level, TS3004 --name, "+
 		"TS3000 --operator-token-file, TS3000 --peer-key-file, TS3000 --peer-listen, TS3001 --store")
 }
+
+func TestNumbersAndWordsAreChecked(t *testing.T) {
+	is := is.New(t)
+	f := pflag.NewFlagSet("test", pflag.ContinueOnError)
+	addFlags(f)
+	is.NoErr(f.Parse([]string{
+		"--interface", "platform", "--name", "a", "--data-hall", "a", "--caller-listen", "127.0.0.1:1",
+		"--admin-listen", "127.0.0.1:2", "--peer-listen", "127.0.0.1:3", "--store", "127.0.0.1:4",
+		"--store-writes", "none", "--peer-receiver", "pigeon",
+	}))
+	_, err := read(f)
+	var findings finding.List
+	is.True(errors.As(err, &findings))
+	var got []string
+	for _, x := range findings {
+		got = append(got, x.Code+" "+x.Position.File)
+	}
+	is.Equal(strings.Join(got, ", "), "TS3003 --peer-receiver, TS3005 --store-writes")
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -32,6 +32,7 @@
 	PeerListen    string
 	EventLoop     bool // receives the other routers' datagrams
 	Store         string
+	StoreWrites   float64 // that it takes in a second
 	VMList        string // of the own interface
 	OperatorToken string // of the own interface
 	PeerKey       string // of the own interface
@@ -55,6 +56,7 @@
 	f.String("peer-receiver", receiverAuto, "how the other routers' datagrams are received: by gnet's event-loop, by the "+
 		"Go runtime, or auto: by the event loop where there are several processors")
 	f.String("store", "", "IP and port of the platform's key-value service")
+	f.String("store-writes", "100", "writes a second that the key-value service takes from the whole fleet; claims take half")
 	f.String("vm-list", "", "IP and port of the platform's VM list; own interface only")
 	f.String("operator-token-file", "", "file with the operators' token; own interface only")
 	f.String("peer-key-file", "", "file with the key that all routers share; own interface only")
@@ -82,6 +84,7 @@
 		AdminListen:   r.Address("admin-listen"),
 		PeerListen:    r.Address("peer-listen"),
 		Store:         r.Address("store"),
+		StoreWrites:   r.Number("store-writes", 1),
 		Policy:        r.Word("policy", policyNames()...),
 		Drain:         time.Duration(r.Number("drain-seconds", 1) * float64(time.Second)),
 		RetryRatio:    r.Number("retry-ratio", 0),
