--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,19 +33,20 @@
 	account model.AccountID
 	name    string // of the account
 
-	refused  *refusal // found by its header
-	shed     bool     // it is refused for what there is to do here
-	began    time.Time
-	deadline time.Time
-	ctx      context.Context // ends when the caller has left
-	held     *scheduler.Request
-	sends    int
-	lent     bool // an exchange may still write the request's body
-	ran      bool // it may have run somewhere
-	misses   int  // backend servers that couldn't be reached
-	tried    []model.BackendID
-	relay    relay
-	keep     bool // the connection may carry another request
+	refused    *refusal // found by its header
+	shed       bool     // it is refused for what there is to do here
+	began      time.Time
+	deadline   time.Time
+	ctx        context.Context // ends when the caller has left
+	held       *scheduler.Request
+	begunAfter time.Duration // until the first part of a stream came, 0 for none yet
+	sends      int
+	lent       bool // an exchange may still write the request's body
+	ran        bool // it may have run somewhere
+	misses     int  // backend servers that couldn't be reached
+	tried      []model.BackendID
+	relay      relay
+	keep       bool // the connection may carry another request
 }
 
 // admit finds, by the header alone, what the request is and whether it is refused.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -104,6 +105,7 @@
 		if n > 0 {
 			if !began {
 				began = true
+				a.begunAfter = time.Since(a.began)
 				a.held.Began()
 			}
 			r.parts++
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -127,7 +127,7 @@
 	err := a.relay.run(a, answer)
 	if err == nil {
 		a.finish(core.Done, a.relay.output())
-		a.log("done").Int("status", answer.StatusCode()).Int("send", a.sends).Msg("request answered")
+		a.log("done").Int("status", answer.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.begunAfter).Msg("request answered")
 		a.count("done")
 		return true
 	}
