--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -33,10 +33,10 @@
 	EventLoop     bool // receives the other routers' datagrams
 	Store         string
 	StoreWrites   float64 // that it takes in a second
-	VMList        string // of the own interface
-	OperatorToken string // of the own interface
-	PeerKey       string // of the own interface
-	Policy        string // of the platform's interface
+	VMList        string  // of the own interface
+	OperatorToken string  // of the own interface
+	PeerKey       string  // of the own interface
+	Policy        string  // of the platform's interface
 	Drain         time.Duration
 	RetryRatio    float64
 	RetrySlack    float64
