core: what is newer is fetched from the own data hall where it is there

Cause: a router fetched a newer configuration or catalog from whoever it heard first, mostly in another data hall. Change: a router waits 150 ms to hear it from its own data hall, two of whose routers watch the store. Ruled out: the bound on what is in force, two seconds and more.

--- a/core/core.go
+++ b/core/core.go
@@ -68,7 +68,8 @@
 
 	// Where decisions are made by prompt.
 	promptKeys   map[RequestID]model.Key
-	amountsKnown bool // the ledger holds the fleet's amounts
+	newerSince   model.Time // when something newer elsewhere was first heard of, 0 for not
+	amountsKnown bool       // the ledger holds the fleet's amounts
 	nextObserve  model.Time
 	loadsChanged bool
 	loadsSent    model.Time
@@ -291,9 +292,7 @@
 		c.ledger.ReceiveDown(c.now, d.From, d.Down)
 		c.dirtyAll()
 	}
-	if d.Generation > c.config.Generation || d.Catalog > c.config.Catalog {
-		c.do(GenerationSeen{From: d.From, Address: c.members.Get(d.From).Address, Generation: d.Generation, Catalog: d.Catalog})
-	}
+	c.noteNewer(d)
 }
 
 // to returns the datagram being put together for a router in this step.
@@ -334,6 +333,7 @@
 		return
 	}
 	c.config = config
+	c.newerSince = 0
 	c.placement.stale = true
 	c.configurePrompt()
 	c.refuseWithdrawn()
