--- a/core/prompt/queue_test.go
+++ b/core/prompt/queue_test.go
@@ -52,3 +52,22 @@
 		is.True(held[account+1] >= maxWaiting/6-1)
 	}
 }
+
+// TestNobodyFallsFarBehindTheBest lets one account begin far more than it is owed, as
+// its prompts are kept where there is room. Another one that has begun more than it is
+// owed too, but less than half of that, must still count as within its share.
+func TestNobodyFallsFarBehindTheBest(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(9)
+	owed := m.config.TokensPerSecond * window.Seconds()
+	for account := range model.AccountID(3) {
+		m.Observe(account+1, Amounts{})
+	}
+	m.Sample(0)
+	m.Observe(1, Amounts{Asked: 9 * owed, Begun: 3 * owed})
+	m.Observe(2, Amounts{Asked: 9 * owed, Begun: 1.2 * owed})
+	m.Observe(3, Amounts{Asked: 9 * owed, Begun: 2.4 * owed})
+	l := m.levels()
+	is.Equal(m.standingOf(2, l), within)
+	is.True(m.standingOf(3, l) != within)
+}
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -98,8 +98,9 @@
 // levels are the max-min shares of accounts that ask for more, in tokens of the
 // window.
 type levels struct {
-	// owed is the share of what the engines are said to make, and real the share
-	// of what has begun in the window, where that is more.
+	// owed is the share of what the engines are said to make, or a part of what the
+	// account that has had the most has begun, where that is more; real is the share
+	// of what has begun in the window, where that is more still.
 	owed, real float64
 	enough     bool // there is enough for all
 }
@@ -111,10 +112,11 @@
 		return levels{enough: true}
 	}
 	var asked []float64
-	begun := 0.0
+	begun, best := 0.0, 0.0
 	for _, h := range m.shares.accounts {
 		a := h.inWindow()
 		begun += a.Begun
+		best = max(best, a.Begun)
 		if a.Asked > 0 {
 			asked = append(asked, a.Asked)
 		}
@@ -122,7 +124,7 @@
 	slices.Sort(asked)
 	var out levels
 	out.owed, out.enough = maxMin(asked, capacity)
-	out.owed += m.config.Tuning.Slack * capacity
+	out.owed = max(out.owed+m.config.Tuning.Slack*capacity, m.config.Tuning.BestPart*best)
 	out.real, _ = maxMin(asked, max(begun*m.config.Tuning.RealFactor, capacity))
 	out.real = max(out.real, out.owed)
 	return out
--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -39,6 +39,11 @@
 	// Slack is what each account may begin beyond its share, as a part of what is
 	// shared out.
 	Slack float64
+	// BestPart is the part of what the account that has had the most has begun that
+	// every other one is owed: capacity that would idle goes to those whose prompts
+	// are kept where there is room, and one whose callers all reach one router would
+	// fall ever further behind them.
+	BestPart float64
 	// RealFactor is how much more than what has begun is taken to be possible.
 	RealFactor float64
 	// RetryAfter is when a refused caller is asked back at the soonest, and
@@ -70,6 +75,7 @@
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
 	t.Slack = cmp.Or(t.Slack, 0.16)
+	t.BestPart = cmp.Or(t.BestPart, 0.6)
 	t.RealFactor = cmp.Or(t.RealFactor, 1.15)
 	t.RetryAfter = cmp.Or(t.RetryAfter, 300*time.Millisecond)
 	t.RetryOver = cmp.Or(t.RetryOver, time.Second)
