Revert "core: what is newer is fetched from the own data hall where it is there"

Conclusion: faster fetches only made more of them, each of the whole catalog: deltas are what is needed.

--- a/core/core.go
+++ b/core/core.go
@@ -68,8 +68,7 @@
 
 	// Where decisions are made by prompt.
 	promptKeys   map[RequestID]model.Key
-	newerSince   model.Time // when something newer elsewhere was first heard of, 0 for not
-	amountsKnown bool       // the ledger holds the fleet's amounts
+	amountsKnown bool // the ledger holds the fleet's amounts
 	nextObserve  model.Time
 	loadsChanged bool
 	loadsSent    model.Time
@@ -292,7 +291,9 @@
 		c.ledger.ReceiveDown(c.now, d.From, d.Down)
 		c.dirtyAll()
 	}
-	c.noteNewer(d)
+	if d.Generation > c.config.Generation || d.Catalog > c.config.Catalog {
+		c.do(GenerationSeen{From: d.From, Address: c.members.Get(d.From).Address, Generation: d.Generation, Catalog: d.Catalog})
+	}
 }
 
 // to returns the datagram being put together for a router in this step.
@@ -333,7 +334,6 @@
 		return
 	}
 	c.config = config
-	c.newerSince = 0
 	c.placement.stale = true
 	c.configurePrompt()
 	c.refuseWithdrawn()
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -135,7 +135,6 @@
 	steps    int64
 	onFinish func(*job)
 	onRefuse func(*job)
-	newer    func(*node, GenerationSeen)
 	// service is the true service of each account in tokens, unweighted.
 	service map[model.AccountID]float64
 	// dispatched is called with each request that is sent to a backend server.
@@ -264,10 +263,6 @@
 		f.dispatch(a)
 	case Refuse:
 		f.refuse(a)
-	case GenerationSeen:
-		if f.newer != nil {
-			f.newer(n, a)
-		}
 	}
 }
 
