--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,8 +60,8 @@
 		return
 	}
 	a.refused = a.understand()
-	if a.refused == nil && s.pending.of(a.account) >= maxPending {
-		a.refused, a.shed = crowded, true
+	if a.refused == nil {
+		a.refuseCrowded()
 	}
 }
 
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -75,6 +75,13 @@
 // seldom have to refuse a request that was read.
 const maxPending = 12
 
+// refuseCrowded refuses a request whose account has enough waiting here.
+func (a *attempt) refuseCrowded() {
+	if a.service.pending.of(a.account) >= maxPending {
+		a.refused, a.shed = crowded, true
+	}
+}
+
 // pending counts the requests of each account that wait for a decision.
 type pending struct {
 	mu     sync.Mutex
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -57,10 +57,14 @@
 	ours, theirs := net.Pipe()
 	a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: 7}
 	a.req.Header.SetContentLength(100_000)
-	s.pending.add(7, maxPending)
-	is.True(large(a.req))
-	is.True(s.pending.of(a.account) >= maxPending)
-	a.refused = crowded
+	s.pending.add(7, maxPending-1)
+	s.pending.add(8, maxPending) // another account's
+	a.refuseCrowded()
+	is.True(a.refused == nil && !a.shed)
+	s.pending.add(7, 1)
+	a.refuseCrowded()
+	is.Equal(a.refused, crowded)
+	is.True(a.shed && large(a.req))
 	go func() {
 		a.refuseUnread()
 		a.conn.release()
--- a/peer/receiver_test.go
+++ b/peer/receiver_test.go
@@ -1,13 +1,12 @@
 package peer
 
 import (
-	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/tamarindstep/tamarindstep/telemetry"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
@@ -39,14 +38,17 @@
 	}
 }
 
-// TestAddressInUse starts a second router at the same address.
+// TestAddressInUse lets each kind listen where another socket already does.
 func TestAddressInUse(t *testing.T) {
-	for name, loop := range receivers {
+	for name, in := range map[string]receiver{"event loop": &eventLoop{}, "runtime's poller": &runtimePoller{}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a := startAt(t, is, Settings{Name: "a", Boot: 1, Listen: freeAddress(is), Key: []byte("key"), EventLoop: loop})
-			b := New(Settings{Name: "b", Boot: 1, Listen: a.settings.Listen, Key: []byte("key")}, telemetry.NewMetrics().Peer)
-			is.True(b.Start(context.Background(), nil) != nil)
+			taken, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			is.NoErr(err)
+			defer func() { is.NoErr(taken.Close()) }()
+			said := make(chan error, 1)
+			go in.run(taken.LocalAddr().String(), func(err error) { said <- err }, nil)
+			is.True(<-said != nil)
 		})
 	}
 }
