core/prompt: a request waits 0.15 of its objective, not 0.23

Cause: a refusal helps a caller only if it comes within a quarter of the objective, so that it is served in time when it asks again. At the third customer a quarter is 75 ms, of which the way there and back takes 6 and each look at the queue 10: a refusal after 69 ms is late. A share of the objective stays the simpler rule.

--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -71,7 +71,7 @@
 	t.BeginFar = cmp.Or(t.BeginFar, 0.15)
 	t.BeginLarge = cmp.Or(t.BeginLarge, 0.05)
 	t.Large = cmp.Or(t.Large, 0.6)
-	t.Wait = cmp.Or(t.Wait, 0.23)
+	t.Wait = cmp.Or(t.Wait, 0.15)
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
 	t.Slack = cmp.Or(t.Slack, 0.16)
