core/grid, core: loads reach all routers in two hops, as increments

Cause: a router told each other one by itself all that it had had on the backend servers of late, within 9,000 bytes a second. At 58 routers each heard another after seconds (11 s seen): it filled engines that 57 others filled too. Change: the routers lie in rows (core/grid). Each tells one router of every other row, which hands it on along its own: messages grow with the square root of the fleet, and what is told is what is new since the last word, numbered, with one repeat once it has settled. Parts of prompts are told once until a quarter of the engine's memory was read since. When they are used up, words wait and tell more at once. Ruled out: naming processes by name and boot, as a router learns another's boot only when it first hears it, half a minute after a start (41 of 59 were reached in the test).

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -3,20 +3,11 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
-	"github.com/tamarindstep/tamarindstep/wire"
 )
 
 const (
-	// loadsEvery is how often routers tell each other what they have on the
-	// backend servers.
-	loadsEvery = 100 * time.Millisecond
-	// loadsBytesPerSecond bounds what is told to all of them. What is left of the
-	// fleet when it is used up is told first the next time.
-	loadsBytesPerSecond = 9000
 	// observeEvery is how often the accounts' amounts are taken from the ledger.
 	observeEvery = 100 * time.Millisecond
 	// retryBudgetPause is when a caller is asked back whose request can't be sent
@@ -132,7 +123,7 @@
 		c.ledger.Add(c.now, key, model.ServiceOf(cost, 1))
 		c.observe(key)
 	}
-	c.loadsChanged = true
+	c.loads.changed = true
 	c.do(Dispatch{
 		ID: a.ID, Backend: a.Backend, Waited: a.Waited,
 		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Age: a.Age,
@@ -154,69 +145,5 @@
 	}
 	delete(c.promptKeys, e.ID)
 	c.prompt.Finish(c.now, e.ID, promptEndings[e.Ending], e.Output)
-	c.loadsChanged = true
-}
-
-// flushLoads tells the other routers what this one has on the backend servers.
-func (c *Core) flushLoads() {
-	if !c.loadsChanged || c.now < c.loadsSent+loadsEvery {
-		return
-	}
-	c.loadsChanged = false
-	c.loadsSent = c.now
-	c.loadsBudget.fill(c.now)
-	out := c.loads()
-	size := float64(proto.Size(out) + datagramOverhead)
-	names := c.members.Names()
-	for range names {
-		c.loadsNext++
-		name := names[c.loadsNext%len(names)]
-		if c.loadsBudget.level <= 0 {
-			return
-		}
-		if c.members.Get(name).Reachable() {
-			c.to(name).Loads = out
-			c.loadsBudget.level -= size
-		}
-	}
-}
-
-func (c *Core) loads() *wire.Loads {
-	out := &wire.Loads{}
-	for _, l := range c.prompt.Loads() {
-		out.Backends = append(out.Backends, uint32(l.Backend))
-		out.Sent = append(out.Sent, l.Sent)
-		out.Running = append(out.Running, l.Running)
-	}
-	for _, n := range c.prompt.News() {
-		out.PlacedOn = append(out.PlacedOn, uint32(n.Backend))
-		out.Parts = append(out.Parts, n.Part)
-	}
-	return out
-}
-
-// nextLoads returns when the other routers are to be told.
-func (c *Core) nextLoads() model.Time {
-	if !c.loadsChanged {
-		return never
-	}
-	return c.loadsSent + loadsEvery
-}
-
-// takeLoads takes what another router has on the backend servers; lists that
-// differ in length are left out.
-func (c *Core) takeLoads(from string, boot uint64, in *wire.Loads) {
-	var loads []prompt.Load
-	if len(in.Backends) == len(in.Sent) && len(in.Backends) == len(in.Running) {
-		for i, id := range in.Backends {
-			loads = append(loads, prompt.Load{Backend: model.BackendID(id), Sent: in.Sent[i], Running: in.Running[i]})
-		}
-	}
-	var news []prompt.Placement
-	if len(in.PlacedOn) == len(in.Parts) {
-		for i, id := range in.PlacedOn {
-			news = append(news, prompt.Placement{Backend: model.BackendID(id), Part: in.Parts[i]})
-		}
-	}
-	c.prompt.TakeLoads(c.now, from, boot, loads, news)
+	c.loads.changed = true
 }
--- a/core/core.go
+++ b/core/core.go
@@ -70,10 +70,7 @@
 	promptKeys   map[RequestID]model.Key
 	amountsKnown bool // the ledger holds the fleet's amounts
 	nextObserve  model.Time
-	loadsChanged bool
-	loadsSent    model.Time
-	loadsNext    int // of the members' names, whose turn it is to be told
-	loadsBudget  bucket
+	loads        loadExchange
 
 	// As ingress router.
 	requests  map[RequestID]*request
@@ -106,28 +103,28 @@
 func New(now model.Time, self member.Member, seed uint64) *Core {
 	random := rand.New(rand.NewPCG(seed, self.Boot))
 	c := &Core{
-		placement:   placement{stale: true},
-		now:         now,
-		config:      &Config{},
-		random:      random,
-		members:     member.New(self, random),
-		outbox:      map[string]*wire.Datagram{},
-		loadsBudget: bucket{rate: loadsBytesPerSecond, size: loadsBytesPerSecond / 4, level: loadsBytesPerSecond / 4},
-		promptKeys:  map[RequestID]model.Key{},
-		requests:    map[RequestID]*request{},
-		queues:      map[model.Key]*queue{},
-		running:     map[model.BackendID]int{},
-		refused:     map[model.BackendID]*refusal{},
-		owners:      map[string]*ownerLink{},
-		asks:        map[model.PoolID]*ask{},
-		estimates:   map[kind]*estimate.Lengths{},
-		budget:      bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
-		backends:    map[model.BackendID]*backend{},
-		sources:     map[string]*source{},
-		demands:     map[model.Key]*demand{},
-		poolOrder:   map[model.PoolID][]model.BackendID{},
-		dirty:       map[model.PoolID]bool{},
-		lastGrant:   map[model.Key]uint64{},
+		placement:  placement{stale: true},
+		now:        now,
+		config:     &Config{},
+		random:     random,
+		members:    member.New(self, random),
+		outbox:     map[string]*wire.Datagram{},
+		loads:      newLoadExchange(DefaultLoadsBytes),
+		promptKeys: map[RequestID]model.Key{},
+		requests:   map[RequestID]*request{},
+		queues:     map[model.Key]*queue{},
+		running:    map[model.BackendID]int{},
+		refused:    map[model.BackendID]*refusal{},
+		owners:     map[string]*ownerLink{},
+		asks:       map[model.PoolID]*ask{},
+		estimates:  map[kind]*estimate.Lengths{},
+		budget:     bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
+		backends:   map[model.BackendID]*backend{},
+		sources:    map[string]*source{},
+		demands:    map[model.Key]*demand{},
+		poolOrder:  map[model.PoolID][]model.BackendID{},
+		dirty:      map[model.PoolID]bool{},
+		lastGrant:  map[model.Key]uint64{},
 	}
 	c.prompt = prompt.New(now, random)
 	c.retries = retry.New(retry.Limits{})
@@ -138,6 +135,10 @@
 // LimitRetries sets the fleet's retry budget, which is unlimited until then.
 func (c *Core) LimitRetries(limits retry.Limits) { c.retries = retry.New(limits) }
 
+// LimitLoads sets how many bytes a second this router spends on telling the others what
+// it has on the backend servers, and on handing on what they tell.
+func (c *Core) LimitLoads(bytesPerSecond float64) { c.loads = newLoadExchange(bytesPerSecond) }
+
 // Step takes one event at a time that never goes back, and returns what is to
 // be done for it, in order.
 func (c *Core) Step(now model.Time, e Event) []Action {
@@ -275,8 +276,8 @@
 	for _, f := range d.Free {
 		c.hint(d.From, model.PoolID(f.Pool), int(f.Slots))
 	}
-	if d.Loads != nil {
-		c.takeLoads(d.From, d.Boot, d.Loads)
+	for _, l := range d.Loads {
+		c.takeLoads(l)
 	}
 	if d.Report != nil {
 		c.takeReport(d.From, d.Report)
--- a/core/prompt/kept.go
+++ b/core/prompt/kept.go
@@ -10,9 +10,12 @@
 // kept remembers which parts of prompts a backend server was sent, and how much
 // it had been sent to read by then: what it reads takes the place of what was
 // used the longest ago.
-type kept struct{ used map[uint32]float64 }
+type kept struct {
+	used map[uint32]float64
+	told map[uint32]float64 // the same, when the other routers were last told
+}
 
-func newKept() kept { return kept{used: map[uint32]float64{}} }
+func newKept() kept { return kept{used: map[uint32]float64{}, told: map[uint32]float64{}} }
 
 // partKey is how routers name a part to each other.
 func partKey(id uint64) uint32 { return uint32(id) ^ uint32(id>>32) }
@@ -30,11 +33,28 @@
 	for part, used := range k.used {
 		if sent > used+room {
 			delete(k.used, part)
+			delete(k.told, part)
 		}
 	}
 	if len(k.used) >= maxKept {
 		clear(k.used)
+		clear(k.told)
+	}
+}
+
+// toldFor is the part of the room that may be read until the other routers are told
+// once more of a part that is still used.
+const toldFor = 0.25
+
+// tell tells whether the other routers are to be told that a part was used, and takes
+// them as told then.
+func (k kept) tell(sent float64, part uint32, room float64) bool {
+	at, known := k.told[part]
+	if known && sent <= at+toldFor*room {
+		return false
 	}
+	k.told[part] = sent
+	return true
 }
 
 func (k kept) has(sent float64, part uint32, room float64) bool {
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -1,7 +1,6 @@
 package prompt
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tamarindstep/tamarindstep/model"
@@ -16,79 +15,103 @@
 // maxNews is how many placements are told at once.
 const maxNews = 64
 
-// Load is what a router has on a backend server.
+// Load is what a router has newly got on a backend server.
 type Load struct {
 	Backend model.BackendID
-	Sent    uint64 // tokens sent to be read, since the router's start
+	Sent    uint64 // tokens sent to be read, since the word before
 	Running uint32
 }
 
+// Word is what a router tells the others at once.
+type Word struct {
+	Sequence uint64 // increases with each word of a process
+	Loads    []Load
+	News     []Placement
+}
+
 // peerLoad is what another router has told.
 type peerLoad struct {
-	boot uint64
-	at   model.Time // when it was last heard
-	sent map[model.BackendID]uint64
-	runs map[model.BackendID]uint32
+	process  uint32
+	sequence uint64     // of its last word
+	at       model.Time // when it was last heard
+	runs     map[model.BackendID]uint32
 }
 
-// tell notes a placement for the other routers.
-func (m *Machine) tell(id model.BackendID, part uint32) {
-	p := Placement{Backend: id, Part: part}
-	if len(m.news) < maxNews && !slices.Contains(m.news, p) {
-		m.news = append(m.news, p)
+// tell notes for the other routers that a backend server was sent a part, unless they
+// know and hold it for kept still.
+func (m *Machine) tell(s *server, part uint32) {
+	if len(m.news) < maxNews && s.kept.tell(s.sent, part, s.room) {
+		m.news = append(m.news, Placement{Backend: s.id, Part: part})
 	}
 }
 
-// News returns the placements since the last call.
-func (m *Machine) News() []Placement {
-	out := m.news
-	m.news = nil
-	return out
-}
+// settleAfter is how long after its last word a backend server is told of once more, as
+// that word may have been lost: a further one would have put it right.
+const settleAfter = time.Second
 
-// toldFor is how long a backend server is told of after its last change.
-const toldFor = 3 * time.Second
-
-// Loads returns what this router has on the backend servers, as far as that has
-// changed of late.
-func (m *Machine) Loads() []Load {
-	var out []Load
+// Tell returns what the other routers don't know yet, and takes it as told; settled
+// tells whether nothing of it is to be told once more.
+func (m *Machine) Tell() (word Word, settled bool) {
+	settled = true
 	for _, id := range m.order {
 		s := m.servers[id]
-		if s.ownSent > 0 && m.now <= s.touched+toldFor {
-			out = append(out, Load{Backend: id, Sent: uint64(s.ownSent), Running: uint32(len(s.flights))})
+		news := s.untold >= 1 || s.toldRunning != len(s.flights)
+		repeat := s.unsettled && m.now >= s.toldAt+settleAfter
+		if news || repeat {
+			word.Loads = append(word.Loads, s.told(m.now, news))
 		}
+		settled = settled && !s.unsettled
 	}
-	return out
+	word.News, m.news = m.news, nil
+	return word, settled
+}
+
+// told returns a backend server's part of a word and takes it as told.
+func (s *server) told(now model.Time, news bool) Load {
+	l := Load{Backend: s.id, Sent: uint64(s.untold), Running: uint32(len(s.flights))}
+	s.untold -= float64(l.Sent)
+	s.toldRunning = len(s.flights)
+	s.toldAt = now
+	s.unsettled = news
+	return l
 }
 
-// TakeLoads takes what another router has told of itself. Of a process that is
-// heard for the first time only what it sends from then on is counted.
-func (m *Machine) TakeLoads(now model.Time, router string, boot uint64, loads []Load, news []Placement) {
+// TakeWord takes what a process of another router has told of itself, and tells whether
+// it is new.
+func (m *Machine) TakeWord(now model.Time, router string, process uint32, w Word) bool {
 	m.now = max(m.now, now)
 	p := m.peers[router]
-	first := p == nil || p.boot != boot
-	if first {
+	if p == nil || p.process != process {
 		m.ForgetRouter(router)
-		p = &peerLoad{boot: boot, sent: map[model.BackendID]uint64{}, runs: map[model.BackendID]uint32{}}
+		p = &peerLoad{process: process, runs: map[model.BackendID]uint32{}}
 		m.peers[router] = p
 	}
+	if w.Sequence <= p.sequence {
+		return false
+	}
+	p.sequence = w.Sequence
 	p.at = m.now
-	for _, l := range loads {
+	for _, l := range w.Loads {
 		if s := m.servers[l.Backend]; s != nil {
-			if before := p.sent[l.Backend]; !first && l.Sent > before {
-				s.sentElsewhere(m.now, float64(l.Sent-before))
-			}
+			s.sentElsewhere(m.now, float64(l.Sent))
 			s.remote += int(l.Running) - int(p.runs[l.Backend])
 			p.runs[l.Backend] = l.Running
 		}
-		p.sent[l.Backend] = max(p.sent[l.Backend], l.Sent)
 	}
-	for _, n := range news {
+	for _, n := range w.News {
 		if s := m.servers[n.Backend]; s != nil {
 			s.kept.touch(s.sent, n.Part, s.room)
 		}
 	}
+	return true
+}
+
+// Running returns how many requests run at a backend server, as far as is known here.
+func (m *Machine) Running(id model.BackendID) int {
+	if s := m.servers[id]; s != nil {
+		return s.running()
+	}
+	return 0
 }
 
 // oldestWord returns the age of the oldest word of another router.
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -91,13 +91,15 @@
 	a, b := newMachine(9), newMachine(9)
 	a.Arrive(0, ask(1, 1, 7, 1000))
 	sent := dispatched(t, a)
-	b.TakeLoads(0, "a", 1, nil, nil)
-	b.TakeLoads(0, "a", 1, a.Loads(), a.News())
+	word, _ := a.Tell()
+	word.Sequence = 1
+	is.True(b.TakeWord(0, "a", 1, word))
 	b.Arrive(time.Second, ask(1, 1, 7, 1000))
 	got := dispatched(t, b)
 	is.Equal(got.Backend, sent.Backend)
 	is.Equal(got.Unread, 1000)
-	is.Equal(len(a.News()), 0) // told once
+	again, _ := a.Tell()
+	is.Equal(len(again.News), 0) // told once
 }
 
 func TestWhatIsReadPushesOutWhatIsNotUsed(t *testing.T) {
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -186,7 +186,7 @@
 		key := partKey(part.ID)
 		s.kept.touch(s.sent, key, s.room)
 		if i < len(r.Prompt.Parts)-1 {
-			m.tell(s.id, key)
+			m.tell(s, key)
 		}
 	}
 	d := Dispatch{
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -30,15 +30,20 @@
 	// known; read estimates how many of these have been read. Both only grow.
 	sent float64
 	read float64
-	// ownSent is the part of sent that this router has sent.
-	ownSent float64
-	at      model.Time // of the estimate
-
-	touched model.Time // when something was last sent or ended from here
-	flights []*flight  // from here, in the order they were sent
-	remote  int        // running for other routers, by their reports
-	kept    kept
-	health  health
+	at   model.Time // of the estimate
+
+	flights []*flight // from here, in the order they were sent
+	remote  int       // running for other routers, by their words
+
+	// untold counts the tokens sent from here that the other routers don't know of;
+	// toldRunning is how many requests they take to run from here, as told at toldAt;
+	// unsettled tells that this is to be said once more.
+	untold      float64
+	toldRunning int
+	toldAt      model.Time
+	unsettled   bool
+	kept        kept
+	health      health
 }
 
 // flight is one request on its way.
@@ -95,8 +100,7 @@
 func (s *server) send(now model.Time, unread float64, delay time.Duration) *flight {
 	s.advance(now)
 	s.sent += unread
-	s.ownSent += unread
-	s.touched = now
+	s.untold += unread
 	f := &flight{sent: now, end: s.sent, unread: unread, delay: delay}
 	s.flights = append(s.flights, f)
 	return f
@@ -119,7 +123,6 @@
 // finished takes that a request has ended.
 func (s *server) finished(now model.Time, f *flight, ending Ending, random *rand.Rand) {
 	s.advance(now)
-	s.touched = now
 	s.flights = slices.DeleteFunc(s.flights, func(o *flight) bool { return o == f })
 	if !f.began && ending != Done {
 		// Its tokens won't be read.
--- a/core/restart_test.go
+++ b/core/restart_test.go
@@ -11,13 +11,13 @@
 )
 
 // submitPrompt sends a request that is decided on by its prompt.
-func (f *fleet) submitPrompt(n *node, account model.AccountID, tokens int) {
+func (f *fleet) submitPrompt(n *node, account model.AccountID, tokens, output int) {
 	f.nextID++
 	id := f.nextID
-	f.jobs[id] = &job{id: id, account: account, pool: model.Pool(assistant), output: 20, node: n, arrived: f.now}
+	f.jobs[id] = &job{id: id, account: account, pool: model.Pool(assistant), output: float64(output), node: n, arrived: f.now}
 	f.step(n, Arrive{
 		ID: id, Account: account, Pool: model.Pool(assistant), Wait: time.Second,
-		Prompt: model.Prompt{Tokens: tokens, Hint: 20},
+		Prompt: model.Prompt{Tokens: tokens, Hint: output},
 	})
 }
 
@@ -28,8 +28,9 @@
 func TestRestartedRouterJudgesOnlyTheWindow(t *testing.T) {
 	const (
 		tokens   = 1000
+		output   = 20
 		every    = 20 * time.Millisecond
-		inWindow = 4 * float64(time.Second/every) * (tokens + 2*20)
+		inWindow = 4 * float64(time.Second/every) * (tokens + 2*output)
 	)
 	is := is.New(t)
 	f := newFleet(1, todaysConfig(promptaffinity.Policy), todaysHalls)
@@ -49,7 +50,7 @@
 			n = restarted
 		}
 		if !n.down {
-			f.submitPrompt(n, account, tokens)
+			f.submitPrompt(n, account, tokens, output)
 		}
 		if now >= 25*time.Second {
 			is.True(restarted.core.prompt.Amounts(account).Asked < 1.2*inWindow)
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -135,6 +135,7 @@
 	self := member.Member{Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Boot: rand.Uint64() | 1}
 	r.scheduler = scheduler.New(self, log, metrics)
 	r.scheduler.LimitRetries(retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: retryWindow})
+	r.scheduler.LimitLoads(s.LoadsBytes)
 	gens := generation.New(around.source, log, metrics.Platform)
 	services := []kernel.Service{
 		telemetry.NewTraces(s.Name, s.TraceEndpoint),
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -2,10 +2,12 @@
 
 import (
 	"runtime"
+	"strconv"
 	"time"
 
 	"github.com/spf13/pflag"
 
+	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/settings"
 )
 
@@ -40,6 +42,7 @@
 	Drain         time.Duration
 	RetryRatio    float64
 	RetrySlack    float64
+	LoadsBytes    float64 // a second, for telling other routers of loads
 	MemoryMB      float64
 	LogLevel      string
 	LogFormat     string
@@ -64,6 +67,8 @@
 	f.String("drain-seconds", "900", "how long a stopping router waits for its requests, in seconds")
 	f.String("retry-ratio", "0.2", "second sends for each request, over the fleet")
 	f.String("retry-slack", "50", "second sends beyond that in ten seconds, over the fleet")
+	f.String("loads-bytes", strconv.Itoa(core.DefaultLoadsBytes), "bytes a second for telling the other routers what "+
+		"this one has on the backend servers; what is told gets older where there are fewer")
 	f.String("memory-mb", "512", "memory that the process may use, in MB; it takes fewer requests at once where there is less")
 	f.String("log-level", "info", "debug, info, warn or error")
 	f.String("log-format", "json", "json or console")
@@ -89,6 +94,7 @@
 		Drain:         time.Duration(r.Number("drain-seconds", 1) * float64(time.Second)),
 		RetryRatio:    r.Number("retry-ratio", 0),
 		RetrySlack:    r.Number("retry-slack", 0),
+		LoadsBytes:    r.Number("loads-bytes", 1000),
 		MemoryMB:      r.Number("memory-mb", 32),
 		LogLevel:      r.Word("log-level", "debug", "info", "warn", "error"),
 		LogFormat:     r.Word("log-format", "json", "console"),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,8 +81,9 @@
 	waiters   map[core.RequestID]chan Decision
 	observers []Observer
 
-	retries retry.Limits
-	lag     lag
+	retries    retry.Limits
+	loadsBytes float64
+	lag        lag
 
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -91,6 +92,10 @@
 // LimitRetries sets the fleet's retry budget; it must be done before the start.
 func (s *Service) LimitRetries(limits retry.Limits) { s.retries = limits }
 
+// LimitLoads sets the bytes a second that are spent on telling the other routers what
+// this one has on the backend servers; it must be done before the start.
+func (s *Service) LimitLoads(bytesPerSecond float64) { s.loadsBytes = bytesPerSecond }
+
 // New returns the service of a router.
 func New(self member.Member, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
 	return &Service{
@@ -102,6 +107,8 @@
 		began:   time.Now(),
 		waiters: map[core.RequestID]chan Decision{},
 		ended:   make(chan struct{}),
+
+		loadsBytes: core.DefaultLoadsBytes,
 	}
 }
 
@@ -180,6 +187,7 @@
 	defer close(s.ended)
 	c := core.New(s.now(), s.self, rand.Uint64())
 	c.LimitRetries(s.retries)
+	c.LimitLoads(s.loadsBytes)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	due := s.now()
