--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -111,7 +111,7 @@
 		case prompt.Refuse:
 			delete(c.promptKeys, a.ID)
 			c.do(Refuse{
-				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay,
+				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay, Had: a.Had,
 			})
 		}
 	}
@@ -126,7 +126,7 @@
 	c.loads.changed = true
 	c.do(Dispatch{
 		ID: a.ID, Backend: a.Backend, Waited: a.Waited,
-		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Age: a.Age,
+		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Had: a.Had, Age: a.Age,
 		CopyFrom: a.CopyFrom, Copied: a.Copied,
 	})
 }
--- a/core/event.go
+++ b/core/event.go
@@ -125,6 +125,7 @@
 	Unread  int           // tokens of the prompt to be read
 	Backlog int           // tokens to be read before it
 	Over    bool          // its account was beyond its share
+	Had     float64       // part of what its account is owed that has begun
 	Age     time.Duration // of the oldest word of another router on its load
 	// CopyFrom is the backend server from which the parts of the prompt that it
 	// keeps are to be copied, 0 for none, and Copied how many tokens that is.
@@ -153,6 +154,7 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Delay      time.Duration // expected at the best backend server, 0 where unknown
+	Had        float64       // part of what its account is owed that has begun, by prompt
 }
 
 // Send sends a datagram to another router.
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -76,6 +76,7 @@
 	Unread  int           // tokens of the prompt that are to be read there
 	Backlog int           // tokens to be read there before it
 	Over    bool          // its account was beyond its share
+	Had     float64       // part of what its account is owed that has begun
 	Age     time.Duration // of the oldest word of another router on its load
 	// CopyFrom is the backend server from which parts of the prompt are to be
 	// copied, 0 for none, and Copied how many tokens that is.
@@ -102,6 +103,7 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Delay      time.Duration // expected at the best backend server
+	Had        float64       // part of what its account is owed that has begun
 }
 
 func (Dispatch) action() {}
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -98,13 +98,13 @@
 	t := &m.config.Tuning
 	waited := m.now - r.arrived
 	if m.now >= r.deadline {
-		m.refuse(r, TooLate, 0)
+		m.refuse(r, TooLate, 0, l)
 		return
 	}
 	p, ok := m.best(r)
 	stands := m.standingOf(r.Account, l)
 	if ok && m.mayBegin(r, p, stands) {
-		m.dispatch(r, p, stands)
+		m.dispatch(r, p, stands, l)
 		return
 	}
 	if waited < m.mayWait(r, ok) {
@@ -112,11 +112,11 @@
 	}
 	switch {
 	case !ok:
-		m.refuse(r, NoBackend, t.RetryAfter)
+		m.refuse(r, NoBackend, t.RetryAfter, l)
 	case stands != within:
-		m.refuse(r, OverShare, t.RetryOver)
+		m.refuse(r, OverShare, t.RetryOver, l)
 	default:
-		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, within), t.RetryAfter))
+		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, within), t.RetryAfter), l)
 	}
 }
 
@@ -165,7 +165,7 @@
 	m.waiting = slices.DeleteFunc(m.waiting, func(o *request) bool { return o == r })
 }
 
-func (m *Machine) refuse(r *request, reason Reason, retryAfter time.Duration) {
+func (m *Machine) refuse(r *request, reason Reason, retryAfter time.Duration, l levels) {
 	m.drop(r)
 	delay := time.Duration(0)
 	if p, ok := m.best(r); ok {
@@ -173,10 +173,11 @@
 	}
 	m.actions = append(m.actions, Refuse{
 		ID: r.ID, Reason: reason, RetryAfter: retryAfter, Waited: m.now - r.arrived, Delay: delay,
+		Had: m.had(r.Account, l.owed),
 	})
 }
 
-func (m *Machine) dispatch(r *request, p place, stands standing) {
+func (m *Machine) dispatch(r *request, p place, stands standing, l levels) {
 	m.removeWaiting(r)
 	s := p.server
 	r.server = s
@@ -191,7 +192,7 @@
 	}
 	d := Dispatch{
 		ID: r.ID, Backend: s.id, Waited: m.now - r.arrived, Delay: p.delay,
-		Unread: int(p.unread), Backlog: int(p.backlog), Over: stands != within, Age: m.oldestWord(),
+		Unread: int(p.unread), Backlog: int(p.backlog), Over: stands != within, Had: m.had(r.Account, l.owed), Age: m.oldestWord(),
 	}
 	if p.from != nil {
 		d.CopyFrom, d.Copied = p.from.id, int(p.copied)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -199,7 +199,7 @@
 // has never run, else with what its last backend server has come to.
 func (a *attempt) notDispatched(d scheduler.Decision) {
 	a.log("refused").Str("reason", string(d.Refusal)).Dur("waited_ms", d.Waited).Dur("delay_ms", d.Delay).
-		Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).Msg("request refused")
+		Float64("share_had", d.Had).Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).Msg("request refused")
 	if a.ran || a.relay.begun {
 		a.giveUp(notAdmitted)
 		return
@@ -227,7 +227,7 @@
 // logDispatch notes a decision with what it rests on.
 func (a *attempt) logDispatch(d scheduler.Decision, backend string, inForce *config.InForce) {
 	a.log("dispatched").Str("backend", backend).Int("send", a.sends+1).Dur("waited_ms", d.Waited).
-		Dur("delay_ms", d.Delay).Int("unread", d.Unread).Int("backlog", d.Backlog).Bool("over_share", d.Over).Int("copied", d.Copied).
+		Dur("delay_ms", d.Delay).Int("unread", d.Unread).Int("backlog", d.Backlog).Bool("over_share", d.Over).Float64("share_had", d.Had).Int("copied", d.Copied).
 		Dur("loads_age_ms", d.Age).Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).
 		Msg("request dispatched")
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	Unread  int
 	Backlog int
 	Over    bool
+	Had     float64       // part of what its account is owed that has begun
 	Age     time.Duration // of the oldest word of another router
 	// CopyFrom is the backend server to copy parts of the prompt from, 0 for none.
 	CopyFrom model.BackendID
@@ -227,11 +228,11 @@
 	case core.Dispatch:
 		s.decide(a.ID, Decision{
 			Dispatched: true, Backend: a.Backend, Waited: a.Waited,
-			Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Age: a.Age,
+			Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Had: a.Had, Age: a.Age,
 			CopyFrom: a.CopyFrom, Copied: a.Copied,
 		})
 	case core.Refuse:
-		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay})
+		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay, Had: a.Had})
 	case core.Send:
 		s.peers.Send(a.Address, a.Datagram)
 	case core.Watch:
