core/prompt: how soon engines begin their answers is measured

Cause: the delay of an idle engine was a constant of 60 ms and its rate 1.5 of its part of tokens-per-second; both are figures of the first two customers. Change: each router follows the median of what its own requests met where nothing seemed to be ahead: little to read tells the base, much to read the rate (core/prompt/pace.go). Ruled out: taking the slowness of a single engine into the sample, as the pool's pace and an engine's slowness would then explain each other.

--- a/core/prompt/home.go
+++ b/core/prompt/home.go
@@ -68,7 +68,7 @@
 	if p.server != r.home || p.from != nil || unread-own < minTold {
 		return
 	}
-	begin := baseDelay + p.ahead + r.Lag
+	begin := p.server.pace.base + p.ahead + r.Lag
 	r.flight.ifKept = begin + p.server.reading(own)
 	r.flight.ifCold = begin + p.server.reading(unread)
 }
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -60,7 +60,7 @@
 		p.ahead += time.Duration(over+1) * m.config.Tuning.SlotDelay
 	}
 	copying := p.copying()
-	p.delay = baseDelay + p.ahead + s.reading(p.unread) + copying
+	p.delay = s.pace.base + p.ahead + s.reading(p.unread) + copying
 	extra := (s.reading(p.unread) + copying).Seconds() * m.config.Tuning.ReadWeight
 	p.score = p.delay.Seconds() + extra + s.health.failing(m.now)*m.config.Tuning.FailureWeight
 	if !s.Near {
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -171,6 +171,7 @@
 	actions  []Action
 	passed   model.Time // when all that waits was last gone over
 	homes    homes
+	paces    map[model.PoolID]*pace
 }
 
 // request is a request that waits or runs.
@@ -197,6 +198,7 @@
 		shares:   newShares(),
 		outputs:  map[uint32]*mean{},
 		peers:    map[string]*peerLoad{},
+		paces:    map[model.PoolID]*pace{},
 	}
 }
 
@@ -227,7 +229,8 @@
 		s.engine = c.Pools[b.Pool].Engine
 		s.copyRate = c.Pools[b.Pool].CopyRate
 		s.room = m.config.Tuning.KeptPart * float64(c.Pools[b.Pool].Memory)
-		s.rate = m.config.Tuning.rateOf(c.TokensPerSecond, engines[b.Pool])
+		s.pace = m.paceOf(b.Pool)
+		s.pace.expect(m.config.Tuning.rateOf(c.TokensPerSecond, engines[b.Pool]))
 	}
 	m.order = sortedIDs(m.servers)
 	m.version++
@@ -238,6 +241,14 @@
 	}
 }
 
+// paceOf returns what is known of how soon the engines of a pool begin their answers.
+func (m *Machine) paceOf(pool model.PoolID) *pace {
+	if m.paces[pool] == nil {
+		m.paces[pool] = newPace()
+	}
+	return m.paces[pool]
+}
+
 // SetRouters tells how many routers are live, this one included.
 func (m *Machine) SetRouters(n int) { m.routers = max(n, 1) }
 
@@ -314,7 +325,11 @@
 		return
 	}
 	r.began = true
-	r.server.began(m.now, r.flight)
+	s := r.server
+	if s.engine {
+		s.pace.learn(m.now-r.flight.sent-r.Lag, r.flight, s.health.slowness())
+	}
+	s.began(m.now, r.flight)
 	m.homes.learn(m.now-r.flight.sent, r.flight)
 	m.decide()
 }
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -182,6 +182,7 @@
 	s := p.server
 	r.server = s
 	r.flight = s.send(m.now, p.unread, p.delay+r.Lag)
+	r.flight.ahead, r.flight.copied = p.ahead, p.from != nil
 	m.markHome(r, p)
 	for i, part := range r.Prompt.Parts {
 		key := partKey(part.ID)
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -8,13 +8,9 @@
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
-const (
-	// baseDelay is how long an answer takes to begin when nothing is to be read.
-	baseDelay = 60 * time.Millisecond
-	// overdue is how much later than expected an answer must begin for the
-	// estimate of what was read to be held back.
-	overdue = 40 * time.Millisecond
-)
+// overdue is how much later than expected an answer must begin for the estimate of what
+// was read to be held back.
+const overdue = 40 * time.Millisecond
 
 // server is what is known of a backend server.
 type server struct {
@@ -22,7 +18,7 @@
 	id       model.BackendID
 	engine   bool
 	room     float64 // tokens read after which a part that wasn't used has given way
-	rate     float64 // tokens read in a second
+	pace     *pace   // of its pool
 	copyRate float64 // tokens copied from another in a second, 0 for not at all
 	gone     bool
 
@@ -51,6 +47,8 @@
 	sent   model.Time
 	end    float64 // the server's count of tokens sent, once it was sent
 	unread float64
+	ahead  time.Duration // expected until it is read itself
+	copied bool          // parts of its prompt are copied from another
 	began  bool
 	delay  time.Duration // expected until the answer begins
 	// ifKept and ifCold are when the answer would begin if the shared parts, of
@@ -59,7 +57,7 @@
 }
 
 func newServer(id model.BackendID, b Backend, now model.Time) *server {
-	return &server{Backend: b, id: id, at: now, kept: newKept()}
+	return &server{Backend: b, id: id, at: now, kept: newKept(), pace: newPace()}
 }
 
 // advance lets the estimate of what was read grow.
@@ -67,7 +65,7 @@
 	if now <= s.at {
 		return
 	}
-	s.read = min(s.read+s.rate*(now-s.at).Seconds()/s.health.slowness(), s.sent)
+	s.read = min(s.read+s.pace.rate*(now-s.at).Seconds()/s.health.slowness(), s.sent)
 	s.at = now
 	for _, f := range s.flights {
 		if !f.began {
@@ -90,10 +88,10 @@
 
 // reading returns how long it takes to read so many tokens.
 func (s *server) reading(tokens float64) time.Duration {
-	if s.rate <= 0 {
+	if s.pace.rate <= 0 {
 		return 0
 	}
-	return time.Duration(tokens / s.rate * s.health.slowness() * float64(time.Second))
+	return time.Duration(tokens / s.pace.rate * s.health.slowness() * float64(time.Second))
 }
 
 // send counts a request that is sent there.
