core/prompt: beyond the share, the delay allowed counts from that of an idle engine

Cause: beyond its share an account's request was sent where its answer was expected within 0.2 of its objective. Change: 0.12 and 0.06 of what the idle engine's measured delay leaves of the objective. Test: TestShortObjectivesAreServedBeyondTheShare, failing on the code before.

--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -116,7 +116,7 @@
 	case stands != within:
 		m.refuse(r, OverShare, t.RetryOver, l)
 	default:
-		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, within), t.RetryAfter), l)
+		m.refuse(r, NoRoom, max(p.delay-m.mayDelay(r, p, within), t.RetryAfter), l)
 	}
 }
 
@@ -131,7 +131,7 @@
 	if !p.server.engine {
 		return p.delay <= r.Objective
 	}
-	if p.delay <= m.mayDelay(r, stands) {
+	if p.delay <= m.mayDelay(r, p, stands) {
 		return true
 	}
 	alone := p.delay - p.ahead
@@ -139,14 +139,18 @@
 	return large && stands == within && p.ahead <= time.Duration(t.BeginLarge*float64(r.Objective))
 }
 
-// mayDelay returns the longest expected delay with which a request is sent.
-func (m *Machine) mayDelay(r *request, stands standing) time.Duration {
+// mayDelay returns the longest expected delay with which a request is sent. Beyond the
+// share it is a part of what an idle engine leaves of the objective: a part of the whole
+// would keep out all requests of short objectives.
+func (m *Machine) mayDelay(r *request, p place, stands standing) time.Duration {
 	t := &m.config.Tuning
+	base := p.server.pace.base
+	spare := float64(max(r.Objective-base, 0))
 	switch stands {
 	case over:
-		return time.Duration(t.BeginOver * float64(r.Objective))
+		return base + time.Duration(t.BeginOver*spare)
 	case farOver:
-		return time.Duration(t.BeginFar * float64(r.Objective))
+		return base + time.Duration(t.BeginFar*spare)
 	case within:
 	}
 	return time.Duration(t.Begin*float64(r.Objective)) - (m.now-r.arrived)/2
--- a/core/prompt/queue_test.go
+++ b/core/prompt/queue_test.go
@@ -71,3 +71,19 @@
 	is.Equal(m.standingOf(2, l), within)
 	is.True(m.standingOf(3, l) != within)
 }
+
+// TestShortObjectivesAreServedBeyondTheShare lets an account that has had its share ask
+// for little, within an objective that an idle engine takes most of.
+func TestShortObjectivesAreServedBeyondTheShare(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(4)
+	r := &request{Request: Request{Pool: pool, Objective: 4 * firstBase}}
+	idle, ok := m.best(r)
+	is.True(ok)
+	for _, stands := range []standing{over, farOver} {
+		is.True(m.mayBegin(r, idle, stands))
+		busy := idle
+		busy.delay += r.Objective / 4
+		is.True(!m.mayBegin(r, busy, stands))
+	}
+}
--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -20,8 +20,9 @@
 	// SlotDelay is the delay expected for each request beyond the slots.
 	SlotDelay time.Duration
 	// Begin is the longest expected delay with which a request is sent, as a part
-	// of its objective; BeginOver the same beyond what the account is owed, and
-	// BeginFar beyond an even part of what really goes as well. Where the
+	// of its objective; BeginOver is how much beyond the delay of an idle engine it may be
+	// beyond what the account is owed, as a part of what that leaves of the objective, and
+	// BeginFar the same beyond an even part of what really goes as well. Where the
 	// reading of a request's own prompt takes more than the part Large of its
 	// objective, it is sent if what is ahead of it takes at most the part
 	// BeginLarge.
@@ -67,8 +68,8 @@
 	t.FailureWeight = cmp.Or(t.FailureWeight, 1)
 	t.SlotDelay = cmp.Or(t.SlotDelay, 30*time.Millisecond)
 	t.Begin = cmp.Or(t.Begin, 0.7)
-	t.BeginOver = cmp.Or(t.BeginOver, 0.2)
-	t.BeginFar = cmp.Or(t.BeginFar, 0.15)
+	t.BeginOver = cmp.Or(t.BeginOver, 0.12)
+	t.BeginFar = cmp.Or(t.BeginFar, 0.06)
 	t.BeginLarge = cmp.Or(t.BeginLarge, 0.05)
 	t.Large = cmp.Or(t.Large, 0.6)
 	t.Wait = cmp.Or(t.Wait, 0.15)
