generation: backend servers whose announcements run out together are kept for 1.5 s

Cause: leases run out while the store is away. Change: where a change takes away half of a pool at once, and two at least, that hadn't said they leave, each router keeps them beside the catalog for 1.5 s; what isn't back by then is given up. A planned end takes one at a time, or says so. Ruled out: keeping whatever goes without a word, as such backend servers serve on only for their drain time after the store has told it, which a router that hears late would pass.

--- a/core/config.go
+++ b/core/config.go
@@ -57,7 +57,10 @@
 type Config struct {
 	Generation uint64
 	// Catalog is the revision of the backend servers that announce themselves.
-	Catalog  uint64
+	Catalog uint64
+	// Edition is raised by this router where its backend servers change while the
+	// catalog doesn't.
+	Edition  uint64
 	Policy   *policy.Policy
 	Accounts map[model.AccountID]Account
 	Pools    map[model.PoolID]Pool
--- a/core/core.go
+++ b/core/core.go
@@ -328,7 +328,7 @@
 // catalog of backend servers, never replaces a higher one.
 func (c *Core) configure(config *Config) {
 	older := config.Generation < c.config.Generation || config.Catalog < c.config.Catalog
-	same := config.Generation == c.config.Generation && config.Catalog == c.config.Catalog
+	same := config.Generation == c.config.Generation && config.Catalog == c.config.Catalog && config.Edition == c.config.Edition
 	if older || same {
 		return
 	}
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -38,6 +38,8 @@
 	held      *wire.Catalog
 	entries   map[string]*wire.CatalogEntry // by key, of the last list that was read here
 	at        uint64                        // up to which the changes were seen here
+	lapsed    lapsed
+	edition   uint64 // raised when what is kept beside the catalog changes by itself
 }
 
 func (s *Service) catalogRevision() uint64 {
@@ -144,6 +146,7 @@
 	if same {
 		return
 	}
+	s.noteLapse(held, next)
 	s.catalog.held = next
 	s.log.Info().Uint64("catalog", next.Revision).Int("backends", len(next.Entries)).
 		Int("leaving", leavingOf(next)).Msg("backend servers changed")
@@ -169,10 +172,10 @@
 	}
 }
 
-// discovered returns the backend servers of a catalog.
-func discovered(c *wire.Catalog) []config.Discovered {
+// discovered returns the backend servers of a catalog's entries.
+func discovered(entries []*wire.CatalogEntry) []config.Discovered {
 	var out []config.Discovered
-	for _, e := range c.GetEntries() {
+	for _, e := range entries {
 		out = append(out, config.Discovered{
 			Name: e.Name, Pool: e.Pool, Address: e.Address, DataHall: e.DataHall,
 			Slots: int(e.Slots), Leaving: e.Leaving,
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -398,8 +398,8 @@
 // compile brings the document and the catalog into force together; the caller
 // holds the lock.
 func (s *Service) compile() *config.InForce {
-	held := s.catalog.held
-	c := config.CompileWith(s.document.GetGeneration(), s.file, held.GetRevision(), discovered(held))
+	c := config.CompileWith(s.document.GetGeneration(), s.file, s.catalog.held.GetRevision(), discovered(s.withLapsed()))
+	c.Core.Edition = s.catalog.edition
 	s.inForce.Store(c)
 	s.scheduler.Configure(c)
 	return c
