core/prompt: an account may begin 0.05 of all beyond its share, not 0.16

Cause: the slack made up for amounts that were seconds old. Since these reach all routers within two exchanges, it only lets accounts that ask for much take what the others' requests then wait for.

--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -75,7 +75,7 @@
 	t.Wait = cmp.Or(t.Wait, 0.15)
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
-	t.Slack = cmp.Or(t.Slack, 0.16)
+	t.Slack = cmp.Or(t.Slack, 0.05)
 	t.BestPart = cmp.Or(t.BestPart, 0.6)
 	t.RealFactor = cmp.Or(t.RealFactor, 1.15)
 	t.RetryAfter = cmp.Or(t.RetryAfter, 100*time.Millisecond)
