core/prompt: the first answers weigh more in what homes are trusted with

Test: TestHomesAreTrustedSoon, failing on the code before. Conclusion: kept, as a restarted router knows in some answers what took it seconds.

--- a/core/prompt/home.go
+++ b/core/prompt/home.go
@@ -6,13 +6,18 @@
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
-// homeWeight is the weight of the newest answer in what homes are trusted with.
+// homeWeight is the least weight of the newest answer in what homes are trusted with. The
+// first answers weigh more: a router that has just started, before engines that haven't,
+// would else refuse for seconds what would be served in time.
 const homeWeight = 0.1
 
 // homes is how often the home of a prompt, the first choice by rendezvous hashing,
 // had kept its shared parts although this router hadn't sent them there and hadn't
 // heard of it: others had.
-type homes struct{ trust float64 }
+type homes struct {
+	trust float64
+	seen  int // answers
+}
 
 // learn takes how long an answer took to begin at its home.
 func (h *homes) learn(took time.Duration, f *flight) {
@@ -23,7 +28,8 @@
 	if took < (f.ifKept+f.ifCold)/2 {
 		kept = 1
 	}
-	h.trust += homeWeight * (kept - h.trust)
+	h.seen++
+	h.trust += max(homeWeight, 1/float64(h.seen+1)) * (kept - h.trust)
 }
 
 // homeOf returns the home of a request's prompt, nil where none of it is shared or
--- a/core/prompt/home_test.go
+++ b/core/prompt/home_test.go
@@ -9,11 +9,11 @@
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
-// learnHomes lets answers to prompts this router never sent before begin after so
-// long each.
-func learnHomes(t *testing.T, m *Machine, now time.Duration, began time.Duration) time.Duration {
+// learnHomes lets so many answers to prompts this router never sent before begin after
+// so long each.
+func learnHomes(t *testing.T, m *Machine, answers int, now, began time.Duration) time.Duration {
 	t.Helper()
-	for range 40 {
+	for range answers {
 		now += 2 * time.Second
 		id := model.RequestID(now)
 		m.Arrive(now, ask(id, 1, uint64(now), 1000))
@@ -29,15 +29,25 @@
 func TestHomesAreTrustedAsTheyAnswer(t *testing.T) {
 	is := is.New(t)
 	m := newMachine(9)
-	now := learnHomes(t, m, 0, 85*time.Millisecond)
+	now := learnHomes(t, m, 40, 0, 85*time.Millisecond)
 	m.Arrive(now, ask(1, 1, 7, 1000))
 	is.True(dispatched(t, m).Unread < 1500) // though never sent from here
 	m.Finish(now, 1, Done, 50)
-	now = learnHomes(t, m, now, 290*time.Millisecond)
+	now = learnHomes(t, m, 40, now, 290*time.Millisecond)
 	m.Arrive(now, ask(2, 1, 8, 1000))
 	is.True(dispatched(t, m).Unread > 10_500)
 }
 
+// TestHomesAreTrustedSoon restarts a router before engines that keep all prompts: some
+// answers are enough for it to know.
+func TestHomesAreTrustedSoon(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(9)
+	now := learnHomes(t, m, 4, 0, 85*time.Millisecond)
+	m.Arrive(now, ask(1, 1, 7, 1000))
+	is.True(dispatched(t, m).Unread < 5000)
+}
+
 // TestCopiesComeFromHomes fills the home of a prompt: another backend server is
 // chosen, and copies what the home is expected to keep.
 func TestCopiesComeFromHomes(t *testing.T) {
@@ -46,7 +56,7 @@
 	c := testConfig(9)
 	c.Pools[pool] = Pool{Engine: true, Memory: 500_000, CopyRate: 400_000}
 	m.Configure(0, c)
-	now := learnHomes(t, m, 0, 85*time.Millisecond)
+	now := learnHomes(t, m, 40, 0, 85*time.Millisecond)
 	m.Arrive(now, ask(1, 1, 7, 1000))
 	home := dispatched(t, m).Backend
 	m.servers[home].sentElsewhere(now, 12_000)
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -9,11 +9,14 @@
 // counts is its backlog: the tokens sent to it that it hasn't read yet.
 //
 // Each router counts the tokens sent to each backend server, its own at once and
-// the other routers' from their reports, and estimates how many of them have
-// been read: the estimate grows at the engine's rate, and each first token of an
-// answer corrects it. A request that has begun shows that all that was sent
-// before it has been read; one that hasn't shows the contrary. The correction
-// finds slow and silent backend servers as well.
+// the other routers' from their words, which say what is new since the word
+// before. It estimates how many of them have been read: the estimate grows at the
+// engine's rate, and each first token of an answer corrects it. A request that has
+// begun shows that all that was sent before it has been read; one that hasn't
+// shows the contrary. The correction finds slow and silent backend servers as well.
+//
+// How soon an idle engine begins its answer and how fast it reads are measured, for
+// each pool, on the answers to requests that nothing seemed to be ahead of.
 //
 // # The choice of a backend server
 //
@@ -27,10 +30,11 @@
 // # Accounts
 //
 // Over a window of some seconds each account may begin its max-min share of what
-// the engines make: whoever asks for less than an even part gets it all, and what
+// the engines make, counted over the fleet from the routers' words: whoever asks for less than an even part gets it all, and what
 // is left is divided evenly among the others. Work within the share goes first,
 // by what part of the share its account has had; work beyond it goes only where
-// capacity would idle.
+// capacity would idle: where its answer is expected little later than an idle
+// engine would begin it.
 //
 // # Waiting and refusing
 //
