core/prompt: a router that has heard no other takes them to send as it does

Cause: when all routers restart, their callers come back at once. Change: until it has heard a word, for 0.3 s after its first send at the most, a router counts each send once more for every other live router, spread over the pool.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -101,6 +101,7 @@
 	passed   model.Time // when all that waits was last gone over
 	homes    homes
 	paces    map[model.PoolID]*pace
+	unheard  unheard
 }
 
 // request is a request that waits or runs.
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -16,6 +16,7 @@
 		return
 	}
 	m.passed = m.now
+	m.stillUnheard()
 	l := m.levels()
 	for _, r := range m.ranked(l.owed) {
 		m.consider(r, l)
@@ -187,6 +188,9 @@
 	r.server = s
 	r.flight = s.send(m.now, p.unread, p.delay+r.Lag)
 	r.flight.ahead, r.flight.copied = p.ahead, p.from != nil
+	if s.engine {
+		m.assume(s.Pool, p.unread)
+	}
 	m.markHome(r, p)
 	for i, part := range r.Prompt.Parts {
 		key := partKey(part.ID)
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -30,6 +30,7 @@
 
 	flights []*flight // from here, in the order they were sent
 	remote  int       // running for other routers, by their words
+	assumed float64   // tokens that others may have sent, before any was heard
 
 	// untold counts the tokens sent from here that the other routers don't know of;
 	// toldRunning is how many requests they take to run from here, as told at toldAt;
@@ -80,7 +81,7 @@
 // backlog returns the tokens that are still to be read.
 func (s *server) backlog(now model.Time) float64 {
 	s.advance(now)
-	return s.sent - s.read
+	return s.sent - s.read + s.assumed
 }
 
 // running returns how many requests run there, as far as known.
