core/prompt: what others send between two words is expected of busy engines

Cause: a router's words are 80 ms old in the mean, and engines that are read at half their rate and more get some thousand tokens in that time. Change: the rate at which others send to an engine, over a second, times the age of words, times how busy that makes the engine: an idle one has read most of it meanwhile.

--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -30,6 +30,7 @@
 
 	flights []*flight // from here, in the order they were sent
 	remote  int       // running for other routers, by their words
+	others  others    // what other routers send there
 	assumed float64   // tokens that others may have sent, before any was heard
 
 	// untold counts the tokens sent from here that the other routers don't know of;
@@ -78,10 +79,10 @@
 	}
 }
 
-// backlog returns the tokens that are still to be read.
+// backlog returns the tokens that are expected to be still unread.
 func (s *server) backlog(now model.Time) float64 {
 	s.advance(now)
-	return s.sent - s.read + s.assumed
+	return s.sent - s.read + s.unseen(now) + s.assumed
 }
 
 // running returns how many requests run there, as far as known.
@@ -109,6 +110,7 @@
 func (s *server) sentElsewhere(now model.Time, tokens float64) {
 	s.advance(now)
 	s.sent += tokens
+	s.others.add(now, tokens)
 }
 
 // began takes that an answer has begun: all that was sent before has been read.
