--- a/core/loads.go
+++ b/core/loads.go
@@ -21,7 +21,8 @@
 	// DefaultLoadsBytes is what a router spends on it in bytes a second unless it is
 	// set: most of the 13 KB a second that the target size leaves for control.
 	DefaultLoadsBytes = 9000
-	// maxHandedOn is how many messages of others are kept to be handed on.
+	// maxHandedOn is how many messages of others are kept to be handed on; more come only
+	// where the budget is far too small, and are lost as a datagram may be.
 	maxHandedOn = 256
 )
 
