--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -50,11 +50,6 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
-type lease struct {
-	ttl   time.Duration
-	timer *time.Timer
-}
-
 // NewStore returns an empty store; it is reached through its doors.
 func NewStore() *Store {
 	s := &Store{
@@ -364,51 +359,3 @@
 	}
 	return http.StatusOK, map[string]int64{"revision": s.revision}
 }
-
-func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
-	var in struct {
-		TTL int64 `json:"ttl_ms"`
-	}
-	_ = json.NewDecoder(r.Body).Decode(&in)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.next++
-	id := s.next
-	ttl := time.Duration(in.TTL) * time.Millisecond
-	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.lapse(id) })}
-	answer(w, http.StatusOK, map[string]int64{"lease": id, "ttl_ms": in.TTL})
-}
-
-// lapse ends a lease and removes its keys.
-func (s *Store) lapse(id int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if l := s.leases[id]; l != nil {
-		l.timer.Stop()
-	}
-	delete(s.leases, id)
-	for key, e := range s.items {
-		if e.Lease == id {
-			s.remove(key)
-		}
-	}
-}
-
-func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.leases[id]
-	if l == nil {
-		answer(w, http.StatusNotFound, map[string]any{})
-		return
-	}
-	l.timer.Reset(l.ttl)
-	answer(w, http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()})
-}
-
-func (s *Store) end(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
-	s.lapse(id)
-	answer(w, http.StatusOK, map[string]any{})
-}
