--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -133,6 +133,19 @@
 	return age
 }
 
+// MeanAge returns how old the last words of the other routers are in the mean; it is
+// measured by a benchmark of package core.
+func (m *Machine) MeanAge() time.Duration {
+	if len(m.peers) == 0 {
+		return 0
+	}
+	sum := time.Duration(0)
+	for _, p := range m.peers {
+		sum += m.now - p.at
+	}
+	return sum / time.Duration(len(m.peers))
+}
+
 // ForgetRouter takes back what a router that is gone had running.
 func (m *Machine) ForgetRouter(router string) {
 	p := m.peers[router]
