internal/agenda: one agenda of virtual time for the emulator and core's tests

Ruled out: a change of order: of two events at one time the one planned first still goes first, and a time that has passed is taken for now, as in the emulator's. No code of the router.

--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -81,13 +81,13 @@
 	f.runUntil(warmUp)
 	m := newGapMeter(f)
 	used, could := 0, 0
-	for f.now < length {
-		f.runUntil(f.now + 500*time.Millisecond)
+	for f.time.Now() < length {
+		f.runUntil(f.time.Now() + 500*time.Millisecond)
 		gap := m.sample()
 		switch {
-		case f.now > 120*time.Second && f.now <= 240*time.Second:
+		case f.time.Now() > 120*time.Second && f.time.Now() <= 240*time.Second:
 			out.during = max(out.during, gap)
-		case f.now > 300*time.Second:
+		case f.time.Now() > 300*time.Second:
 			out.after = max(out.after, gap)
 		}
 		for id, e := range f.engines {
@@ -101,7 +101,7 @@
 	out.gap, out.mean = m.worst, m.mean()
 	out.busy = float64(used) / float64(could)
 	for _, n := range f.nodes {
-		out.bytes = max(out.bytes, float64(n.bytes)/f.now.Seconds())
+		out.bytes = max(out.bytes, float64(n.bytes)/f.time.Now().Seconds())
 	}
 	out.step = spent / time.Duration(f.steps)
 	out.perRequest = spent / time.Duration(f.nextID)
@@ -234,7 +234,7 @@
 		if before != nil {
 			before(j)
 		}
-		if waits != nil && j.account == l.account && f.now > warmUp {
+		if waits != nil && j.account == l.account && f.time.Now() > warmUp {
 			*waits = append(*waits, j.waited)
 		}
 	}
@@ -364,7 +364,7 @@
 		clear(n.parts)
 	}
 	began := time.Now()
-	f.runUntil(f.now + length)
+	f.runUntil(f.time.Now() + length)
 	spent := time.Since(began)
 	all, most, parts := f.sent()
 	runtime.GC()
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/internal/agenda"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -18,31 +18,6 @@
 // backend servers are counters: each request runs for as long as its length in
 // tokens takes.
 
-// item is something that happens at a time.
-type item struct {
-	at  model.Time
-	seq uint64
-	do  func()
-}
-
-type agenda []item
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
-func (a *agenda) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return x
-}
-
 // node is one router of the fleet.
 type node struct {
 	name   string
@@ -118,9 +93,7 @@
 }
 
 type fleet struct {
-	now      model.Time
-	seq      uint64
-	todo     agenda
+	time     agenda.Agenda
 	random   *rand.Rand
 	config   *Config
 	nodes    []*node
@@ -176,18 +149,12 @@
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.todo, item{at: f.now + d, seq: f.seq, do: do})
+	f.time.After(d, do)
 }
 
 // runUntil lets virtual time pass.
 func (f *fleet) runUntil(t model.Time) {
-	for len(f.todo) > 0 && f.todo[0].at <= t {
-		x := heap.Pop(&f.todo).(item)
-		f.now = x.at
-		x.do()
-	}
-	f.now = t
+	f.time.Run(t)
 }
 
 // start starts a router with no memory.
@@ -196,7 +163,7 @@
 	n.down = false
 	n.wakeAt = 0
 	self := member.Member{Name: n.name, Address: n.name, DataHall: n.hall, Boot: n.boot}
-	n.core = New(f.now, self, f.random.Uint64())
+	n.core = New(f.time.Now(), self, f.random.Uint64())
 	f.step(n, Configure{Config: f.config})
 	var listed []member.Listed
 	for _, o := range f.nodes {
@@ -225,7 +192,7 @@
 		return
 	}
 	f.steps++
-	for _, a := range n.core.Step(f.now, e) {
+	for _, a := range n.core.Step(f.time.Now(), e) {
 		f.act(n, a)
 	}
 	f.schedule(n)
@@ -241,14 +208,14 @@
 }
 
 func (f *fleet) schedule(n *node) {
-	wake := max(n.core.Wake(), f.now+minWake)
-	if n.wakeAt > f.now && n.wakeAt <= wake {
+	wake := max(n.core.Wake(), f.time.Now()+minWake)
+	if n.wakeAt > f.time.Now() && n.wakeAt <= wake {
 		return
 	}
 	n.wakeAt = wake
 	core := n.core
-	f.after(wake-f.now, func() {
-		if n.core == core && n.wakeAt == f.now {
+	f.after(wake-f.time.Now(), func() {
+		if n.core == core && n.wakeAt == f.time.Now() {
 			n.wakeAt = 0
 			f.step(n, Tick{})
 		}
@@ -306,7 +273,7 @@
 	f.nextID++
 	j := &job{
 		id: f.nextID, account: account, pool: pool, class: class,
-		input: input, output: output, node: n, arrived: f.now,
+		input: input, output: output, node: n, arrived: f.time.Now(),
 	}
 	f.jobs[j.id] = j
 	f.step(n, Arrive{ID: j.id, Account: account, Pool: pool, Class: class, Input: input, Wait: wait})
@@ -317,12 +284,12 @@
 	j := f.jobs[a.ID]
 	e := f.engines[a.Backend]
 	j.running = true
-	j.started = f.now
-	j.waited = f.now - j.arrived
+	j.started = f.time.Now()
+	j.waited = f.time.Now() - j.arrived
 	j.backend = a.Backend
 	e.running++
 	e.most = max(e.most, e.running)
-	e.lastNew = f.now
+	e.lastNew = f.time.Now()
 	f.service[j.account] += j.input
 	if f.dispatched != nil {
 		f.dispatched(j)
--- a/core/gap_test.go
+++ b/core/gap_test.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		if _, ok := m.began[id]; !ok {
-			m.began[id] = start{at: m.fleet.now, service: m.snapshot()}
+			m.began[id] = start{at: m.fleet.time.Now(), service: m.snapshot()}
 		}
 	}
 	gap := m.widest()
--- a/core/loads_bench_test.go
+++ b/core/loads_bench_test.go
@@ -14,7 +14,7 @@
 // BenchmarkWords measures what routers spend on telling each other their loads and their
 // accounts' amounts, and how old a word is when it comes, by the size of the fleet, the
 // requests a second of each router, and the bytes that it may spend.
-func BenchmarkWords(b *testing.B) {
+func BenchmarkWords(_ *testing.B) {
 	fmt.Printf("%9s %6s %9s | %9s %9s %8s %9s\n", "routers", "req/s", "allowed", "B/s", "B/s max", "msg/s", "age ms")
 	for _, row := range []struct {
 		routers, perSecond int
@@ -49,7 +49,7 @@
 		}
 		return d
 	}
-	begin := f.now
+	begin := f.time.Now()
 	every := time.Second / time.Duration(routers*perSecond)
 	age, samples := 0.0, 0.0
 	names := accountNames(10)
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -61,7 +61,7 @@
 		}
 		return d
 	}
-	f.runUntil(f.now + 2*loadsEvery + 20*time.Millisecond)
+	f.runUntil(f.time.Now() + 2*loadsEvery + 20*time.Millisecond)
 	is.Equal(f.knowing(to), 59)
 	is.True(told < 2*59) // each is told once, some by two
 }
@@ -74,7 +74,7 @@
 	f := loadedFleet(59, 60_000)
 	account := model.Account(accountNames(1)[0])
 	f.sendOne(f.nodes[20])
-	f.runUntil(f.now + time.Second)
+	f.runUntil(f.time.Now() + time.Second)
 	for _, m := range f.nodes[20].core.members.Running()[:3] {
 		if m.Name != f.nodes[20].name {
 			f.kill(f.byName[m.Name])
@@ -86,7 +86,7 @@
 	}
 	asked := f.nodes[20].core.prompt.Amounts(account).Asked
 	is.True(asked > before)
-	f.runUntil(f.now + 2*loadsEvery + 20*time.Millisecond)
+	f.runUntil(f.time.Now() + 2*loadsEvery + 20*time.Millisecond)
 	know := 0
 	for _, n := range f.nodes {
 		if !n.down && n.core.prompt.Amounts(account).Asked > 0.9*asked {
@@ -106,10 +106,10 @@
 		return d
 	}
 	to := f.sendOne(f.nodes[4])
-	f.runUntil(f.now + 300*time.Millisecond)
+	f.runUntil(f.time.Now() + 300*time.Millisecond)
 	is.Equal(f.knowing(to), 1)
 	f.tamper = nil
-	f.runUntil(f.now + loadsRepeat)
+	f.runUntil(f.time.Now() + loadsRepeat)
 	is.Equal(f.knowing(to), 9)
 }
 
@@ -130,7 +130,7 @@
 		return d
 	}
 	const seconds = 10
-	begin := f.now
+	begin := f.time.Now()
 	for i := range seconds * 200 {
 		f.runUntil(begin + time.Duration(i)*5*time.Millisecond)
 		f.submitPrompt(f.nodes[i%len(f.nodes)], model.Account(accountNames(1)[0]), 1000, 20)
--- a/core/property_test.go
+++ b/core/property_test.go
@@ -81,7 +81,7 @@
 		for range 10 {
 			r.calm(6 * time.Second)
 			for i, id := range r.accounts {
-				since := r.fleet.now - r.served[id]
+				since := r.fleet.time.Now() - r.served[id]
 				if r.fleet.waiting(id) > 0 && since > patience {
 					t.Fatalf("account %d waits since %v", i+1, since)
 				}
@@ -105,13 +105,13 @@
 		if r.fleet.loss > 0 {
 			allowed += inARow * grantExpiry
 		}
-		idleSince := r.fleet.now
+		idleSince := r.fleet.time.Now()
 		for range 5000 {
 			r.calm(2 * time.Millisecond)
 			if r.running() >= smallSlots {
-				idleSince = r.fleet.now
+				idleSince = r.fleet.time.Now()
 			}
-			if idle := r.fleet.now - idleSince; idle > allowed {
+			if idle := r.fleet.time.Now() - idleSince; idle > allowed {
 				t.Fatalf("%d of %d slots are used, for %v", r.running(), smallSlots, idle)
 			}
 		}
@@ -206,9 +206,9 @@
 	for _, n := range f.nodes {
 		before := f.service[id]
 		f.kill(n)
-		f.runUntil(f.now + 5*time.Second)
+		f.runUntil(f.time.Now() + 5*time.Second)
 		f.start(n)
-		f.runUntil(f.now + 8*time.Second)
+		f.runUntil(f.time.Now() + 8*time.Second)
 		known := f.nodes[0].core.ledger.Virtual(key).Tokens()
 		t.Logf("%s replaced: account has %.0f, ledger %.0f", n.name, f.service[id], known)
 		is.True(known > before-capacityTokens) // but for what died unsent
--- a/core/restart_test.go
+++ b/core/restart_test.go
@@ -14,7 +14,7 @@
 func (f *fleet) submitPrompt(n *node, account model.AccountID, tokens, output int) {
 	f.nextID++
 	id := f.nextID
-	f.jobs[id] = &job{id: id, account: account, pool: model.Pool(assistant), output: float64(output), node: n, arrived: f.now}
+	f.jobs[id] = &job{id: id, account: account, pool: model.Pool(assistant), output: float64(output), node: n, arrived: f.time.Now()}
 	f.step(n, Arrive{
 		ID: id, Account: account, Pool: model.Pool(assistant), Wait: time.Second,
 		Prompt: model.Prompt{Tokens: tokens, Hint: output},
--- a/core/run_test.go
+++ b/core/run_test.go
@@ -55,7 +55,7 @@
 	r := &run{t: t, fleet: f, served: map[model.AccountID]model.Time{}, ended: map[RequestID]int{}, load: true}
 	r.shortest = 5
 	r.longest = rapid.IntRange(60, 400).Draw(t, "longest")
-	f.dispatched = func(j *job) { r.served[j.account] = f.now }
+	f.dispatched = func(j *job) { r.served[j.account] = f.time.Now() }
 	r.meter = newGapMeter(f)
 	for _, name := range accountNames(4) {
 		r.accounts = append(r.accounts, model.Account(name))
@@ -117,20 +117,20 @@
 	switch kind {
 	case "cut":
 		f.cut = func(a, b *node) bool { return (a.hall == n.hall) != (b.hall == n.hall) }
-		f.runUntil(f.now + lasts)
+		f.runUntil(f.time.Now() + lasts)
 		f.cut = nil
 	case "restart":
 		f.kill(n)
-		f.runUntil(f.now + lasts)
+		f.runUntil(f.time.Now() + lasts)
 		f.start(n)
 	case "pause":
 		n.paused = true
-		f.runUntil(f.now + lasts)
+		f.runUntil(f.time.Now() + lasts)
 		f.resume(n)
 	case "loss":
 		was := f.loss
 		f.loss = 0.5
-		f.runUntil(f.now + lasts)
+		f.runUntil(f.time.Now() + lasts)
 		f.loss = was
 	}
 	r.refill()
@@ -145,7 +145,7 @@
 	}
 }
 
-func (r *run) calm(d time.Duration) { r.fleet.runUntil(r.fleet.now + d) }
+func (r *run) calm(d time.Duration) { r.fleet.runUntil(r.fleet.time.Now() + d) }
 
 // gapBound is the bound on the gap between accounts of weight 1, in tokens, that
 // docs/DESIGN.md derives, for the small configuration. The slots include those by
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -10,10 +10,10 @@
 // planNext plans an account's next request of a kind.
 func (w *world) planNext(kind, account int) {
 	third := w.Length / 3
-	into := w.time.now - settle - w.WarmUp
+	into := w.time.Now() - settle - w.WarmUp
 	hot := into > third && into < 2*third
-	w.time.at(w.time.now+w.source.gap(kind, account, hot), func() {
-		c := w.source.draw(kind, account, w.time.now)
+	w.time.At(w.time.Now()+w.source.gap(kind, account, hot), func() {
+		c := w.source.draw(kind, account, w.time.Now())
 		w.calls = append(w.calls, c)
 		w.try(c)
 		w.planNext(kind, account)
@@ -25,12 +25,12 @@
 	c.tries++
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	k := w.Load.Kinds[c.kind]
-	w.time.at(w.time.now+w.CallerLink, func() {
+	w.time.At(w.time.Now()+w.CallerLink, func() {
 		n.nextID++
 		n.calls[n.nextID] = c
 		w.step(n, core.Arrive{
 			ID: n.nextID, Account: model.Account(accountName(c.account)), Pool: model.Pool(poolName),
-			Input: float64(c.prompt.Tokens), Wait: k.Deadline - (w.time.now - c.sent),
+			Input: float64(c.prompt.Tokens), Wait: k.Deadline - (w.time.Now() - c.sent),
 			Route: uint32(c.kind), Prompt: c.prompt, Objective: k.Objective,
 		})
 	})
@@ -42,13 +42,13 @@
 	k := w.Load.Kinds[c.kind]
 	last := model.Time(0)
 	pause := func() {
-		c.broken = c.broken || last > 0 && w.time.now-last > k.Pause
-		last = w.time.now
+		c.broken = c.broken || last > 0 && w.time.Now()-last > k.Pause
+		last = w.time.Now()
 	}
 	c.run = &run{prompt: &c.prompt, output: c.output}
 	c.run.first = func() {
 		pause()
-		c.first = w.time.now + w.CallerLink - c.sent
+		c.first = w.time.Now() + w.CallerLink - c.sent
 		w.step(n, core.Began{ID: a.ID})
 	}
 	c.run.each = func() {
@@ -62,11 +62,11 @@
 	}
 	c.at = e
 	if !e.accept(c.run) {
-		w.time.at(w.time.now, func() { w.step(n, core.Finish{ID: a.ID, Ending: core.Rejected}) })
+		w.time.At(w.time.Now(), func() { w.step(n, core.Finish{ID: a.ID, Ending: core.Rejected}) })
 		w.comeBack(n, a.ID, 0)
 		return
 	}
-	w.time.at(c.sent+k.Deadline, func() { w.leave(n, a.ID) })
+	w.time.At(c.sent+k.Deadline, func() { w.leave(n, a.ID) })
 }
 
 // leave lets a caller leave whose time is over.
@@ -89,9 +89,9 @@
 	if c == nil || c.tries > w.Load.Retries {
 		return
 	}
-	left := w.Load.Kinds[c.kind].Deadline - (w.time.now - c.sent)
+	left := w.Load.Kinds[c.kind].Deadline - (w.time.Now() - c.sent)
 	if left <= 0 {
 		return
 	}
-	w.time.at(w.time.now+min(after, left/callerPatience), func() { w.try(c) })
+	w.time.At(w.time.Now()+min(after, left/callerPatience), func() { w.try(c) })
 }
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -18,6 +18,7 @@
 
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/internal/agenda"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -70,7 +71,7 @@
 // world is an experiment under way.
 type world struct {
 	Experiment
-	time    agenda
+	time    agenda.Agenda
 	source  *source
 	random  *rand.Rand
 	nodes   []*node
@@ -88,13 +89,13 @@
 		byName: map[string]*node{}, engines: map[model.BackendID]*engine{},
 	}
 	w.build()
-	w.time.run(settle)
+	w.time.Run(settle)
 	for kind := range e.Load.Kinds {
 		for account := range e.Load.Accounts {
 			w.planNext(kind, account)
 		}
 	}
-	w.time.run(settle + e.WarmUp + e.Length)
+	w.time.Run(settle + e.WarmUp + e.Length)
 	return w.result()
 }
 
@@ -144,7 +145,7 @@
 
 // step gives a router an event and carries out what it decides.
 func (w *world) step(n *node, e core.Event) {
-	for _, a := range n.core.Step(w.time.now, e) {
+	for _, a := range n.core.Step(w.time.Now(), e) {
 		w.act(n, a)
 	}
 	w.planWake(n)
@@ -152,11 +153,11 @@
 
 func (w *world) planWake(n *node) {
 	wake := n.core.Wake()
-	if n.wakeAt > w.time.now && n.wakeAt <= wake {
+	if n.wakeAt > w.time.Now() && n.wakeAt <= wake {
 		return
 	}
 	n.wakeAt = wake
-	w.time.at(wake, func() {
+	w.time.At(wake, func() {
 		if n.wakeAt == wake {
 			w.step(n, core.Tick{})
 		}
@@ -178,5 +179,5 @@
 	to := w.byName[a.To]
 	d := proto.Clone(a.Datagram).(*wire.Datagram)
 	w.bytes += int64(proto.Size(d))
-	w.time.at(w.time.now+w.Link, func() { w.step(to, core.Receive{Datagram: d}) })
+	w.time.At(w.time.Now()+w.Link, func() { w.step(to, core.Receive{Datagram: d}) })
 }
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tamarindstep/tamarindstep/internal/agenda"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy/policies"
 )
@@ -55,17 +56,17 @@
 
 func TestEngineReadsPromptsOnce(t *testing.T) {
 	is := is.New(t)
-	var time agenda
+	var time agenda.Agenda
 	shape := DefaultEngine
 	shape.Memory = 10_000
 	e := newEngine(shape, &time)
 	var begun []model.Time
 	ask := func(own uint64) {
 		r := &run{prompt: &model.Prompt{Tokens: 5000, Parts: []model.Part{{ID: 1, Tokens: 4000}, {ID: own, Tokens: 1000}}}, output: 2}
-		r.first = func() { begun = append(begun, time.now) }
+		r.first = func() { begun = append(begun, time.Now()) }
 		r.each, r.done = func() {}, func() {}
 		is.True(e.accept(r))
-		time.run(time.now + 1_000_000_000)
+		time.Run(time.Now() + 1_000_000_000)
 	}
 	ask(2)
 	is.Equal(e.read, 5000)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarindstep/tamarindstep/internal/agenda"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -45,7 +46,7 @@
 // engine is one engine at work.
 type engine struct {
 	Engine
-	time    *agenda
+	time    *agenda.Agenda
 	batch   []*run
 	waiting []*run
 	kept    map[uint64]int // tokens of each part
@@ -59,7 +60,7 @@
 	working time.Duration
 }
 
-func newEngine(shape Engine, time *agenda) *engine {
+func newEngine(shape Engine, time *agenda.Agenda) *engine {
 	return &engine{Engine: shape, time: time, kept: map[uint64]int{}, seen: map[uint64]bool{}}
 }
 
@@ -83,7 +84,7 @@
 func (e *engine) wake() {
 	if !e.busy {
 		e.busy = true
-		e.time.at(e.time.now, e.step)
+		e.time.At(e.time.Now(), e.step)
 	}
 }
 
@@ -188,7 +189,7 @@
 	took := e.Step + time.Duration(len(e.batch))*e.PerSlot +
 		time.Duration(float64(reading)/e.ReadRate*float64(time.Second))
 	e.working += took
-	e.time.at(e.time.now+took, func() { e.finishStep(ready) })
+	e.time.At(e.time.Now()+took, func() { e.finishStep(ready) })
 }
 
 func (e *engine) finishStep(ready []*run) {
@@ -206,12 +207,12 @@
 	r.made++
 	if !r.started {
 		r.started = true
-		e.time.at(e.time.now+e.FirstWait, r.first)
+		e.time.At(e.time.Now()+e.FirstWait, r.first)
 	} else if r.made%e.Stride == 0 {
-		e.time.at(e.time.now+e.FirstWait, r.each)
+		e.time.At(e.time.Now()+e.FirstWait, r.each)
 	}
 	if r.made >= r.output {
 		e.drop(r)
-		e.time.at(e.time.now+e.FirstWait, r.done)
+		e.time.At(e.time.Now()+e.FirstWait, r.done)
 	}
 }
--- a/emulator/agenda.go
+++ b/internal/agenda/agenda.go
@@ -1,7 +1,10 @@
-package emulator
+// Package agenda is virtual time: what is planned happens in order, and time passes from
+// one event to the next.
+package agenda
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/model"
 )
@@ -38,21 +41,27 @@
 	return last
 }
 
-// agenda is virtual time.
-type agenda struct {
+// Agenda is a time and what is planned for later.
+type Agenda struct {
 	now    model.Time
 	seq    uint64
 	events events
 }
 
-// at plans something.
-func (a *agenda) at(t model.Time, do func()) {
+// Now returns the time.
+func (a *Agenda) Now() model.Time { return a.now }
+
+// At plans something; a time that has passed is taken for now.
+func (a *Agenda) At(t model.Time, do func()) {
 	a.seq++
 	heap.Push(&a.events, event{max(t, a.now), a.seq, do})
 }
 
-// run lets time pass until there is nothing left to happen before the end.
-func (a *agenda) run(until model.Time) {
+// After plans something for so much later.
+func (a *Agenda) After(d time.Duration, do func()) { a.At(a.now+d, do) }
+
+// Run lets time pass until then, with all that is planned for it.
+func (a *Agenda) Run(until model.Time) {
 	for len(a.events) > 0 && a.events[0].at <= until {
 		e := heap.Pop(&a.events).(event)
 		a.now = e.at
