--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -97,7 +97,7 @@
 	}
 	p.sequence = w.Sequence
 	p.at = m.now
-	m.stillUnheard()
+	m.endUnheard()
 	for _, l := range w.Loads {
 		if s := m.servers[l.Backend]; s != nil {
 			s.sentElsewhere(m.now, float64(l.Sent))
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -16,7 +16,7 @@
 		return
 	}
 	m.passed = m.now
-	m.stillUnheard()
+	m.endUnheard()
 	l := m.levels()
 	for _, r := range m.ranked(l.owed) {
 		m.consider(r, l)
--- a/core/prompt/unheard.go
+++ b/core/prompt/unheard.go
@@ -15,8 +15,8 @@
 // callers come back at once: each would else fill engines that look empty to it, in the
 // time until the first words arrive, several times over.
 type unheard struct {
-	began bool
-	until model.Time
+	began bool       // something was sent to an engine
+	until model.Time // when the others are taken to send nothing, if none was heard
 	over  bool
 }
 
@@ -28,7 +28,8 @@
 		u.began = true
 		u.until = m.now + unheardFor
 	}
-	if !m.stillUnheard() {
+	m.endUnheard()
+	if u.over {
 		return
 	}
 	all := m.byPool[pool]
@@ -37,19 +38,16 @@
 	}
 }
 
-// stillUnheard tells whether no other router has been heard, and takes back what was
-// assumed once that is over.
-func (m *Machine) stillUnheard() bool {
+// endUnheard takes back what was assumed, once another router has been heard or the time
+// for it is over.
+func (m *Machine) endUnheard() {
 	u := &m.unheard
-	if u.over {
-		return false
-	}
-	if len(m.peers) == 0 && (!u.began || m.now < u.until) {
-		return true
+	waiting := len(m.peers) == 0 && (!u.began || m.now < u.until)
+	if u.over || waiting {
+		return
 	}
 	u.over = true
 	for _, s := range m.servers {
 		s.assumed = 0
 	}
-	return false
 }
