gateway, core/prompt: refusals tell what they rest on

A refusal now has the backend server that was the best, its backlog, the part of that which others are expected to have sent, its slowness, the soonest of all that were looked at, and what the account has asked for; a refusal by the header has the account's last decision. One struct, Basis, takes the place of the same fields in four types. No decision changes.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -88,7 +88,7 @@
 		case prompt.Refuse:
 			delete(c.promptKeys, a.ID)
 			c.do(Refuse{
-				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay, Had: a.Had,
+				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis,
 			})
 		}
 	}
@@ -101,8 +101,7 @@
 	}
 	c.loads.changed = true
 	c.do(Dispatch{
-		ID: a.ID, Backend: a.Backend, Waited: a.Waited,
-		Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Had: a.Had, Age: a.Age,
+		ID: a.ID, Backend: a.Backend, Waited: a.Waited, Basis: a.Basis,
 		CopyFrom: a.CopyFrom, Copied: a.Copied,
 	})
 }
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -120,13 +121,7 @@
 	Backend model.BackendID
 	Waited  time.Duration
 
-	// What decided, where the policy decides by prompt.
-	Delay   time.Duration // expected until the answer begins
-	Unread  int           // tokens of the prompt to be read
-	Backlog int           // tokens to be read before it
-	Over    bool          // its account was beyond its share
-	Had     float64       // part of what its account is owed that has begun
-	Age     time.Duration // of the oldest word of another router on its load
+	Basis prompt.Basis // what decided, where the policy decides by prompt
 	// CopyFrom is the backend server from which the parts of the prompt that it
 	// keeps are to be copied, 0 for none, and Copied how many tokens that is.
 	CopyFrom model.BackendID
@@ -153,8 +148,7 @@
 	Reason     Refusal
 	RetryAfter time.Duration
 	Waited     time.Duration
-	Delay      time.Duration // expected at the best backend server, 0 where unknown
-	Had        float64       // part of what its account is owed that has begun, by prompt
+	Basis      prompt.Basis // what decided, where the policy decides by prompt
 }
 
 // Send sends a datagram to another router.
--- a/core/prompt/home_test.go
+++ b/core/prompt/home_test.go
@@ -31,11 +31,11 @@
 	m := newMachine(9)
 	now := learnHomes(t, m, 40, 0, 85*time.Millisecond)
 	m.Arrive(now, ask(1, 1, 7, 1000))
-	is.True(dispatched(t, m).Unread < 1500) // though never sent from here
+	is.True(dispatched(t, m).Basis.Unread < 1500) // though never sent from here
 	m.Finish(now, 1, Done, 50)
 	now = learnHomes(t, m, 40, now, 290*time.Millisecond)
 	m.Arrive(now, ask(2, 1, 8, 1000))
-	is.True(dispatched(t, m).Unread > 10_500)
+	is.True(dispatched(t, m).Basis.Unread > 10_500)
 }
 
 // TestHomesAreTrustedSoon restarts a router before engines that keep all prompts: some
@@ -45,7 +45,7 @@
 	m := newMachine(9)
 	now := learnHomes(t, m, 4, 0, 85*time.Millisecond)
 	m.Arrive(now, ask(1, 1, 7, 1000))
-	is.True(dispatched(t, m).Unread < 5000)
+	is.True(dispatched(t, m).Basis.Unread < 5000)
 }
 
 // TestCopiesComeFromHomes fills the home of a prompt: another backend server is
@@ -67,7 +67,7 @@
 	third := dispatched(t, m)
 	is.True(third.Backend != home)
 	is.Equal(third.CopyFrom, home)
-	is.True(third.Unread < 1500)
+	is.True(third.Basis.Unread < 1500)
 }
 
 // TestOwnLagTellsNothingAgainstServers lets a router that is late itself take answers
@@ -83,7 +83,7 @@
 		r.Lag = lag
 		m.Arrive(now, r)
 		d := dispatched(t, m)
-		m.Began(now+d.Delay+lag, r.ID)
+		m.Began(now+d.Basis.Delay+lag, r.ID)
 		m.Finish(now+time.Second, r.ID, Done, 50)
 	}
 	for _, s := range m.servers {
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -20,6 +20,7 @@
 	score   float64       // seconds; the least is the best
 	from    *server       // from which parts are copied, nil for none
 	copied  float64       // tokens
+	soonest time.Duration // the least delay of all places that were looked at
 }
 
 // best returns the best place for a request; ok is false where there is none.
@@ -29,6 +30,7 @@
 		r.chosenFor = m.version
 	}
 	var best place
+	var soonest time.Duration
 	found := false
 	r.home = m.homeOf(r)
 	holder := m.holderOf(r)
@@ -41,10 +43,14 @@
 		if s.engine {
 			p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
 		}
+		if !found || p.delay < soonest {
+			soonest = p.delay
+		}
 		if !found || p.score < best.score {
 			best, found = p, true
 		}
 	}
+	best.soonest = soonest
 	return best, found
 }
 
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -61,13 +61,13 @@
 	m := newMachine(4)
 	m.Arrive(0, ask(1, 1, 7, 1000))
 	first := dispatched(t, m)
-	is.Equal(first.Unread, 11_000)
+	is.Equal(first.Basis.Unread, 11_000)
 	m.Began(300*time.Millisecond, 1)
 	m.Finish(time.Second, 1, Done, 50)
 	m.Arrive(2*time.Second, ask(2, 1, 7, 1000))
 	second := dispatched(t, m)
 	is.Equal(second.Backend, first.Backend)
-	is.Equal(second.Unread, 1000) // only its own part
+	is.Equal(second.Basis.Unread, 1000) // only its own part
 }
 
 // TestRoutersChooseAlike asks routers that know nothing of each other.
@@ -97,7 +97,7 @@
 	b.Arrive(time.Second, ask(1, 1, 7, 1000))
 	got := dispatched(t, b)
 	is.Equal(got.Backend, sent.Backend)
-	is.Equal(got.Unread, 1000)
+	is.Equal(got.Basis.Unread, 1000)
 	again, _ := a.Tell()
 	is.Equal(len(again.News), 0) // told once
 }
@@ -117,7 +117,7 @@
 	}
 	m.Finish(now, 61, Done, 50)
 	m.Arrive(now+time.Second, ask(100, 1, 7, 1000))
-	is.Equal(dispatched(t, m).Unread, 11_000) // 660,000 tokens have been read since
+	is.Equal(dispatched(t, m).Basis.Unread, 11_000) // 660,000 tokens have been read since
 }
 
 func TestLateAnswerHoldsTheEstimateBack(t *testing.T) {
@@ -128,7 +128,7 @@
 	// By its rate it has long been read, but its answer hasn't begun.
 	m.Arrive(2*time.Second, ask(2, 1, 7, 1000))
 	second := dispatched(t, m)
-	is.True(second.Backend != first.Backend || second.Backlog > 0)
+	is.True(second.Backend != first.Backend || second.Basis.Backlog > 0)
 }
 
 func TestFailingServerIsLeftOutAndTriedAgain(t *testing.T) {
@@ -174,7 +174,7 @@
 		}
 		is.Equal(d.CopyFrom, holder)
 		is.Equal(d.Copied, 10_000)
-		is.Equal(d.Unread, 6000) // its own part alone
+		is.Equal(d.Basis.Unread, 6000) // its own part alone
 		return
 	}
 	t.Fatal("none went to the other one")
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -65,6 +65,7 @@
 	m.drop(r)
 	m.actions = append(m.actions, Refuse{
 		ID: r.ID, Reason: QueueFull, RetryAfter: m.config.Tuning.RetryAfter, Waited: m.now - r.arrived,
+		Basis: m.basis(r, place{}, m.levels()),
 	})
 }
 
@@ -105,7 +106,7 @@
 	p, ok := m.best(r)
 	stands := m.standingOf(r.Account, l)
 	if ok && m.mayBegin(r, p, stands) {
-		m.dispatch(r, p, stands, l)
+		m.dispatch(r, p, l)
 		return
 	}
 	if waited < m.mayWait(r, ok) {
@@ -172,18 +173,15 @@
 
 func (m *Machine) refuse(r *request, reason Reason, retryAfter time.Duration, l levels) {
 	m.drop(r)
-	delay := time.Duration(0)
-	if p, ok := m.best(r); ok {
-		delay = p.delay
-	}
+	p, _ := m.best(r)
 	m.actions = append(m.actions, Refuse{
-		ID: r.ID, Reason: reason, RetryAfter: retryAfter, Waited: m.now - r.arrived, Delay: delay,
-		Had: m.had(r.Account, l.owed),
+		ID: r.ID, Reason: reason, RetryAfter: retryAfter, Waited: m.now - r.arrived, Basis: m.basis(r, p, l),
 	})
 }
 
-func (m *Machine) dispatch(r *request, p place, stands standing, l levels) {
+func (m *Machine) dispatch(r *request, p place, l levels) {
 	m.removeWaiting(r)
+	basis := m.basis(r, p, l)
 	s := p.server
 	r.server = s
 	r.flight = s.send(m.now, p.unread, p.delay+r.Lag)
@@ -200,11 +198,27 @@
 		}
 	}
 	d := Dispatch{
-		ID: r.ID, Backend: s.id, Waited: m.now - r.arrived, Delay: p.delay,
-		Unread: int(p.unread), Backlog: int(p.backlog), Over: stands != within, Had: m.had(r.Account, l.owed), Age: m.oldestWord(),
+		ID: r.ID, Backend: s.id, Waited: m.now - r.arrived, Basis: basis,
 	}
 	if p.from != nil {
 		d.CopyFrom, d.Copied = p.from.id, int(p.copied)
 	}
 	m.actions = append(m.actions, d)
 }
+
+// basis returns what a decision on a request rests on; the place has no backend server
+// where there is none.
+func (m *Machine) basis(r *request, p place, l levels) Basis {
+	out := Basis{
+		Delay: p.delay, Unread: int(p.unread), Backlog: int(p.backlog), Soonest: p.soonest,
+		Over: m.standingOf(r.Account, l) != within, Had: m.had(r.Account, l.owed), Age: m.oldestWord(),
+	}
+	if l.owed > 0 {
+		out.Asked = m.Amounts(r.Account).Asked / l.owed
+	}
+	if s := p.server; s != nil {
+		out.Best, out.Slow = s.id, s.health.slowness()
+		out.Unheard = int(s.unseen(m.now) + s.assumed)
+	}
+	return out
+}
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -31,19 +31,30 @@
 	ID      model.RequestID
 	Backend model.BackendID
 	Waited  time.Duration
-	// What decided, for the log.
-	Delay   time.Duration // expected until the answer begins
-	Unread  int           // tokens of the prompt that are to be read there
-	Backlog int           // tokens to be read there before it
-	Over    bool          // its account was beyond its share
-	Had     float64       // part of what its account is owed that has begun
-	Age     time.Duration // of the oldest word of another router on its load
+	Basis   Basis
 	// CopyFrom is the backend server from which parts of the prompt are to be
 	// copied, 0 for none, and Copied how many tokens that is.
 	CopyFrom model.BackendID
 	Copied   int
 }
 
+// Basis is what a decision rests on, for the log.
+type Basis struct {
+	Best    model.BackendID // the best backend server, 0 for none
+	Delay   time.Duration   // expected until the answer begins there
+	Unread  int             // tokens of the prompt that are to be read there
+	Backlog int             // tokens to be read there before it
+	// Unheard is the part of the backlog that others are expected to have sent and
+	// haven't told of yet.
+	Unheard int
+	Slow    float64       // how much slower than its pool's pace it is taken to read
+	Soonest time.Duration // the least delay expected of any backend server looked at
+	Over    bool          // the account was beyond its share
+	Had     float64       // part of what the account is owed that has begun
+	Asked   float64       // the same of what it has asked for
+	Age     time.Duration // of the oldest word of another router
+}
+
 // Reason is why a request is refused.
 type Reason string
 
@@ -62,8 +73,7 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Waited     time.Duration
-	Delay      time.Duration // expected at the best backend server
-	Had        float64       // part of what its account is owed that has begun
+	Basis      Basis
 }
 
 func (Dispatch) action() {}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 )
@@ -183,6 +184,7 @@
 	}
 	select {
 	case d := <-a.held.Decisions:
+		a.service.pending.decided(a.account, d)
 		if d.Dispatched {
 			return d, true
 		}
@@ -198,8 +200,12 @@
 // notDispatched answers a request that the core refuses: as not admitted where it
 // has never run, else with what its last backend server has come to.
 func (a *attempt) notDispatched(d scheduler.Decision) {
-	a.log("refused").Str("reason", string(d.Refusal)).Dur("waited_ms", d.Waited).Dur("delay_ms", d.Delay).
-		Float64("share_had", d.Had).Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).Msg("request refused")
+	best := ""
+	if b := a.service.generation.InForce().Core.Backends[d.Basis.Best]; d.Basis.Best != 0 {
+		best = b.Name
+	}
+	logBasis(a.log("refused"), d.Basis).Str("reason", string(d.Refusal)).Str("backend", best).Dur("waited_ms", d.Waited).
+		Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).Msg("request refused")
 	if a.ran || a.relay.begun {
 		a.giveUp(notAdmitted)
 		return
@@ -226,12 +232,18 @@
 
 // logDispatch notes a decision with what it rests on.
 func (a *attempt) logDispatch(d scheduler.Decision, backend string, inForce *config.InForce) {
-	a.log("dispatched").Str("backend", backend).Int("send", a.sends+1).Dur("waited_ms", d.Waited).
-		Dur("delay_ms", d.Delay).Int("unread", d.Unread).Int("backlog", d.Backlog).Bool("over_share", d.Over).Float64("share_had", d.Had).Int("copied", d.Copied).
-		Dur("loads_age_ms", d.Age).Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).
+	logBasis(a.log("dispatched"), d.Basis).Str("backend", backend).Int("send", a.sends+1).Dur("waited_ms", d.Waited).
+		Int("copied", d.Copied).Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).
 		Msg("request dispatched")
 }
 
+// logBasis adds what a decision rests on to a line.
+func logBasis(line *zerolog.Event, b prompt.Basis) *zerolog.Event {
+	return line.Dur("delay_ms", b.Delay).Dur("soonest_ms", b.Soonest).Int("unread", b.Unread).
+		Int("backlog", b.Backlog).Int("unheard", b.Unheard).Float64("slowness", b.Slow).
+		Bool("over_share", b.Over).Float64("share_had", b.Had).Float64("share_asked", b.Asked).Dur("loads_age_ms", b.Age)
+}
+
 // end answers a request of which nothing was sent, once its time is over or its
 // caller has left.
 func (a *attempt) end(r *refusal) {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -2,12 +2,9 @@
 
 import (
 	"net"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/tamarindstep/tamarindstep/model"
 )
 
 const (
@@ -77,28 +74,11 @@
 
 // refuseCrowded refuses a request whose account has enough waiting here.
 func (a *attempt) refuseCrowded() {
-	if a.service.pending.of(a.account) >= maxPending {
-		a.refused, a.shed = crowded, true
-	}
-}
-
-// pending counts the requests of each account that wait for a decision.
-type pending struct {
-	mu     sync.Mutex
-	counts map[model.AccountID]int
-}
-
-func (p *pending) add(account model.AccountID, n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.counts == nil {
-		p.counts = map[model.AccountID]int{}
+	waiting, last := a.service.pending.of(a.account)
+	if waiting < maxPending {
+		return
 	}
-	p.counts[account] += n
-}
-
-func (p *pending) of(account model.AccountID) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counts[account]
+	a.refused, a.shed = crowded, true
+	logBasis(a.log("crowded"), last.Basis).Int("waiting", waiting).Bool("last_dispatched", last.Dispatched).
+		Str("last_reason", string(last.Refusal)).Msg("request refused by its header")
 }
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -74,5 +74,6 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.True(resp.Close)
 	s.pending.add(7, -1)
-	is.True(s.pending.of(7) < maxPending)
+	waiting, _ := s.pending.of(7)
+	is.True(waiting < maxPending)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/core/retry"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
@@ -36,13 +37,7 @@
 	Refusal    core.Refusal
 	RetryAfter time.Duration
 
-	// What decided, where the policy decides by prompt.
-	Delay   time.Duration
-	Unread  int
-	Backlog int
-	Over    bool
-	Had     float64       // part of what its account is owed that has begun
-	Age     time.Duration // of the oldest word of another router
+	Basis prompt.Basis // what decided, where the policy decides by prompt
 	// CopyFrom is the backend server to copy parts of the prompt from, 0 for none.
 	CopyFrom model.BackendID
 	Copied   int // tokens
@@ -228,11 +223,11 @@
 	case core.Dispatch:
 		s.decide(a.ID, Decision{
 			Dispatched: true, Backend: a.Backend, Waited: a.Waited,
-			Delay: a.Delay, Unread: a.Unread, Backlog: a.Backlog, Over: a.Over, Had: a.Had, Age: a.Age,
+			Basis:    a.Basis,
 			CopyFrom: a.CopyFrom, Copied: a.Copied,
 		})
 	case core.Refuse:
-		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Delay: a.Delay, Had: a.Had})
+		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis})
 	case core.Send:
 		s.peers.Send(a.Address, a.Datagram)
 	case core.Watch:
