gateway: refusals by the header share a line

Each had two lines, so that the router of a flooding account used up its 400 lines a second and dropped those of its own dispatches. One line in 100 ms for an account now, with their number. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -271,7 +271,9 @@
 func (a *attempt) refuse(r *refusal, retryAfter time.Duration) {
 	a.service.metrics.Front.Refusals.WithLabelValues(r.code).Inc()
 	a.count(r.code)
-	a.log("answered").Int("status", r.status).Str("code", r.code).Dur("retry_after_ms", retryAfter).Msg("own answer")
+	if r != crowded { // which has a line for many
+		a.log("answered").Int("status", r.status).Str("code", r.code).Dur("retry_after_ms", retryAfter).Msg("own answer")
+	}
 	if r.write(a.conn, retryAfter, !a.keep) != nil {
 		a.keep = false
 	}
--- a/gateway/occasional.go
+++ b/gateway/occasional.go
@@ -11,8 +11,8 @@
 // second.
 const occasionalEvery = 100 * time.Millisecond
 
-// occasional counts connections that were turned away, and writes a line with
-// their number now and then. A router that can't keep up has no time for a line of
+// occasional counts what happens many times a second, such as connections that are
+// turned away, and lets a line with their number be written now and then. A router that can't keep up has no time for a line of
 // each.
 type occasional struct {
 	count atomic.Int64
@@ -22,14 +22,21 @@
 
 func newOccasional() *occasional { return &occasional{began: time.Now()} }
 
-// note counts one.
-func (o *occasional) note(log zerolog.Logger) {
+// due counts one, and returns how many a line is due for, 0 for none now.
+func (o *occasional) due() int64 {
 	o.count.Add(1)
 	now := int64(time.Since(o.began))
 	last := o.last.Load()
 	if now-last < int64(occasionalEvery) || !o.last.CompareAndSwap(last, now) {
-		return
+		return 0
+	}
+	return o.count.Swap(0)
+}
+
+// note counts a connection that was turned away.
+func (o *occasional) note(log zerolog.Logger) {
+	if n := o.due(); n > 0 {
+		log.Info().Str("outcome", "turned-away").Int64("connections", n).
+			Msg("router is behind: connections refused unread")
 	}
-	log.Info().Str("outcome", "turned-away").Int64("connections", o.count.Swap(0)).
-		Msg("router is behind: connections refused unread")
 }
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -17,6 +18,7 @@
 type accountPending struct {
 	waiting int
 	last    scheduler.Decision
+	crowded occasional // refusals by the header
 }
 
 // add counts requests that begin to wait, or with a negative number end to.
@@ -33,6 +35,14 @@
 	p.account(account).last = d
 }
 
+// crowd counts a request of an account that is refused by its header, and returns how
+// many there are to write a line for, 0 for none now.
+func (p *pending) crowd(account model.AccountID) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account(account).crowded.due()
+}
+
 // of returns how many requests of an account wait, and the last decision on one.
 func (p *pending) of(account model.AccountID) (waiting int, last scheduler.Decision) {
 	p.mu.Lock()
@@ -47,7 +57,7 @@
 		if p.accounts == nil {
 			p.accounts = map[model.AccountID]*accountPending{}
 		}
-		a = &accountPending{}
+		a = &accountPending{crowded: occasional{began: time.Now()}}
 		p.accounts[account] = a
 	}
 	return a
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -79,6 +79,10 @@
 		return
 	}
 	a.refused, a.shed = crowded, true
-	logBasis(a.log("crowded"), last.Basis).Int("waiting", waiting).Bool("last_dispatched", last.Dispatched).
+	refused := a.service.pending.crowd(a.account)
+	if refused == 0 {
+		return
+	}
+	logBasis(a.log("crowded"), last.Basis).Int("waiting", waiting).Int64("refused", refused).Bool("last_dispatched", last.Dispatched).
 		Str("last_reason", string(last.Refusal)).Msg("request refused by its header")
 }
