core/prompt: the pace of engines is learned from undisturbed answers, and fades

In the first moments after a start nothing seems to be ahead of anything, as the other routers haven't been heard.

Class: an estimate that decides whether to send, and is corrected only by what was sent.

Change: an answer tells of the pace only if no other router had unheard or later told sends ahead of it, and what was learned fades in ten seconds unless it is confirmed.

--- a/core/prompt/pace.go
+++ b/core/prompt/pace.go
@@ -30,7 +30,8 @@
 )
 
 // pace is how soon the engines of a pool begin their answers. Both figures are the
-// medians of what this router's requests met where nothing seemed to be ahead of them.
+// medians of what this router's requests met where nothing seemed to be ahead of them, and
+// no other router has told since that it had sent anything there.
 type pace struct {
 	base  time.Duration // until an answer begins when nothing is to be read
 	rate  float64       // tokens read in a second
@@ -68,6 +69,19 @@
 	p.rate = min(max(p.rate, p.first/maxRateOff), p.first*maxRateOff)
 }
 
+// paceKept is the time in which what was learned fades to a third of its difference from
+// what was taken at first, unless answers confirm it. A router that takes engines for
+// slower than they are sends less, and one that sends nothing learns nothing: without
+// fading it would believe for good a few answers that were late for other reasons.
+const paceKept = 10 * time.Second
+
+// fade lets some of what was learned fade.
+func (p *pace) fade(passed time.Duration) {
+	part := 1 - math.Exp(-passed.Seconds()/paceKept.Seconds())
+	p.base += time.Duration(part * float64(firstBase-p.base))
+	p.rate += part * (p.first - p.rate)
+}
+
 // towards returns a step up or down.
 func towards[T time.Duration | float64](step T, up bool) T {
 	if up {
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -236,7 +236,7 @@
 	}
 	r.began = true
 	s := r.server
-	if s.engine {
+	if s.engine && s.undisturbed(r.flight) {
 		s.pace.learn(m.now-r.flight.sent-r.Lag, r.flight, s.health.slowness())
 	}
 	s.began(m.now, r.flight)
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -31,6 +31,7 @@
 	flights []*flight // from here, in the order they were sent
 	remote  int       // running for other routers, by their words
 	others  others    // what other routers send there
+	foreign float64   // tokens that they have told to have sent
 	assumed float64   // tokens that others may have sent, before any was heard
 
 	// untold counts the tokens sent from here that the other routers don't know of;
@@ -51,6 +52,8 @@
 	unread float64
 	ahead  time.Duration // expected until it is read itself
 	copied bool          // parts of its prompt are copied from another
+	alone  bool          // no other router is expected to have sent anything ahead of it
+	others float64       // the server's count of tokens sent by others, once it was sent
 	began  bool
 	delay  time.Duration // expected until the answer begins
 	// ifKept and ifCold are when the answer would begin if the shared parts, of
@@ -101,7 +104,8 @@
 	s.advance(now)
 	s.sent += unread
 	s.untold += unread
-	f := &flight{sent: now, end: s.sent, unread: unread, delay: delay}
+	f := &flight{sent: now, end: s.sent, unread: unread, delay: delay, others: s.foreign}
+	f.alone = s.reading(s.unseen(now)+s.assumed) <= idleAhead
 	s.flights = append(s.flights, f)
 	return f
 }
@@ -110,9 +114,16 @@
 func (s *server) sentElsewhere(now model.Time, tokens float64) {
 	s.advance(now)
 	s.sent += tokens
+	s.foreign += tokens
 	s.others.add(now, tokens)
 }
 
+// undisturbed tells whether nothing that other routers have sent may have been ahead of a
+// request, as far as their words tell until its answer begins.
+func (s *server) undisturbed(f *flight) bool {
+	return f.alone && s.reading(s.foreign-f.others) <= idleAhead
+}
+
 // began takes that an answer has begun: all that was sent before has been read.
 func (s *server) began(now model.Time, f *flight) {
 	s.advance(now)
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -107,6 +107,9 @@
 			h.last = (h.last + 1) % samples
 			h.past[h.last] = h.now
 		}
+		for _, p := range m.paces {
+			p.fade(sampleEvery)
+		}
 	}
 }
 
