gateway, core: requests refused by their header count as asked for

Change: the core is told of each such request (TurnedAway); it asks for its tokens, as one that is refused by the core does. Connections that are answered unread can't be counted, as nothing of them is known.

TestTurnedAwayCountsAsAsked, with the change: there was no event to send before. That the gateway tells the core isn't asserted by a test.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -60,6 +60,13 @@
 	c.prompt.Arrive(c.now, in)
 }
 
+// turnedAway counts a request that was refused before it came here: what an account asks
+// for decides what the others are owed, wherever it is refused.
+func (c *Core) turnedAway(e TurnedAway) {
+	in := prompt.Request{Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt}
+	c.countByPrompt(model.Key{Pool: e.Pool, Account: e.Account}, c.prompt.CostOf(&in), 0)
+}
+
 // countByPrompt counts what an account has asked for of an engine pool and what has
 // begun of it, in tokens: for the decisions here and at the other routers, which hear of
 // it with the loads, and in the ledger, which shows it to operators.
--- a/core/core.go
+++ b/core/core.go
@@ -166,6 +166,10 @@
 			return
 		}
 		c.arrive(e)
+	case TurnedAway:
+		if c.config.Policy != nil && c.config.Policy.ByPrompt != nil {
+			c.turnedAway(e)
+		}
 	case Began:
 		c.prompt.Began(c.now, e.ID)
 	case Progress:
--- a/core/event.go
+++ b/core/event.go
@@ -40,6 +40,15 @@
 	Lag time.Duration
 }
 
+// TurnedAway is a request that was refused before the core was asked, as too many of its
+// account wait: it counts as asked for.
+type TurnedAway struct {
+	Account model.AccountID
+	Pool    model.PoolID
+	Route   uint32 // hash of the route's name
+	Prompt  model.Prompt
+}
+
 // Began tells that the answer to a dispatched request has begun.
 type Began struct{ ID RequestID }
 
@@ -99,18 +108,19 @@
 // Drain makes the router take no new work and hand over what it owns.
 type Drain struct{}
 
-func (Tick) event()      {}
-func (Configure) event() {}
-func (Arrive) event()    {}
-func (Progress) event()  {}
-func (Began) event()     {}
-func (Finish) event()    {}
-func (Abandon) event()   {}
-func (Receive) event()   {}
-func (Routers) event()   {}
-func (Load) event()      {}
-func (Leaving) event()   {}
-func (Drain) event()     {}
+func (Tick) event()       {}
+func (Configure) event()  {}
+func (Arrive) event()     {}
+func (TurnedAway) event() {}
+func (Progress) event()   {}
+func (Began) event()      {}
+func (Finish) event()     {}
+func (Abandon) event()    {}
+func (Receive) event()    {}
+func (Routers) event()    {}
+func (Load) event()       {}
+func (Leaving) event()    {}
+func (Drain) event()      {}
 
 // Action is an output of the core. Each action type below is one.
 type Action interface{ action() }
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy/promptaffinity"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -101,6 +102,24 @@
 	is.True(know > 40) // all but what the dead ones should have handed on
 }
 
+// TestTurnedAwayCountsAsAsked refuses requests before the core is asked: what the account
+// wanted must be known at the other routers all the same. It would else seem to be content
+// with what it gets, and the others' shares would be worked out without it.
+func TestTurnedAwayCountsAsAsked(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(9, 60_000)
+	account := model.Account(accountNames(1)[0])
+	turned := TurnedAway{Account: account, Pool: model.Pool(assistant), Prompt: model.Prompt{Tokens: 1000, Hint: 100}}
+	for range 50 {
+		f.step(f.nodes[3], turned)
+	}
+	f.runUntil(f.time.Now() + 2*loadsEvery + 20*time.Millisecond)
+	for _, n := range f.nodes {
+		is.Equal(n.core.prompt.Amounts(account), prompt.Amounts{Asked: 50 * 1200})
+		is.True(n.core.prompt.Idle())
+	}
+}
+
 // TestLostWordIsSaidAgain loses all that routers tell each other for a while: what is
 // told once more when it has settled makes up for it.
 func TestLostWordIsSaidAgain(t *testing.T) {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/model"
 )
 
 const (
@@ -79,6 +83,10 @@
 		return
 	}
 	a.refused, a.shed = crowded, true
+	a.service.scheduler.TurnAway(core.TurnedAway{
+		Account: a.account, Pool: a.route.PoolFor(rand.Float64()),
+		Route: model.HashName(a.route.Name), Prompt: a.meta.Prompt,
+	})
 	refused := a.service.pending.crowd(a.account)
 	if refused == 0 {
 		return
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
@@ -55,7 +56,7 @@
 	s := New(Settings{MaxRequests: 10}, zerolog.Nop(), metrics)
 	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
 	ours, theirs := net.Pipe()
-	a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: 7}
+	a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: 7, route: &config.CompiledRoute{}}
 	a.req.Header.SetContentLength(100_000)
 	s.pending.add(7, maxPending-1)
 	s.pending.add(8, maxPending) // another account's
