core/prompt: shares are counted over the last second as well as over four

Until what all had asked for came to four seconds' capacity there was enough for all, and nobody beyond a share, though the engines had been full since the first half second: an account that 58 routers send begins its whole window by then. The account at one router, within its share to the end, is refused for lack of room, which nobody keeps for it.

Class: a limit over a window that is longer than the time in which the thing it shares runs out.

Who has begun more is beyond its share: it is sent where an engine is next to idle. The log line has it as share_lately.

TestNobodyBeginsTheWholeWindowAtOnce, new.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -30,8 +30,10 @@
 // # Accounts
 //
 // Over a window of some seconds each account may begin its max-min share of what
-// the engines make, counted over the fleet from the routers' words: whoever asks for less than an even part gets it all, and what
-// is left is divided evenly among the others. Work within the share goes first,
+// the engines make, counted over the fleet from the routers' words: whoever asks for less
+// than an even part gets it all, and what is left is divided evenly among the others. The
+// same holds for the last second, so that an account that is sent by many routers can't
+// fill the engines before the others' requests come. Work within the share goes first,
 // by what part of the share its account has had; work beyond it goes only where
 // capacity would idle: where its answer is expected little later than an idle
 // engine would begin it.
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -52,6 +52,7 @@
 	Over    bool          // the account was beyond its share
 	Had     float64       // part of what the account is owed that has begun
 	Asked   float64       // the same of what it has asked for
+	Lately  float64       // part of its even part of the last second that has begun
 	Age     time.Duration // of the oldest word of another router
 }
 
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -10,9 +10,14 @@
 const (
 	// window is the time over which shares are counted.
 	window = 4 * time.Second
+	// burst is the time over which they are counted as well, so that nobody begins the
+	// whole window's share at once: engines can't, and a share that others have begun
+	// before leaves those that come later no room, though the window has it.
+	burst = time.Second
 	// sampleEvery is how often the accounts' amounts are sampled.
 	sampleEvery = 250 * time.Millisecond
 	samples     = int(window/sampleEvery) + 1
+	inBurst     = int(burst / sampleEvery)
 )
 
 // Amounts are what an account has asked for and what has begun of it, in tokens, since a
@@ -37,6 +42,12 @@
 	return Amounts{Asked: max(h.now.Asked-oldest.Asked, 0), Begun: max(h.now.Begun-oldest.Begun, 0)}
 }
 
+// lately returns the amounts of the time of a burst.
+func (h *history) lately() Amounts {
+	then := h.past[(h.last+samples+1-inBurst)%samples]
+	return Amounts{Asked: max(h.now.Asked-then.Asked, 0), Begun: max(h.now.Begun-then.Begun, 0)}
+}
+
 // shares knows the max-min share of each account. Each router counts what it has itself
 // asked and begun for an account, and the others' from their words. A router that has
 // just started knows of no more than what it has heard since.
@@ -121,16 +132,20 @@
 	// of what has begun in the window, where that is more still.
 	owed, real float64
 	enough     bool // there is enough for all
+	// even is the share of what is made in the time of a burst; plenty tells that there
+	// is enough for all then.
+	even   float64
+	plenty bool
 }
 
 // levels works out the shares.
 func (m *Machine) levels() levels {
 	capacity := m.config.TokensPerSecond * window.Seconds() * m.config.Tuning.Share
 	if capacity <= 0 {
-		return levels{enough: true}
+		return levels{enough: true, plenty: true}
 	}
-	var asked []float64
-	begun, best := 0.0, 0.0
+	var asked, lately []float64
+	begun, best, bestLately := 0.0, 0.0, 0.0
 	for _, h := range m.shares.accounts {
 		a := h.inWindow()
 		begun += a.Begun
@@ -138,9 +153,17 @@
 		if a.Asked > 0 {
 			asked = append(asked, a.Asked)
 		}
+		l := h.lately()
+		bestLately = max(bestLately, l.Begun)
+		if l.Asked > 0 {
+			lately = append(lately, l.Asked)
+		}
 	}
 	slices.Sort(asked)
+	slices.Sort(lately)
 	var out levels
+	out.even, out.plenty = maxMin(lately, max(begun, capacity)*burst.Seconds()/window.Seconds())
+	out.even = max(out.even, m.config.Tuning.BestPart*bestLately)
 	out.owed, out.enough = maxMin(asked, capacity)
 	out.owed = max(out.owed+m.config.Tuning.Slack*capacity, m.config.Tuning.BestPart*best)
 	out.real, _ = maxMin(asked, max(begun*m.config.Tuning.RealFactor, capacity))
@@ -168,23 +191,33 @@
 
 const (
 	within  standing = iota // of what it is owed
-	over                    // beyond that, within an even part of what really goes
+	over                    // beyond that, or the even part of a burst; within an even part of what really goes
 	farOver                 // beyond both
 )
 
 // standingOf returns how an account stands.
 func (m *Machine) standingOf(account model.AccountID, l levels) standing {
 	h := m.shares.accounts[account]
-	if h == nil || l.enough {
+	if h == nil {
 		return within
 	}
-	switch begun := h.inWindow().Begun; {
-	case begun <= l.owed:
-		return within
-	case begun <= l.real:
+	begun := h.inWindow().Begun
+	switch {
+	case !l.enough && begun > l.real:
+		return farOver
+	case !l.enough && begun > l.owed, !l.plenty && h.lately().Begun > l.even:
 		return over
 	}
-	return farOver
+	return within
+}
+
+// hadLately returns what part of its even part of a burst an account has begun.
+func (m *Machine) hadLately(account model.AccountID, l levels) float64 {
+	h := m.shares.accounts[account]
+	if h == nil || l.even <= 0 {
+		return 0
+	}
+	return h.lately().Begun / l.even
 }
 
 // had returns what part of the level an account has begun in the window.
--- a/core/prompt/shares_test.go
+++ b/core/prompt/shares_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/tamarindstep/tamarindstep/model"
 )
 
 func TestMaxMin(t *testing.T) {
@@ -65,3 +67,38 @@
 	m.Count(1, 40, 0)
 	is.Equal(m.shares.accounts[1].inWindow(), Amounts{Asked: 40})
 }
+
+// TestNobodyBeginsTheWholeWindowAtOnce lets an account begin more in a moment than is its
+// part of what engines make in a second, though the window of four seconds has it: others
+// want to begin as well, and those that have begun little go first. When the second is over
+// it is within its share again.
+func TestNobodyBeginsTheWholeWindowAtOnce(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(9)
+	second := m.config.TokensPerSecond
+	m.Sample(0)
+	m.Count(1, 1.5*second, 0.9*second)
+	m.Count(2, 0.8*second, 0.2*second)
+	l := m.levels()
+	is.True(l.enough) // in four seconds
+	is.Equal(m.standingOf(1, l), over)
+	is.Equal(m.standingOf(2, l), within)
+	now := model.Time(0)
+	for range 2 * inBurst {
+		now += sampleEvery
+		m.Sample(now)
+	}
+	is.Equal(m.standingOf(1, m.levels()), within)
+}
+
+// TestBurstsAreNoMatterWhereThereIsEnough lets one account begin all that engines make in
+// a second, while nobody else asks for more than the rest.
+func TestBurstsAreNoMatterWhereThereIsEnough(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(9)
+	second := m.config.TokensPerSecond
+	m.Sample(0)
+	m.Count(1, 0.9*second, 0.9*second)
+	m.Count(2, 0.1*second, 0)
+	is.Equal(m.standingOf(1, m.levels()), within)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -241,7 +241,7 @@
 func logBasis(line *zerolog.Event, b prompt.Basis) *zerolog.Event {
 	return line.Dur("delay_ms", b.Delay).Dur("soonest_ms", b.Soonest).Int("unread", b.Unread).
 		Int("backlog", b.Backlog).Int("unheard", b.Unheard).Float64("slowness", b.Slow).
-		Bool("over_share", b.Over).Float64("share_had", b.Had).Float64("share_asked", b.Asked).Dur("loads_age_ms", b.Age)
+		Bool("over_share", b.Over).Float64("share_had", b.Had).Float64("share_asked", b.Asked).Float64("share_lately", b.Lately).Dur("loads_age_ms", b.Age)
 }
 
 // end answers a request of which nothing was sent, once its time is over or its
