--- a/core/prompt/health.go
+++ b/core/prompt/health.go
@@ -26,6 +26,10 @@
 	// the greatest slowness.
 	slowWeight = 0.15
 	maxSlow    = 8
+	// slowKept is the time in which the slowness fades to a third unless answers confirm
+	// it: one that is taken for slow gets few requests, whose answers alone would tell
+	// that it isn't any more.
+	slowKept = 20 * time.Second
 	// slowFrom is the expected delay from which on an answer tells of slowness.
 	slowFrom = 120 * time.Millisecond
 )
@@ -45,6 +49,13 @@
 	return h.slow
 }
 
+// fade lets some of the slowness fade.
+func (h *health) fade(passed time.Duration) {
+	if h.slow != 0 {
+		h.slow = 1 + (h.slow-1)*math.Exp(-passed.Seconds()/slowKept.Seconds())
+	}
+}
+
 // began takes how long an answer took to begin and what was expected.
 func (h *health) began(took, expected time.Duration) {
 	if expected < slowFrom {
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -181,6 +181,17 @@
 	return m.paces[pool]
 }
 
+// fade lets some of what this router has learned of backend servers fade. What keeps it
+// from sending to them must, as only requests that are sent show that it holds no more.
+func (m *Machine) fade(passed time.Duration) {
+	for _, p := range m.paces {
+		p.fade(passed)
+	}
+	for _, s := range m.servers {
+		s.health.fade(passed)
+	}
+}
+
 // SetRouters tells how many routers are live, this one included.
 func (m *Machine) SetRouters(n int) { m.routers = max(n, 1) }
 
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -374,3 +374,20 @@
 		m.Finish(now, id, Done, 50)
 	}
 }
+
+// TestSlownessFades lets a backend server answer many times later than expected, and then
+// be left alone: after a while it is expected to be as fast as the others, and so tried.
+func TestSlownessFades(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(1)
+	s := m.servers[m.order[0]]
+	for range 50 {
+		s.health.began(4*slowFrom, slowFrom)
+	}
+	is.True(s.health.slowness() > 3)
+	m.Sample(0)
+	m.Sample(2 * time.Second)
+	is.True(s.health.slowness() > 3) // not so soon
+	m.Sample(2*time.Second + 4*slowKept)
+	is.True(s.health.slowness() < 1.5)
+}
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -110,17 +110,17 @@
 // Sample lets the window move on; it is due as often as sampleEvery.
 func (m *Machine) Sample(now model.Time) {
 	for now >= m.shares.sampled+sampleEvery {
+		passed := sampleEvery
 		m.shares.sampled += sampleEvery
 		if now >= m.shares.sampled+window {
+			passed += now - m.shares.sampled
 			m.shares.sampled = now
 		}
 		for _, h := range m.shares.accounts {
 			h.last = (h.last + 1) % samples
 			h.past[h.last] = h.now
 		}
-		for _, p := range m.paces {
-			p.fade(sampleEvery)
-		}
+		m.fade(passed)
 	}
 }
 
