ctl, explain: tamarindctl explain says from routers' logs what was refused or late, and why

Logs may be prefixed; lines of others are passed over, and a log without a router's line is an error. What routers had no time to write is said below the table.

The routers' program is unchanged.

--- /dev/null
+++ b/ctl/explain.go
@@ -0,0 +1,130 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/tamarindstep/tamarindstep/explain"
+)
+
+const explainHelp = `Reads routers' logs and prints what they refused, by route, account, reason and standing,
+and how much later than expected the first parts of answers came. With --request, prints
+that request's lines instead. A file named - is standard input.
+
+Columns:
+  OVER SHARE  whether the account was beyond its share
+  SHARE HAD   the part of what the account was owed that had begun, in the median
+  EXPECTED    ms until an answer would begin at the best backend server: 10th, 50th and
+              90th percentile; of first parts, the median of what was expected
+  BACKLOG     tokens to be read before the request, below the figure
+  LATE        ms later than expected: 10th, 50th and 90th percentile`
+
+// explainOptions are the flags of the command.
+type explainOptions struct {
+	request, account, route string
+	top                     int
+}
+
+func (o *options) explain() *cobra.Command {
+	var e explainOptions
+	c := &cobra.Command{
+		Use: "explain LOG...", Short: "Say from routers' logs what was refused or late, and why",
+		Long: explainHelp, Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error { return e.run(cmd, files) },
+	}
+	f := c.Flags()
+	f.StringVar(&e.request, "request", "", "id of a request whose lines are to be printed")
+	f.StringVar(&e.account, "account", "", "count this client account's requests alone")
+	f.StringVar(&e.route, "route", "", "count this route's requests alone")
+	f.IntVar(&e.top, "top", 20, "rows of refusals, 0 for all")
+	return c
+}
+
+func (e *explainOptions) run(cmd *cobra.Command, files []string) error {
+	if e.top < 0 {
+		return fmt.Errorf("--top: %d is below 0", e.top)
+	}
+	var log explain.Log
+	for _, name := range files {
+		if err := readLog(&log, name, cmd.InOrStdin()); err != nil {
+			return err
+		}
+	}
+	if err := log.Check(); err != nil {
+		return err
+	}
+	if e.request != "" {
+		return e.printRequest(cmd.OutOrStdout(), &log)
+	}
+	log.Keep(e.account, e.route)
+	e.printRefusals(cmd.OutOrStdout(), log.Refusals())
+	printFirstParts(cmd.OutOrStdout(), log.FirstParts())
+	if log.Dropped > 0 {
+		fmt.Fprintf(cmd.OutOrStdout(), "\nrouters had no time for %d more lines: the counts are too low\n", log.Dropped)
+	}
+	return nil
+}
+
+func readLog(log *explain.Log, name string, stdin io.Reader) error {
+	if name == "-" {
+		return log.Read(stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	if err := log.Read(file); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+func (e *explainOptions) printRequest(w io.Writer, log *explain.Log) error {
+	lines := log.Of(e.request)
+	if len(lines) == 0 {
+		return fmt.Errorf("--request: no line is on %q", e.request)
+	}
+	for _, line := range lines {
+		fmt.Fprintf(w, "%s\n", line.Text)
+	}
+	return nil
+}
+
+func (e *explainOptions) printRefusals(w io.Writer, all []explain.Refusals) {
+	rows := [][]any{{"REFUSED", "ROUTE", "ACCOUNT", "REASON", "OVER SHARE", "SHARE HAD", "EXPECTED MS"}}
+	left := 0
+	for i, r := range all {
+		if e.top > 0 && i >= e.top {
+			left += r.Count
+			continue
+		}
+		rows = append(rows, []any{
+			r.Count, r.Route, r.Account, r.Reason, r.OverShare, fmt.Sprintf("%.2f", r.ShareHad.P50), percentiles(r.DelayMS),
+		})
+	}
+	table(w, rows)
+	if left > 0 {
+		fmt.Fprintf(w, "%d more in %d rows; --top 0 prints all\n", left, len(all)-e.top)
+	}
+}
+
+func printFirstParts(w io.Writer, all []explain.FirstParts) {
+	rows := [][]any{{"ROUTE", "BACKLOG", "ANSWERS", "EXPECTED MS", "LATE MS"}}
+	for _, p := range all {
+		below := "more"
+		if p.Below > 0 {
+			below = fmt.Sprintf("< %d", p.Below)
+		}
+		rows = append(rows, []any{p.Route, below, p.Answers, fmt.Sprintf("%.0f", p.ExpectedMS.P50), percentiles(p.LateMS)})
+	}
+	fmt.Fprintln(w)
+	table(w, rows)
+}
+
+func percentiles(q explain.Quantiles) string {
+	return fmt.Sprintf("%.0f %.0f %.0f", q.P10, q.P50, q.P90)
+}
