--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -42,7 +42,7 @@
 	return Amounts{Asked: max(h.now.Asked-oldest.Asked, 0), Begun: max(h.now.Begun-oldest.Begun, 0)}
 }
 
-// lately returns the amounts of the time of a burst.
+// lately returns the amounts of the time of a burst, less up to one sample.
 func (h *history) lately() Amounts {
 	then := h.past[(h.last+samples+1-inBurst)%samples]
 	return Amounts{Asked: max(h.now.Asked-then.Asked, 0), Begun: max(h.now.Begun-then.Begun, 0)}
