--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -211,7 +211,8 @@
 func (m *Machine) basis(r *request, p place, l levels) Basis {
 	out := Basis{
 		Delay: p.delay, Unread: int(p.unread), Backlog: int(p.backlog), Soonest: p.soonest,
-		Over: m.standingOf(r.Account, l) != within, Had: m.had(r.Account, l.owed), Lately: m.hadLately(r.Account, l), Age: m.oldestWord(),
+		Over: m.standingOf(r.Account, l) != within, Had: m.had(r.Account, l.owed),
+		Lately: m.hadLately(r.Account, l), Age: m.oldestWord(),
 	}
 	if l.owed > 0 {
 		out.Asked = m.Amounts(r.Account).Asked / l.owed
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -200,12 +200,10 @@
 // notDispatched answers a request that the core refuses: as not admitted where it
 // has never run, else with what its last backend server has come to.
 func (a *attempt) notDispatched(d scheduler.Decision) {
-	best := ""
-	if b := a.service.generation.InForce().Core.Backends[d.Basis.Best]; d.Basis.Best != 0 {
-		best = b.Name
-	}
-	logBasis(a.log("refused"), d.Basis).Str("reason", string(d.Refusal)).Str("backend", best).Dur("waited_ms", d.Waited).
-		Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).Msg("request refused")
+	best := a.service.generation.InForce().Core.Backends[d.Basis.Best] // without a name for none
+	logBasis(a.log("refused"), d.Basis).Str("reason", string(d.Refusal)).Str("backend", best.Name).
+		Dur("waited_ms", d.Waited).Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).
+		Msg("request refused")
 	if a.ran || a.relay.begun {
 		a.giveUp(notAdmitted)
 		return
@@ -232,8 +230,9 @@
 
 // logDispatch notes a decision with what it rests on.
 func (a *attempt) logDispatch(d scheduler.Decision, backend string, inForce *config.InForce) {
-	logBasis(a.log("dispatched"), d.Basis).Str("backend", backend).Int("send", a.sends+1).Dur("waited_ms", d.Waited).
-		Int("copied", d.Copied).Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).
+	logBasis(a.log("dispatched"), d.Basis).Str("backend", backend).Int("send", a.sends+1).
+		Dur("waited_ms", d.Waited).Int("copied", d.Copied).
+		Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).
 		Msg("request dispatched")
 }
 
@@ -241,7 +240,8 @@
 func logBasis(line *zerolog.Event, b prompt.Basis) *zerolog.Event {
 	return line.Dur("delay_ms", b.Delay).Dur("soonest_ms", b.Soonest).Int("unread", b.Unread).
 		Int("backlog", b.Backlog).Int("unheard", b.Unheard).Float64("slowness", b.Slow).
-		Bool("over_share", b.Over).Float64("share_had", b.Had).Float64("share_asked", b.Asked).Float64("share_lately", b.Lately).Dur("loads_age_ms", b.Age)
+		Bool("over_share", b.Over).Float64("share_had", b.Had).Float64("share_asked", b.Asked).
+		Float64("share_lately", b.Lately).Dur("loads_age_ms", b.Age)
 }
 
 // end answers a request of which nothing was sent, once its time is over or its
--- a/gateway/occasional.go
+++ b/gateway/occasional.go
@@ -12,8 +12,8 @@
 const occasionalEvery = 100 * time.Millisecond
 
 // occasional counts what happens many times a second, such as connections that are
-// turned away, and lets a line with their number be written now and then. A router that can't keep up has no time for a line of
-// each.
+// turned away, and lets a line with their number be written now and then. A router that
+// can't keep up has no time for a line of each.
 type occasional struct {
 	count atomic.Int64
 	last  atomic.Int64 // nanoseconds since the epoch of the process
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/scheduler"
 )
 
 const (
@@ -87,10 +88,15 @@
 		Account: a.account, Pool: a.route.PoolFor(rand.Float64()),
 		Route: model.HashName(a.route.Name), Prompt: a.meta.Prompt,
 	})
-	refused := a.service.pending.crowd(a.account)
-	if refused == 0 {
-		return
+	if n := a.service.pending.crowd(a.account); n > 0 {
+		a.logCrowded(n, waiting, last)
 	}
-	logBasis(a.log("crowded"), last.Basis).Int("waiting", waiting).Int64("refused", refused).Bool("last_dispatched", last.Dispatched).
-		Str("last_reason", string(last.Refusal)).Msg("request refused by its header")
+}
+
+// logCrowded notes that so many requests of the account were refused by their header, how
+// many wait, and what the last decision on one of them was.
+func (a *attempt) logCrowded(refused int64, waiting int, last scheduler.Decision) {
+	logBasis(a.log("crowded"), last.Basis).Int64("refused", refused).Int("waiting", waiting).
+		Bool("last_dispatched", last.Dispatched).Str("last_reason", string(last.Refusal)).
+		Msg("request refused by its header")
 }
