core/prompt: every account is owed 0.8 of what the best served one has, not 0.6

What an account had beyond 0.6 of the best served one's counted as beyond its share, and of that what others had begun in the first moments, before routers hear of each other, was lost: 0.6 leaves too little above the half that users want.

--- a/core/prompt/tuning.go
+++ b/core/prompt/tuning.go
@@ -43,7 +43,8 @@
 	// BestPart is the part of what the account that has had the most has begun that
 	// every other one is owed: capacity that would idle goes to those whose prompts
 	// are kept where there is room, and one whose callers all reach one router would
-	// fall ever further behind them.
+	// fall ever further behind them. It leaves room above the half that users want, as
+	// what has begun is known late. At 1 the best served account is beyond no share.
 	BestPart float64
 	// RealFactor is how much more than what has begun is taken to be possible.
 	RealFactor float64
@@ -76,7 +77,7 @@
 	t.WaitNone = cmp.Or(t.WaitNone, 150*time.Millisecond)
 	t.Share = cmp.Or(t.Share, 1)
 	t.Slack = cmp.Or(t.Slack, 0.05)
-	t.BestPart = cmp.Or(t.BestPart, 0.6)
+	t.BestPart = cmp.Or(t.BestPart, 0.8)
 	t.RealFactor = cmp.Or(t.RealFactor, 1.15)
 	t.RetryAfter = cmp.Or(t.RetryAfter, 100*time.Millisecond)
 	t.RetryOver = cmp.Or(t.RetryOver, 300*time.Millisecond)
