--- a/emulator/starved_test.go
+++ b/emulator/starved_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// TestNobodyStarvesUnderHeavyLoad is the same with half as much again from everybody, so
+// that engines that have read nothing can't serve the small accounts either.
+func TestNobodyStarvesUnderHeavyLoad(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(4) {
+		e := hotStart(seed + 1)
+		e.Load.Factor = 3
+		r := Run(e)
+		t.Logf("seed %d: least part %.2f, worth %.2f", seed+1, r.LeastPart, r.Worth)
+		is.True(r.LeastPart >= 0.5)
+	}
+}
+
 func TestLeastPartComparesSecondBySecond(t *testing.T) {
 	is := is.New(t)
 	load := Load{Kinds: []Kind{{Objective: time.Second}}, Accounts: 2}
