internal/exchange: connections that went silent cost one call, not one each

Cause: a kept connection may go silent for good without a reset, while new ones work. A call over one waited its whole patience, and the next took the next kept connection, up to sixteen of one server.

Change: after a call that timed out the other kept connections of that server are closed; and what was written to a connection and isn't acknowledged for 2.5 s ends it (TCP_USER_TIMEOUT), where the system alone would go on for a quarter of an hour. The keep-alive probes that were there find resting ones.

Ruled out: closing on every failure, as a server that answers with a reset says nothing of the other connections.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,9 +59,13 @@
 	keepAliveMargin = 500 * time.Millisecond
 )
 
-// keepAlive finds a server that has fallen silent within a few seconds.
+// keepAlive finds a connection that rests and has gone silent within a few seconds, and
+// unacknowledged one that a request was written to: without it the system would go on
+// sending that request for a quarter of an hour.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
+const unacknowledged = 2500 * time.Millisecond
+
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -98,10 +102,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	for _, kept := range c.idle {
-		_ = kept.Close()
-	}
-	c.idle = nil
+	c.closeIdle()
 }
 
 // Options say how an exchange is made.
@@ -135,6 +136,9 @@
 	if err := answer.exchange(req); err != nil {
 		stop()
 		_ = conn.Close()
+		if wentSilent(err) {
+			c.dropIdle()
+		}
 		return nil, &Error{Sent: conn.wrote.Load(), Err: err}
 	}
 	return answer, nil
@@ -151,7 +155,7 @@
 		}
 		_ = kept.Close()
 	}
-	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: keepAlive}
+	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: keepAlive, ControlContext: socket.GiveUpAfter(unacknowledged)}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, err
@@ -181,6 +185,28 @@
 	return last
 }
 
+// wentSilent tells whether an exchange failed because nothing came in time.
+func wentSilent(err error) bool {
+	var e interface{ Timeout() bool } // fasthttp's isn't a net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// dropIdle closes the connections that are kept. It is called where one of them went silent:
+// the others may have, without a reset, and each would cost a request its time.
+func (c *Client) dropIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeIdle()
+}
+
+// closeIdle closes the connections that are kept; the caller holds the lock.
+func (c *Client) closeIdle() {
+	for _, kept := range c.idle {
+		_ = kept.Close()
+	}
+	c.idle = nil
+}
+
 func (c *Client) keep(conn *conn) {
 	conn.idle = time.Now()
 	_ = conn.SetDeadline(time.Time{})
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,12 +1,29 @@
-// Package socket tells the state of a connection without reading from it.
+// Package socket tells the state of a connection without reading from it, and sets how long
+// one may go unacknowledged.
 package socket
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// GiveUpAfter returns a net.Dialer's ControlContext under which a connection fails once what
+// was written to it has not been acknowledged for so long.
+func GiveUpAfter(long time.Duration) func(ctx context.Context, network, address string, c syscall.RawConn) error {
+	return func(_ context.Context, _, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(long.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
+}
+
 // State is what the other side of a connection has done.
 type State uint8
 
