core: loads go by relays; no ledger tree where decisions are by prompt

Cause: at 295 routers each told 34 others ten times a second, 100,000 datagrams a second over the fleet; and the ledger's tree took ten messages up and eight down a second of each router though nothing is decided by it under prompt-affinity (counted in virtual time: 18 of the 22 datagrams a second of an idle router). Each is a wake-up, a seal and a system call of its own.

The tree is kept only where a policy orders by it; operators are shown the amounts that decisions rest on. Watchers of the store are one a data hall and six at the least, not two a data hall: 6 for 10.

Found on the way by TestLoadsComeTrueAgain, each failing first: the news of a restart wiped out what the new process had told before it; a late message of an old process was taken for the new one's; two routers that held each other for dead stayed so until their turn to be pinged; a count lost with its repetition stayed wrong until it changed.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/config/check/checks"
@@ -86,6 +87,7 @@
 	token    string
 	registry *prometheus.Registry
 	drained  func() bool
+	profiles bool
 
 	status *status.Service
 	gens   *generation.Service
@@ -100,6 +102,11 @@
 	return &Service{listen: listen, token: token, registry: registry, drained: drained, ended: make(chan struct{})}
 }
 
+// ServeProfiles lets the service give out profiles of this process below /debug/pprof/, to
+// whoever has the operators' token or, where none is set, to all who reach the listener. It
+// must be called before the start.
+func (s *Service) ServeProfiles() { s.profiles = true }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
 
@@ -141,6 +148,9 @@
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", s.ready)
 	r.GET("/metrics", s.metrics)
+	if s.profiles {
+		r.GET("/debug/pprof/{profile:*}", s.guardProfiles(pprofhandler.PprofHandler))
+	}
 	r.GET("/admin/v1/configuration", s.guard(s.get))
 	r.PUT("/admin/v1/configuration", s.guard(s.apply))
 	r.POST("/admin/v1/validate", s.guard(s.validate))
@@ -190,6 +200,14 @@
 	}
 }
 
+// guardProfiles is guard where there is a token.
+func (s *Service) guardProfiles(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	if s.token == "" {
+		return next
+	}
+	return s.guard(next)
+}
+
 func answer(ctx *fasthttp.RequestCtx, v any) {
 	ctx.SetContentType("application/json")
 	e := json.NewEncoder(ctx)
--- a/core/core.go
+++ b/core/core.go
@@ -232,9 +232,10 @@
 }
 
 func (c *Core) memberChanged(change member.Change) {
+	c.loads.planned = false
 	if change.Restarted || change.Status == wire.Status_STATUS_DEAD {
 		c.forgetSource(change.Name)
-		c.prompt.ForgetRouter(change.Name)
+		c.forgetLoads(change)
 		delete(c.owners, change.Name)
 	}
 	c.do(MemberChanged{Change: change})
@@ -270,6 +271,7 @@
 	if c.members.Get(d.From) == nil {
 		return
 	}
+	c.askDead(d.From)
 	if d.Probe != nil {
 		for _, s := range c.members.Receive(c.now, d.From, d.Probe) {
 			c.sendProbe(s)
@@ -278,8 +280,8 @@
 	for _, f := range d.Free {
 		c.hint(d.From, model.PoolID(f.Pool), int(f.Slots))
 	}
-	for _, l := range d.Loads {
-		c.takeLoads(l)
+	if len(d.Loads) > 0 {
+		c.takeLoads(d)
 	}
 	if d.Report != nil {
 		c.takeReport(d.From, d.Report)
@@ -299,6 +301,13 @@
 	}
 }
 
+// askDead lets a router contradict its death that has just been heard.
+func (c *Core) askDead(name string) {
+	for _, s := range c.members.AskDead(c.now, name) {
+		c.sendProbe(s)
+	}
+}
+
 // to returns the datagram being put together for a router in this step.
 func (c *Core) to(name string) *wire.Datagram {
 	d := c.outbox[name]
--- a/core/event.go
+++ b/core/event.go
@@ -174,6 +174,13 @@
 // MemberChanged tells of a change of another router's status.
 type MemberChanged struct{ Change member.Change }
 
+// RelayChanged tells that this router tells another relay of its loads than before; ""
+// stands for being one itself.
+type RelayChanged struct {
+	From, To    string
+	Unconfirmed int // messages that weren't passed on, as far as known
+}
+
 // GenerationSeen tells that another router has a newer configuration in force,
 // or a newer catalog of backend servers.
 type GenerationSeen struct {
@@ -192,5 +199,6 @@
 func (Send) action()           {}
 func (Watch) action()          {}
 func (MemberChanged) action()  {}
+func (RelayChanged) action()   {}
 func (GenerationSeen) action() {}
 func (WatchStore) action()     {}
--- a/core/loads.go
+++ b/core/loads.go
@@ -1,66 +1,109 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/tamarindstep/tamarindstep/core/grid"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/relay"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
 const (
-	// loadsEvery is how often routers tell each other what they have newly got on the
+	// loadsEvery is how often a router tells the others what it has newly got on the
 	// backend servers, where the budget allows it.
 	loadsEvery = 100 * time.Millisecond
+	// passOnEvery is how often a relay passes on what it was told. A message passes two
+	// relays, each of which holds it for half of this in the mean.
+	passOnEvery = 50 * time.Millisecond
 	// loadsRepeat is how often it is looked whether anything is to be told once more,
 	// as its last word may have been lost.
 	loadsRepeat = time.Second
-	// DefaultLoadsBytes is what a router spends on it in bytes a second unless it is
-	// set: most of the 13 KB a second that the target size leaves for control.
+	// DefaultLoadsBytes is what each receiver is told in bytes a second unless it is set:
+	// most of the 13 KB a second that the target size leaves for control.
 	DefaultLoadsBytes = 9000
-	// maxHandedOn is how many messages of others are kept to be handed on; more come only
+	// maxPassOn is how many messages of others are kept to be passed on; more come only
 	// where the budget is far too small, and are lost as a datagram may be.
-	maxHandedOn = 256
+	maxPassOn = 4096
+	// maxAtOnce is the size in bytes from which on a datagram takes no further messages:
+	// a UDP datagram holds 64 KB, one of which may be a router's whole report.
+	maxAtOnce = 16 << 10
 )
 
 // loadExchange is the state of telling the other routers what this one has on the
-// backend servers. Messages travel along package grid's rows; when the budget is used
-// up, the next ones wait, and tell more at once.
+// backend servers, and of passing on what they tell, by the plan of package relay. When
+// the budget is used up, the next messages wait, and tell more at once.
 type loadExchange struct {
-	changed   bool // there is something to tell
-	unsettled bool // what was told last is to be told once more
-	sent      model.Time
+	changed   bool       // there is something to tell
+	unsettled bool       // what was told last is to be told once more
+	told      model.Time // when this router last told of itself
+	passed    model.Time // when it last passed on what others told
 	sequence  uint64
 	budget    bucket
-	handOn    []*wire.Loads     // told by routers of other rows, for the own row
 	names     map[uint32]string // of routers, by the hash that messages name them by
+
+	plan      relay.Plan
+	planned   bool       // the plan is of the fleet as it is known now
+	plannedAt model.Time // when it was made
+	link      relayLink
+	toAll     []*wire.Loads         // for the other relays and the routers served here
+	toServed  []*wire.Loads         // for the routers served here
+	callers   map[string]model.Time // that have told this router as their relay, and when
 }
 
 func newLoadExchange(bytesPerSecond float64) loadExchange {
 	size := bytesPerSecond / 4
 	return loadExchange{
-		budget: bucket{rate: bytesPerSecond, size: size, level: size},
-		names:  map[uint32]string{},
+		budget:  bucket{rate: bytesPerSecond, size: size, level: size},
+		names:   map[uint32]string{},
+		link:    newRelayLink(),
+		callers: map[string]model.Time{},
 	}
 }
 
 // nextLoads returns when the other routers are to be told.
 func (c *Core) nextLoads() model.Time {
 	l := &c.loads
+	next := min(l.nextOwn(), l.nextPassOn(), l.link.overdue(), l.nextPlan())
+	if next == never {
+		return never
+	}
+	return max(next, l.budget.ready(l.budget.filled, 0))
+}
+
+// nextPlan returns when the plan is to be made anew: changes of the fleet come in bursts.
+func (l *loadExchange) nextPlan() model.Time {
+	if l.planned {
+		return never
+	}
+	return l.plannedAt + loadsEvery
+}
+
+// nextOwn returns when this router is to tell of itself.
+func (l *loadExchange) nextOwn() model.Time {
+	next := l.link.quiet()
 	switch {
-	case l.changed || len(l.handOn) > 0:
-		return max(l.sent+loadsEvery, l.budget.ready(l.sent, 0))
+	case l.changed:
+		next = min(next, l.told+loadsEvery)
 	case l.unsettled:
-		return l.sent + loadsRepeat
+		next = min(next, l.told+loadsRepeat)
 	}
-	return never
+	return next
 }
 
-// flushLoads tells the other routers what this one has newly got on the backend
-// servers, and its row what routers of other rows have told.
+// nextPassOn returns when it is to pass on what others have told.
+func (l *loadExchange) nextPassOn() model.Time {
+	if len(l.toAll)+len(l.toServed) == 0 {
+		return never
+	}
+	return l.passed + passOnEvery
+}
+
+// flushLoads tells the other routers what this one has newly got on the backend servers,
+// and passes on what it was told.
 func (c *Core) flushLoads() {
 	l := &c.loads
 	if c.now < c.nextLoads() {
@@ -70,14 +113,54 @@
 	if l.budget.level <= 0 {
 		return
 	}
+	c.refreshPlan()
+	c.leaveSilentRelay()
+	if c.now >= l.nextOwn() {
+		c.tellOwnLoads()
+	}
+	if c.now >= l.nextPassOn() {
+		c.passOn()
+	}
+}
+
+// refreshPlan works out anew who relays for whom, where the fleet has changed.
+func (c *Core) refreshPlan() {
+	l := &c.loads
+	if c.now < l.nextPlan() {
+		return
+	}
+	l.planned = true
+	l.plannedAt = c.now
+	self := c.members.Self()
+	fleet := []relay.Router{{Name: self.Name, DataHall: self.DataHall, Processor: self.Processor}}
+	for _, name := range c.members.Names() {
+		m := c.members.Get(name)
+		if m.Status == wire.Status_STATUS_ALIVE || m.Status == wire.Status_STATUS_LEAVING {
+			fleet = append(fleet, relay.Router{Name: name, DataHall: m.DataHall, Processor: m.Processor})
+		}
+	}
+	before := l.plan.Serves
+	l.plan = relay.Of(self.Name, fleet)
+	for _, name := range before {
+		l.callers[name] = c.now // until the relays that it now has know of it
+	}
+	c.chooseRelay()
+}
+
+// tellOwnLoads tells what is to be told of this router: its relay or, where it is one
+// itself, those that it passes on to.
+func (c *Core) tellOwnLoads() {
+	l := &c.loads
 	own := c.ownLoads()
-	across := proto.Clone(own).(*wire.Loads)
-	across.HandOn = true
-	near := grid.Of(c.members.Self().Name, c.gridOf())
-	c.sendLoads(near.Row, append(l.handOn, own))
-	c.sendLoads(near.Across, []*wire.Loads{across})
-	l.handOn = nil
-	l.sent = c.now
+	if l.link.relay == "" {
+		l.toAll = append(l.toAll, own)
+		return
+	}
+	if isEmpty(own) {
+		c.introduce(l.link.relay)
+	}
+	l.link.told(c.now, own)
+	c.sendLoads([]string{l.link.relay}, []*wire.Loads{own}, wire.PassOn_PASS_ON_ALL)
 }
 
 // ownLoads returns what is to be told of this router, and takes it as told.
@@ -85,6 +168,7 @@
 	word, settled := c.prompt.Tell()
 	c.loads.changed = false
 	c.loads.unsettled = !settled
+	c.loads.told = c.now
 	c.loads.sequence++
 	self := c.members.Self()
 	out := encodeWord(word)
@@ -94,31 +178,75 @@
 	return out
 }
 
-// sendLoads puts loads into the datagrams for some routers.
-func (c *Core) sendLoads(names []string, loads []*wire.Loads) {
-	size := datagramOverhead
+// passOn passes on what this router was told, and tells its own where it is a relay.
+func (c *Core) passOn() {
+	l := &c.loads
+	l.passed = c.now
+	toAll := takeAtMost(&l.toAll, maxAtOnce)
+	toServed := takeAtMost(&l.toServed, maxAtOnce-sizeOf(toAll))
+	if len(toAll) > 0 {
+		c.sendLoads(l.plan.Relays, toAll, wire.PassOn_PASS_ON_SERVED)
+	}
+	if len(toAll)+len(toServed) > 0 {
+		c.sendLoads(c.served(), slices.Concat(toAll, toServed), wire.PassOn_PASS_ON_NOBODY)
+	}
+}
+
+// takeAtMost takes messages of so many bytes together from the front of a list, one at
+// least.
+func takeAtMost(list *[]*wire.Loads, bytes int) []*wire.Loads {
+	n := 0
+	for n < len(*list) && (n == 0 || bytes > 0) {
+		bytes -= proto.Size((*list)[n])
+		n++
+	}
+	out := (*list)[:n:n]
+	*list = (*list)[n:]
+	return out
+}
+
+func sizeOf(loads []*wire.Loads) int {
+	size := 0
 	for _, l := range loads {
 		size += proto.Size(l)
 	}
-	for _, name := range names {
-		c.to(name).Loads = loads
-		c.loads.budget.level -= float64(size)
-	}
+	return size
 }
 
-// gridOf returns the routers that are told, this one included.
-func (c *Core) gridOf() []grid.Router {
-	self := c.members.Self()
-	out := []grid.Router{{Name: self.Name, DataHall: self.DataHall}}
-	for _, name := range c.members.Names() {
-		m := c.members.Get(name)
-		if m.Reachable() {
-			out = append(out, grid.Router{Name: name, DataHall: m.DataHall, Doubtful: m.Status != wire.Status_STATUS_ALIVE})
+// callerKept is how long a router is served after it has last told this one as its
+// relay, or was last to be served by the plan: routers that don't hold the same view of the
+// fleet would else leave it without a relay.
+const callerKept = 2 * time.Second
+
+// served returns the routers that hear of the fleet through this one.
+func (c *Core) served() []string {
+	l := &c.loads
+	out := slices.Clone(l.plan.Serves)
+	for _, name := range sortedKeys(l.callers) {
+		switch {
+		case c.now > l.callers[name]+callerKept:
+			delete(l.callers, name)
+		case !slices.Contains(out, name):
+			out = append(out, name)
 		}
 	}
 	return out
 }
 
+// sendLoads puts loads into the datagrams for some routers. The budget is of what each of
+// them is told.
+func (c *Core) sendLoads(names []string, loads []*wire.Loads, passOn wire.PassOn) {
+	if len(names) == 0 {
+		return
+	}
+	for _, name := range names {
+		d := c.to(name)
+		d.Loads = slices.Concat(d.Loads, loads)
+		d.LoadsTo = max(d.LoadsTo, passOn)
+	}
+	c.loads.budget.level -= float64(datagramOverhead + sizeOf(loads))
+}
+
 // memberOf returns the member whose name has a hash, nil where none is known.
 func (c *Core) memberOf(router uint32) *member.Member {
 	if m := c.members.Get(c.loads.names[router]); m != nil {
@@ -131,16 +259,62 @@
 	return c.members.Get(c.loads.names[router])
 }
 
-// takeLoads takes what another router has told of what it has on the backend servers.
-func (c *Core) takeLoads(in *wire.Loads) {
-	from := c.memberOf(in.Router)
-	if from == nil {
+// takeLoads takes what another router has told, or passed on.
+func (c *Core) takeLoads(d *wire.Datagram) {
+	self := c.members.Self()
+	own, process := model.HashName(self.Name), uint32(self.Boot)
+	if d.LoadsTo == wire.PassOn_PASS_ON_ALL {
+		c.loads.callers[d.From] = c.now
+	}
+	if d.From == c.loads.link.relay {
+		c.loads.link.heard = c.now
+	}
+	for _, in := range d.Loads {
+		if in.Router == own {
+			c.loads.link.confirm(in, process)
+			continue
+		}
+		from := c.memberOf(in.Router)
+		if from == nil || from.Past != 0 && in.Process == uint32(from.Past) || !c.prompt.TakeWord(c.now, from.Name, in.Process, decodeWord(in)) {
+			continue
+		}
+		c.askDead(from.Name)
+		if isEmpty(in) {
+			c.sendLoads([]string{d.From}, []*wire.Loads{in}, wire.PassOn_PASS_ON_NOBODY)
+			continue
+		}
+		c.keepToPassOn(in, d.LoadsTo)
+	}
+}
+
+// forgetLoads takes back what a router that has died or was restarted had running. Words of
+// its new process may have come by the relays before the news of its restart: they stand.
+func (c *Core) forgetLoads(change member.Change) {
+	m := c.members.Get(change.Name)
+	if change.Restarted && m != nil && c.prompt.Knows(change.Name, uint32(m.Boot)) {
 		return
 	}
-	isNew := c.prompt.TakeWord(c.now, from.Name, in.Process, decodeWord(in))
-	if isNew && in.HandOn && len(c.loads.handOn) < maxHandedOn {
-		told := proto.Clone(in).(*wire.Loads)
-		told.HandOn = false
-		c.loads.handOn = append(c.loads.handOn, told)
+	c.prompt.ForgetRouter(change.Name)
+}
+
+// isEmpty tells whether a message only asks for its confirmation.
+func isEmpty(in *wire.Loads) bool {
+	return len(in.Backends)+len(in.Parts)+len(in.Accounts) == 0
+}
+
+// keepToPassOn keeps a message for those whom this router is to pass it on to.
+func (c *Core) keepToPassOn(in *wire.Loads, passOn wire.PassOn) {
+	l := &c.loads
+	if len(l.toAll)+len(l.toServed) >= maxPassOn {
+		return
+	}
+	switch passOn {
+	case wire.PassOn_PASS_ON_ALL:
+		l.toAll = append(l.toAll, in)
+	case wire.PassOn_PASS_ON_SERVED:
+		if len(l.plan.Serves)+len(l.callers) > 0 {
+			l.toServed = append(l.toServed, in)
+		}
+	case wire.PassOn_PASS_ON_NOBODY:
 	}
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -46,12 +46,15 @@
 	Name        string
 	Address     string // IP and port of its peer listener
 	DataHall    string
-	Boot        uint64 // random number of its process, 0 until heard of
+	Processor   float64 // its part of a core, 0 for unknown
+	Boot        uint64  // random number of its process, 0 until heard of
+	Past        uint64  // that of its process before, 0 for none known
 	Incarnation uint64
 	Status      wire.Status
 	since       model.Time // when the status was taken
 	listed      bool       // the VM list has it
 	heard       model.Time // when it was last heard itself
+	asked       model.Time // when it was last asked to contradict its death
 	behind      bool       // it goes by an incarnation lower than the one held of it
 }
 
@@ -70,6 +73,7 @@
 	Name      string
 	Status    wire.Status
 	Restarted bool
+	New       bool // it wasn't known before
 }
 
 // Send is a probe to be sent.
@@ -80,9 +84,10 @@
 
 // Listed is a router that the VM list has.
 type Listed struct {
-	Name     string
-	Address  string
-	DataHall string
+	Name      string
+	Address   string
+	DataHall  string
+	Processor float64
 }
 
 // List is the membership machine. It does no I/O and reads no clock.
@@ -190,10 +195,12 @@
 		m := l.members[entry.Name]
 		if m == nil {
 			m = l.add(now, entry.Name, entry.Address, entry.DataHall)
+			m.Processor = entry.Processor
 		}
 		if !m.Reachable() || m.Boot == 0 {
 			m.Address = entry.Address
 			m.DataHall = entry.DataHall
+			m.Processor = entry.Processor
 		}
 		m.listed = true
 	}
@@ -206,7 +213,7 @@
 	i, _ := slices.BinarySearch(l.names, name)
 	l.names = slices.Insert(l.names, i, name)
 	l.version++
-	l.changes = append(l.changes, Change{Name: name, Status: m.Status})
+	l.changes = append(l.changes, Change{Name: name, Status: m.Status, New: true})
 	return m
 }
 
@@ -243,7 +250,7 @@
 		return
 	}
 	restarted := m.Boot != 0
-	m.Boot = boot
+	m.Past, m.Boot = m.Boot, boot
 	if restarted {
 		l.changes = append(l.changes, Change{Name: from, Status: m.Status, Restarted: true})
 		l.version++
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// AskDead returns a ping of a member that is held to be dead and has just been heard: the
+// ping tells it so, and its answer contradicts it. It would else stay dead here until it is
+// its turn to be pinged, which takes longer the larger the fleet is.
+func (l *List) AskDead(now model.Time, name string) []Send {
+	m := l.members[name]
+	if m == nil || m.Status != wire.Status_STATUS_DEAD || now < m.asked+Period {
+		return nil
+	}
+	m.asked = now
+	l.nonce++
+	return []Send{{To: name, Probe: &wire.Probe{Nonce: l.nonce}}}
+}
+
 func (l *List) relayPing(from string, p *wire.Probe) []Send {
 	if l.members[p.Target] == nil {
 		return nil
--- a/core/member/rumour.go
+++ b/core/member/rumour.go
@@ -43,7 +43,7 @@
 func (l *List) rumour(m *Member) *wire.Rumour {
 	return &wire.Rumour{
 		Name: m.Name, Address: m.Address, DataHall: m.DataHall,
-		Boot: m.Boot, Incarnation: m.Incarnation, Status: m.Status,
+		Boot: m.Boot, Incarnation: m.Incarnation, Status: m.Status, Processor: float32(m.Processor),
 	}
 }
 
@@ -78,6 +78,9 @@
 	m.Incarnation = r.Incarnation
 	m.Address = r.Address
 	m.DataHall = r.DataHall
+	if r.Processor > 0 {
+		m.Processor = float64(r.Processor)
+	}
 	if r.Boot != 0 && m.Boot != r.Boot {
 		l.Heard(m.heard, m.Name, r.Boot)
 	}
--- a/core/placement.go
+++ b/core/placement.go
@@ -53,11 +53,12 @@
 	c.allReportsDue()
 }
 
-// arrangeTree orders the ledger's tree. A policy that doesn't order by the
-// fleet's service leaves each router alone.
+// arrangeTree orders the ledger's tree. A policy that doesn't order by the fleet's
+// service leaves each router alone: the tree takes ten messages a second of a router even
+// where nothing is asked for.
 func (c *Core) arrangeTree() {
 	var order []ledger.Peer
-	if c.config.Policy == nil || c.config.Policy.Owned || c.config.Policy.ByPrompt != nil {
+	if c.config.Policy != nil && c.config.Policy.Owned {
 		for _, m := range c.members.Running() {
 			order = append(order, ledger.Peer{Name: m.Name, Boot: m.Boot})
 		}
@@ -65,28 +66,46 @@
 	c.ledger.SetTree(c.now, order)
 }
 
-// watchersPerHall is how many routers of a data hall watch the store; they tell
-// the others.
-const watchersPerHall = 2
+// minWatchers is how many routers watch the store at the least; they tell the others. Each
+// watch is a call that the store counts, so that more than one a data hall is spent only
+// for the chance that the store turns some routers away: of six, with a third turned away,
+// all are once in 700 times.
+const minWatchers = 6
 
-// chooseWatchers finds whether this router is one of those in its data hall
-// that watch the store.
+// chooseWatchers finds whether this router is one of those that watch the store: the first
+// of its data hall, and the first of the fleet that are left.
 func (c *Core) chooseWatchers(live []*member.Member) {
-	self := c.members.Self()
-	mine := model.Rendezvous(self.Name, "store")
-	before := 0
-	for _, m := range live {
-		if m.DataHall == self.DataHall && model.Rendezvous(m.Name, "store") > mine {
-			before++
+	order := slices.Clone(live)
+	slices.SortFunc(order, func(a, b *member.Member) int {
+		return cmp.Compare(model.Rendezvous(b.Name, "store"), model.Rendezvous(a.Name, "store"))
+	})
+	watchers := firstOfHalls(order)
+	for _, m := range order {
+		if len(watchers) >= minWatchers {
+			break
 		}
+		watchers[m.Name] = true
 	}
-	watch := before < watchersPerHall
+	watch := watchers[c.members.Self().Name]
 	if watch != c.watching {
 		c.watching = watch
 		c.do(WatchStore{Watch: watch})
 	}
 }
 
+// firstOfHalls returns the names of the first router of each data hall.
+func firstOfHalls(order []*member.Member) map[string]bool {
+	out := map[string]bool{}
+	seen := map[string]bool{}
+	for _, m := range order {
+		if !seen[m.DataHall] {
+			seen[m.DataHall] = true
+			out[m.Name] = true
+		}
+	}
+	return out
+}
+
 func (c *Core) place(id model.BackendID, live []*member.Member) {
 	b := c.config.Backends[id]
 	owner := c.members.Self().Name
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -33,6 +33,7 @@
 // peerLoad is what another router has told.
 type peerLoad struct {
 	process  uint32
+	past     uint32     // its process before, whose words may still be passed on; 0 for none
 	sequence uint64     // of its last word
 	at       model.Time // when it was last heard
 	runs     map[model.BackendID]uint32
@@ -50,6 +51,11 @@
 // that word may have been lost: a further one would have put it right.
 const settleAfter = time.Second
 
+// restateAfter is how long after its last word a backend server is told of again as long
+// as anything runs there: a router that has started, or was cut off, has missed the words
+// before. Most answers end sooner, so that this seldom takes a word of its own.
+const restateAfter = 3 * time.Second
+
 // Tell returns what the other routers don't know yet, and takes it as told; settled
 // tells whether nothing of it is to be told once more.
 func (m *Machine) Tell() (word Word, settled bool) {
@@ -58,10 +64,11 @@
 		s := m.servers[id]
 		news := s.untold >= 1 || s.toldRunning != len(s.flights)
 		repeat := s.unsettled && m.now >= s.toldAt+settleAfter
-		if news || repeat {
+		restate := s.toldRunning > 0 && m.now >= s.toldAt+restateAfter
+		if news || repeat || restate {
 			word.Loads = append(word.Loads, s.told(m.now, news))
 		}
-		settled = settled && !s.unsettled
+		settled = settled && !s.unsettled && s.toldRunning == 0
 	}
 	word.News, m.news = m.news, nil
 	for _, account := range m.shares.order {
@@ -87,9 +94,16 @@
 func (m *Machine) TakeWord(now model.Time, router string, process uint32, w Word) bool {
 	m.now = max(m.now, now)
 	p := m.peers[router]
+	if p != nil && p.past == process {
+		return false
+	}
 	if p == nil || p.process != process {
 		m.ForgetRouter(router)
-		p = &peerLoad{process: process, runs: map[model.BackendID]uint32{}}
+		next := &peerLoad{process: process, runs: map[model.BackendID]uint32{}}
+		if p != nil {
+			next.past = p.process
+		}
+		p = next
 		m.peers[router] = p
 	}
 	if w.Sequence <= p.sequence {
@@ -146,16 +160,40 @@
 	return sum / time.Duration(len(m.peers))
 }
 
+// Knows tells whether the last word of a router was of a certain process.
+func (m *Machine) Knows(router string, process uint32) bool {
+	p := m.peers[router]
+	return p != nil && p.process == process
+}
+
+// unheardKept is how long what a router has running is reckoned with after its last word:
+// it tells of it again within restateAfter, so that one which doesn't has ended, though the
+// news of it hasn't come.
+const unheardKept = 3 * restateAfter
+
+// forgetUnheard takes back what routers have running that aren't heard any more.
+func (m *Machine) forgetUnheard() {
+	for _, p := range m.peers {
+		if len(p.runs) > 0 && m.now > p.at+unheardKept {
+			m.takeBack(p)
+		}
+	}
+}
+
 // ForgetRouter takes back what a router that is gone had running.
 func (m *Machine) ForgetRouter(router string) {
-	p := m.peers[router]
-	if p == nil {
-		return
+	if p := m.peers[router]; p != nil {
+		m.takeBack(p)
+		delete(m.peers, router)
 	}
+}
+
+// takeBack takes back what another router had running.
+func (m *Machine) takeBack(p *peerLoad) {
 	for id, running := range p.runs {
 		if s := m.servers[id]; s != nil {
 			s.remote = max(s.remote-int(running), 0)
 		}
 	}
-	delete(m.peers, router)
+	clear(p.runs)
 }
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -106,6 +106,15 @@
 	return Amounts{}
 }
 
+// Begun returns what has begun of an account over the fleet since this router's start, in
+// tokens, as far as it has heard.
+func (m *Machine) Begun(account model.AccountID) float64 {
+	if h := m.shares.accounts[account]; h != nil {
+		return h.now.Begun
+	}
+	return 0
+}
+
 // Sample lets the window move on; it is due as often as sampleEvery.
 func (m *Machine) Sample(now model.Time) {
 	for now >= m.shares.sampled+sampleEvery {
@@ -120,5 +129,6 @@
 			h.past[h.last] = h.now
 		}
 		m.fade(passed)
+		m.forgetUnheard()
 	}
 }
--- a/core/view.go
+++ b/core/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -58,7 +59,7 @@
 		status := &wire.AccountStatus{
 			Name: account.Name, Pool: c.config.Pools[key.Pool].Name,
 			DeliveredTokens: int64(c.ledger.Own(key).Tokens() * account.Weight),
-			VirtualService:  int64(c.ledger.Virtual(key).Tokens()),
+			VirtualService:  int64(c.virtualService(key)),
 			Backlogged:      c.ledger.Backlogged(key),
 		}
 		if q := c.queues[key]; q != nil {
@@ -69,6 +70,16 @@
 	}
 }
 
+// virtualService returns an account's service over the fleet, in tokens divided by weight:
+// since the fleet's start or, where decisions are made by prompt and no ledger is kept,
+// since this router's.
+func (c *Core) virtualService(key model.Key) float64 {
+	if c.config.Policy == nil || c.config.Policy.ByPrompt == nil {
+		return c.ledger.Virtual(key).Tokens()
+	}
+	return c.prompt.Begun(key.Account) / c.config.Accounts[key.Account].Weight
+}
+
 // Live returns how many routers are live, this one included.
 func (c *Core) Live() int { return len(c.members.Live()) }
 
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -107,6 +107,7 @@
 	log.Info().Msg("peer key read from the store")
 	routers := &platform.Routers{Store: kept, Self: vmlist.VM{
 		Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Role: vmlist.RoleRouter, State: vmlist.StateLive,
+		Processor: s.Processor,
 	}}
 	return surroundings{
 		source: generation.Source{
@@ -132,11 +133,17 @@
 		}
 	}
 	r.callers, r.leave = around.callers, around.leave
-	self := member.Member{Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Boot: rand.Uint64() | 1}
+	self := member.Member{
+		Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Processor: s.Processor, Boot: rand.Uint64() | 1,
+	}
 	r.scheduler = scheduler.New(self, log, metrics)
 	r.scheduler.LimitRetries(retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: retryWindow})
 	r.scheduler.LimitLoads(s.LoadsBytes)
 	gens := generation.New(around.source, log, metrics.Platform)
+	administration := admin.New(s.AdminListen, s.OperatorToken, metrics.Registry, r.isDraining)
+	if s.Profiles {
+		administration.ServeProfiles()
+	}
 	services := []kernel.Service{
 		telemetry.NewTraces(s.Name, s.TraceEndpoint),
 		peer.New(peer.Settings{
@@ -148,7 +155,7 @@
 		claim.New(around.source.Store, s.StoreWrites, metrics.Platform),
 		back.New(),
 		status.New(s.Name, r.drain),
-		admin.New(s.AdminListen, s.OperatorToken, metrics.Registry, r.isDraining),
+		administration,
 		r.callers,
 	}
 	if s.Interface == interfaceOwn {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -17,6 +17,12 @@
 	interfacePlatform = "platform"
 )
 
+// The values of the setting profiles.
+const (
+	wordOn  = "on"
+	wordOff = "off"
+)
+
 // The values of the setting peer-receiver.
 const (
 	receiverAuto      = "auto"
@@ -44,6 +50,8 @@
 	RetrySlack    float64
 	LoadsBytes    float64 // a second, for telling other routers of loads
 	MemoryMB      float64
+	Processor     float64 // part of a core
+	Profiles      bool
 	LogLevel      string
 	LogFormat     string
 	TraceEndpoint string
@@ -70,6 +78,8 @@
 	f.String("loads-bytes", strconv.Itoa(core.DefaultLoadsBytes), "bytes a second for telling the other routers what "+
 		"this one has on the backend servers; what is told gets older where there are fewer")
 	f.String("memory-mb", "512", "memory that the process may use, in MB; it takes fewer requests at once where there is less")
+	f.String("processor", "1", "part of a core that the process may use; the routers with the most pass on what the others tell")
+	f.String("profiles", wordOff, "on: profiles of the process are served below /debug/pprof/ of the admin listener; off: they aren't")
 	f.String("log-level", "info", "debug, info, warn or error")
 	f.String("log-format", "json", "json or console")
 	f.String("trace-endpoint", "", "URL that takes OTLP traces over HTTP; none are sent without")
@@ -96,6 +106,8 @@
 		RetrySlack:    r.Number("retry-slack", 0),
 		LoadsBytes:    r.Number("loads-bytes", 1000),
 		MemoryMB:      r.Number("memory-mb", 32),
+		Processor:     r.Number("processor", 0.01),
+		Profiles:      r.Word("profiles", wordOff, wordOn) == wordOn,
 		LogLevel:      r.Word("log-level", "debug", "info", "warn", "error"),
 		LogFormat:     r.Word("log-format", "json", "console"),
 		TraceEndpoint: r.Text("trace-endpoint"),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -114,7 +114,9 @@
 		if vm.Name == s.self || vm.State != vmlist.StateLive {
 			continue
 		}
-		listed = append(listed, member.Listed{Name: vm.Name, Address: vm.Address, DataHall: vm.DataHall})
+		listed = append(listed, member.Listed{
+			Name: vm.Name, Address: vm.Address, DataHall: vm.DataHall, Processor: vm.Processor,
+		})
 		routers[vm.Name] = vm.Address
 	}
 	s.mu.Lock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -251,6 +251,8 @@
 		})
 	case core.MemberChanged:
 		s.logChange(a.Change)
+	case core.RelayChanged:
+		s.log.Info().Str("from", a.From).Str("to", a.To).Int("unconfirmed", a.Unconfirmed).Msg("relay changed")
 	}
 }
 
@@ -263,7 +265,12 @@
 	}
 }
 
+// logChange notes a change of a router's status. Those that are new are counted only: at
+// the start of a fleet each router learns of all others.
 func (s *Service) logChange(change member.Change) {
+	if change.New {
+		return
+	}
 	s.log.Info().Str("router", change.Name).Stringer("status", change.Status).
 		Bool("restarted", change.Restarted).Msg("router changed")
 }
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -38,6 +38,8 @@
 	DataHall string `json:"data_hall"`
 	Role     string `json:"role"`
 	State    string `json:"state"`
+	// Processor is a router's part of a core, 0 where it isn't told.
+	Processor float64 `json:"processor,omitempty"`
 }
 
 // List is the platform's lagging list of live and leaving VMs.
