generation, platform: catalogs follow by what changed; a start reads stale

Cause: each change of a backend server sent the whole catalog to every router and compiled the whole file again; and a start cost some ten priced calls: two full lists of routers, the configuration, the announcements, and the peer key.

Change: a router answers with the changes since the revision that is asked from, with the whole where it doesn't know them or they are half as large. A change on another revision is left out. What a start reads may be seconds old, which costs a tenth: gossip and the watchers tell what is newer. With keeps the compiled file when only backend servers change.

--- a/config/compile.go
+++ b/config/compile.go
@@ -91,7 +91,6 @@
 		File:       f,
 		Core: &core.Config{
 			Generation:      generation,
-			Catalog:         catalog,
 			Policy:          policies.Find(f.Policy),
 			Accounts:        map[model.AccountID]core.Account{},
 			TokensPerSecond: f.TokensPerSecond,
@@ -103,16 +102,27 @@
 		services:  map[string][]*CompiledRoute{},
 		hosts:     map[string][]*CompiledRoute{},
 		addresses: map[model.BackendID]string{},
-		Catalog:   catalog,
 	}
 	if c.Core.Policy == nil {
 		c.Core.Policy = policies.Default
 	}
 	c.compileAccounts()
-	costs := c.compilePools()
-	c.compileDiscovered(discovered)
-	c.compileRoutes(costs)
-	return c
+	c.compileRoutes(c.compilePools())
+	return c.With(catalog, discovered)
+}
+
+// With returns the same configuration with other discovered backend servers, which are of
+// the given revision: they change more often than the file, whose routes take longer.
+func (c *InForce) With(catalog uint64, discovered []Discovered) *InForce {
+	out := *c
+	inCore := *c.Core
+	out.Core = &inCore
+	out.Catalog, out.Core.Catalog = catalog, catalog
+	out.Core.Backends = map[model.BackendID]core.Backend{}
+	out.addresses = map[model.BackendID]string{}
+	out.compileListed()
+	out.compileDiscovered(discovered)
+	return &out
 }
 
 func (c *InForce) compileAccounts() {
@@ -150,13 +160,21 @@
 			c.Core.Pools[id] = core.Pool{Name: p.Name, ExpectedOutput: 1}
 			costs[p.Name] = cmp.Or(p.CallCost, defaultCost)
 		}
+	}
+	return costs
+}
+
+// compileListed adds the backend servers that the file lists.
+func (c *InForce) compileListed() {
+	for _, p := range c.File.Pools {
 		for _, b := range p.Backends {
-			backend := model.Backend(b.Name)
-			c.Core.Backends[backend] = core.Backend{Name: b.Name, Pool: id, DataHall: b.DataHall, Slots: b.Slots}
-			c.addresses[backend] = b.Address
+			id := model.Backend(b.Name)
+			c.Core.Backends[id] = core.Backend{
+				Name: b.Name, Pool: model.Pool(p.Name), DataHall: b.DataHall, Slots: b.Slots,
+			}
+			c.addresses[id] = b.Address
 		}
 	}
-	return costs
 }
 
 // compileDiscovered adds the backend servers that have announced themselves for
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -340,3 +341,29 @@
 	})
 	w.is.True(w.store.Watches()-before < burst*4/3) // two routers watch
 }
+
+// TestPlatformStaleStartFollows starts a router while the store's stale reads are old: it
+// must take the newer configuration, and the end of a backend server, from the others.
+func TestPlatformStaleStartFollows(t *testing.T) {
+	w := newWorld(t, 2)
+	w.store.HoldStaleReads()
+	w.services[0].Announce("draining")
+	routes := append(slices.Clone(routes), users.Route{
+		Name: "new", Path: "/new/", Kind: "safe", Pool: "entries", Attempts: 1, Timeout: time.Second,
+	})
+	w.version++
+	w.store.Put(users.ConfigurationKey, users.Configuration(w.version, routes, w.accounts))
+	await(t, "the change is in force", func() bool {
+		return users.Call(w.routers[0].callers, w.request("GET", "/new/1")).Status == 200
+	})
+	late := w.start(2)
+	w.awaitReady(late)
+	await(t, "it is in force at the router that started", func() bool {
+		return users.Call(late.callers, w.request("GET", "/new/1")).Status == 200
+	})
+	before := len(w.services[0].Runs())
+	for range 20 {
+		w.is.Equal(users.Call(late.callers, w.request("GET", "/look/1")).Status, 200)
+	}
+	w.is.Equal(len(w.services[0].Runs()), before)
+}
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -16,8 +16,9 @@
 // Discovery is where backend servers announce themselves. Each announcement has
 // a key; what it announces may change, and it may be taken back.
 type Discovery interface {
-	// List returns all announcements, and the revision they are of.
-	List(ctx context.Context) ([]Announcement, uint64, error)
+	// List returns all announcements, and the revision they are of. A stale list may be
+	// seconds old, and costs less.
+	List(ctx context.Context, stale bool) ([]Announcement, uint64, error)
 	// Changes waits for changes after a revision, and returns them with the
 	// revision up to which they are complete. The error says nothing of whether
 	// there were any: the announcements must then be listed anew.
@@ -39,6 +40,7 @@
 	entries   map[string]*wire.CatalogEntry // by key, of the last list that was read here
 	at        uint64                        // up to which the changes were seen here
 	lapsed    lapsed
+	history   history
 	edition   uint64 // raised when what is kept beside the catalog changes by itself
 }
 
@@ -53,12 +55,12 @@
 	if s.catalog.discovery == nil {
 		return true
 	}
-	return s.listCatalog(s.run) == nil
+	return s.listCatalog(s.run, true) == nil
 }
 
-func (s *Service) listCatalog(ctx context.Context) error {
+func (s *Service) listCatalog(ctx context.Context, stale bool) error {
 	s.metrics.StoreCalls.WithLabelValues("list").Inc()
-	all, at, err := s.catalog.discovery.List(ctx)
+	all, at, err := s.catalog.discovery.List(ctx, stale)
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("list").Inc()
 		return err
@@ -80,7 +82,7 @@
 	}
 	rest(ctx, watchSettle-time.Since(s.began))
 	for ctx.Err() == nil {
-		if s.listCatalog(ctx) != nil {
+		if s.listCatalog(ctx, false) != nil {
 			s.pause()
 			continue
 		}
@@ -147,6 +149,7 @@
 		return
 	}
 	s.noteLapse(held, next)
+	s.catalog.history.add(held, next)
 	s.catalog.held = next
 	s.log.Info().Uint64("catalog", next.Revision).Int("backends", len(next.Entries)).
 		Int("leaving", leavingOf(next)).Msg("backend servers changed")
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -28,9 +28,7 @@
 		if err != nil {
 			return err
 		}
-		if out.Catalog != nil {
-			s.installCatalog(out.Catalog)
-		}
+		s.takeCatalog(out)
 		if out.Document != nil {
 			s.install(out.Document, 0)
 		}
@@ -47,11 +45,33 @@
 		out.Document = s.document
 	}
 	if s.catalog.held.GetRevision() > in.Catalog {
-		out.Catalog = s.catalog.held
+		out.Change = s.catalog.history.since(in.Catalog, len(s.catalog.held.Entries))
+		if out.Change == nil {
+			out.Catalog = s.catalog.held
+		}
 	}
 	return out, nil
 }
 
+// takeCatalog takes what another router has answered of its catalog.
+func (s *Service) takeCatalog(in *wire.FetchResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in.Catalog != nil {
+		s.replaceCatalog(in.Catalog)
+	}
+	if in.Change == nil {
+		return
+	}
+	next, ok := applied(s.catalog.held, in.Change)
+	if !ok {
+		s.log.Info().Uint64("catalog", s.catalog.held.GetRevision()).Uint64("base", in.Change.Base).
+			Msg("changes of the catalog are of another revision, and left out")
+		return
+	}
+	s.replaceCatalog(next)
+}
+
 // generationSeen fetches a newer configuration or catalog from the router that
 // has it.
 func (s *Service) generationSeen(address string, generation, catalog uint64) {
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -130,8 +130,8 @@
 	began    time.Time
 	mu       sync.Mutex
 	document *wire.Document
-	file     *config.File // of the document
-	revision int64        // of the document in the store, 0 where it came from a router
+	file     *config.InForce // of the document, with no backend servers but its own
+	revision int64           // of the document in the store, 0 where it came from a router
 	fetching bool
 	catalog  catalog
 
@@ -217,10 +217,11 @@
 
 func (s *Service) pause() { rest(s.run, retryPause) }
 
-// readStore reads the store and tells whether it answered.
+// readStore reads the store and tells whether it answered. What it reads may be seconds
+// old: the routers that watch the store, and the others' datagrams, tell of what is newer.
 func (s *Service) readStore() bool {
 	s.metrics.StoreCalls.WithLabelValues("get").Inc()
-	v, err := s.store.Get(s.run, s.format.Key())
+	v, err := s.store.GetStale(s.run, s.format.Key())
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("get").Inc()
 		return false
@@ -323,7 +324,7 @@
 		return
 	}
 	s.document = d
-	s.file = f
+	s.file = config.Compile(d.Generation, f)
 	c := s.compile()
 	s.metrics.Generation.Set(float64(d.Generation))
 	s.log.Info().Uint64("generation", d.Generation).Str("policy", c.Core.Policy.Name).Msg("configuration in force")
@@ -332,7 +333,7 @@
 // compile brings the document and the catalog into force together; the caller
 // holds the lock.
 func (s *Service) compile() *config.InForce {
-	c := config.CompileWith(s.document.GetGeneration(), s.file, s.catalog.held.GetRevision(), discovered(s.withLapsed()))
+	c := s.file.With(s.catalog.held.GetRevision(), discovered(s.withLapsed()))
 	c.Core.Edition = s.catalog.edition
 	s.inForce.Store(c)
 	s.scheduler.Configure(c)
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -34,6 +35,7 @@
 	forgot   int64 // history up to this revision is gone
 	lose     int   // answers to writes that will be lost
 	calls    map[string]int
+	old      map[string]entry // what stale reads see, nil for what is there
 }
 
 type entry struct {
@@ -117,10 +119,29 @@
 func (s *Store) turnsAway(r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls[r.URL.Path]++
+	s.calls[r.URL.Path+r.URL.Query().Get("stale")]++
 	return s.down
 }
 
+// Stale is what follows the path of a stale read in Calls.
+const Stale = "1"
+
+// HoldStaleReads lets stale reads see what is there now, whatever comes after. They give the
+// store's revision as it is all the same.
+func (s *Store) HoldStaleReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.old = maps.Clone(s.items)
+}
+
+// seenBy returns the items that a read sees; the caller holds the lock.
+func (s *Store) seenBy(r *http.Request) map[string]entry {
+	if s.old != nil && r.URL.Query().Get("stale") == Stale {
+		return s.old
+	}
+	return s.items
+}
+
 // Calls returns how many calls of a path there were.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -221,7 +242,7 @@
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.items[r.URL.Query().Get("key")]
+	e, ok := s.seenBy(r)[r.URL.Query().Get("key")]
 	e.At = s.revision
 	if !ok {
 		answer(w, http.StatusNotFound, map[string]int64{"at": s.revision})
@@ -235,23 +256,23 @@
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("since_rev")
-	keys := s.Keys(prefix)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	items := s.seenBy(r)
 	out := struct {
 		Items []entry `json:"items"`
 		More  bool    `json:"more"`
 		At    int64   `json:"at"`
 	}{At: s.revision}
-	for _, key := range keys {
-		if key <= after {
+	for _, key := range slices.Sorted(maps.Keys(items)) {
+		if key <= after || !strings.HasPrefix(key, prefix) {
 			continue
 		}
 		if len(out.Items) == listPage {
 			out.More = true
 			break
 		}
-		out.Items = append(out.Items, s.items[key])
+		out.Items = append(out.Items, items[key])
 	}
 	answer(w, http.StatusOK, out)
 }
--- a/store/etcd.go
+++ b/store/etcd.go
@@ -114,6 +114,9 @@
 	return out.value(), nil
 }
 
+// GetStale implements Store. A read costs the same here, however old it may be.
+func (s *Etcd) GetStale(ctx context.Context, key string) (Value, error) { return s.Get(ctx, key) }
+
 // Swap implements Store.
 func (s *Etcd) Swap(ctx context.Context, key string, revision int64, data []byte) (Value, bool, error) {
 	name := []byte(key)
--- a/store/store.go
+++ b/store/store.go
@@ -30,6 +30,9 @@
 type Store interface {
 	// Get returns the value under a key.
 	Get(ctx context.Context, key string) (Value, error)
+	// GetStale is Get of a value that may be seconds old, where the store sells that for
+	// less. Nobody may conclude from it that anything isn't there.
+	GetStale(ctx context.Context, key string) (Value, error)
 	// Swap sets the value under a key if its revision is still the one given,
 	// and tells whether it did. If not, it returns what is there instead.
 	Swap(ctx context.Context, key string, revision int64, data []byte) (Value, bool, error)
