explain: compressed logs, ages of loads and a plot by second

Logs of hundreds of routers are gigabytes: of a line only its figures are kept now, its text only where one request is asked for; gzip is read as it is, and how far the reading has come is told.

Tests: TestCompressedLogsAreRead, TestMomentsAreBySecond, the command's own.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -12,7 +12,9 @@
 
 const explainHelp = `Reads routers' logs and prints what they refused, by route, account, reason and standing,
 and how much later than expected the first parts of answers came. With --request, prints
-that request's lines instead. A file named - is standard input.
+that request's lines instead. A file named - is standard input. Logs may be compressed by
+gzip. With --plot, draws into a file, second by second, when first parts were expected and
+came, and how old the loads were that decided.
 
 Columns:
   OVER SHARE  whether the account was beyond its share
@@ -25,6 +27,7 @@
 // explainOptions are the flags of the command.
 type explainOptions struct {
 	request, account, route string
+	plot                    string
 	top                     int
 }
 
@@ -33,12 +36,16 @@
 	c := &cobra.Command{
 		Use: "explain LOG...", Short: "Say from routers' logs what was refused or late, and why",
 		Long: explainHelp, Args: cobra.MinimumNArgs(1),
+		Example: "  tamarindctl explain --top 10 logs/*\n" +
+			"  tamarindctl explain --account league --plot league.svg logs/*.gz\n" +
+			"  tamarindctl explain --request ca990d02ebb11aff logs/*",
 		RunE: func(cmd *cobra.Command, files []string) error { return e.run(cmd, files) },
 	}
 	f := c.Flags()
 	f.StringVar(&e.request, "request", "", "id of a request whose lines are to be printed")
 	f.StringVar(&e.account, "account", "", "count this client account's requests alone")
 	f.StringVar(&e.route, "route", "", "count this route's requests alone")
+	f.StringVar(&e.plot, "plot", "", "file to draw into; its ending gives the format: svg, png or pdf")
 	f.IntVar(&e.top, "top", 20, "rows of refusals, 0 for all")
 	return c
 }
@@ -47,11 +54,12 @@
 	if e.top < 0 {
 		return fmt.Errorf("--top: %d is below 0", e.top)
 	}
-	var log explain.Log
-	for _, name := range files {
+	log := explain.Log{Request: e.request}
+	for i, name := range files {
 		if err := readLog(&log, name, cmd.InOrStdin()); err != nil {
 			return err
 		}
+		progress(cmd.ErrOrStderr(), i+1, len(files), len(log.Lines))
 	}
 	if err := log.Check(); err != nil {
 		return err
@@ -62,12 +70,32 @@
 	log.Keep(e.account, e.route)
 	e.printRefusals(cmd.OutOrStdout(), log.Refusals())
 	printFirstParts(cmd.OutOrStdout(), log.FirstParts())
+	if a := log.LoadsAges(); a.Decisions > 0 {
+		fmt.Fprintf(cmd.OutOrStdout(), "\nage of the loads at %d decisions: %.0f ms in the median, %.0f at the 99th percentile\n",
+			a.Decisions, a.P50, a.P99)
+	}
 	if log.Dropped > 0 {
 		fmt.Fprintf(cmd.OutOrStdout(), "\nrouters had no time for %d more lines: the counts are too low\n", log.Dropped)
 	}
+	if e.plot == "" {
+		return nil
+	}
+	if err := explain.WritePlot(e.plot, log.Moments()); err != nil {
+		return fmt.Errorf("--plot: %w", err)
+	}
 	return nil
 }
 
+// progressEvery is after how many logs it is told how far the reading has come.
+const progressEvery = 20
+
+// progress tells how far the reading of many logs has come.
+func progress(w io.Writer, read, all, lines int) {
+	if read%progressEvery == 0 && all > progressEvery {
+		fmt.Fprintf(w, "%d of %d logs read, %d lines on requests\n", read, all, lines)
+	}
+}
+
 func readLog(log *explain.Log, name string, stdin io.Reader) error {
 	if name == "-" {
 		return log.Read(stdin)
@@ -84,7 +112,7 @@
 }
 
 func (e *explainOptions) printRequest(w io.Writer, log *explain.Log) error {
-	lines := log.Of(e.request)
+	lines := log.OfRequest()
 	if len(lines) == 0 {
 		return fmt.Errorf("--request: no line is on %q", e.request)
 	}
--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -28,11 +28,18 @@
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, "1        chat   league   no-room  false       0.25       700 700 700"))
 	is.True(strings.Contains(out, "chat   < 500    1        100          50 50 50"))
+	is.True(strings.Contains(out, "age of the loads at 1 decisions: 0 ms in the median, 0 at the 99th percentile"))
+	picture := filepath.Join(t.TempDir(), "plot.svg")
+	code, _, _ = run(file, "--plot", picture)
+	is.Equal(code, ExitOK)
+	_, err := os.Stat(picture)
+	is.NoErr(err)
 	code, out, _ = run(file, "--request", "a2")
 	is.Equal(code, ExitOK)
 	is.Equal(strings.Count(out, "\n"), 2)
 	for _, wrong := range [][]string{
 		{}, {file, "--request", "a3"}, {file, "--top", "-1"}, {file + "-not"}, {filepath.Dir(file)},
+		{file, "--plot", file + ".unknown"},
 	} {
 		code, _, errs := run(wrong...)
 		is.Equal(code, ExitUsage)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -1,6 +1,9 @@
 // Package explain reads the logs of routers and says what became of requests, and why: for
 // the engineer on call, who has nothing else.
 //
+// Logs are read as a stream, compressed by gzip or not. Of a line only the figures are kept,
+// some 300 bytes, and its text only where one request is asked for.
+//
 // A line counts from its first brace on, so that logs that something else has prefixed, with
 // the name of a machine for instance, can be read as they are. Lines of other programs are
 // passed over; that no line is a router's is an error.
@@ -9,6 +12,7 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"io"
 	"slices"
@@ -49,7 +53,10 @@
 	ShareHad  float64 `json:"share_had"`
 	Refused   int     `json:"refused"` // requests that a line stands for
 
-	Text []byte `json:"-"` // as it was written
+	// LoadsAgeMS is how old the oldest word of another router was, in milliseconds.
+	LoadsAgeMS float64 `json:"loads_age_ms"`
+
+	Text []byte `json:"-"` // as it was written, where its request is asked for
 }
 
 // The outcomes that are counted.
@@ -62,14 +69,23 @@
 
 // Log is what was read.
 type Log struct {
+	// Request is the id of the only request whose lines are kept, "" for all.
+	Request string
+
 	Lines   []Line
 	Dropped int // lines that routers had no time to write
 	Foreign int // lines of others
+
+	others int // lines on requests that aren't asked for
 }
 
 // Read adds the lines of a log.
 func (l *Log) Read(in io.Reader) error {
-	scanner := bufio.NewScanner(in)
+	plain, err := decompressed(in)
+	if err != nil {
+		return errorx.Decorate(err, "reading a compressed log")
+	}
+	scanner := bufio.NewScanner(plain)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
 		l.add(scanner.Bytes())
@@ -80,6 +96,19 @@
 	return nil
 }
 
+// decompressed returns what a log says, which may be compressed by gzip.
+func decompressed(in io.Reader) (io.Reader, error) {
+	buffered := bufio.NewReader(in)
+	head, err := buffered.Peek(len(gzipHead))
+	if err != nil || !bytes.Equal(head, gzipHead) {
+		return buffered, nil // a log shorter than that is no compressed one
+	}
+	return gzip.NewReader(buffered)
+}
+
+// gzipHead begins a file that is compressed by gzip (RFC 1952, section 2.3.1).
+var gzipHead = []byte{0x1f, 0x8b}
+
 func (l *Log) add(text []byte) {
 	from := bytes.IndexByte(text, '{')
 	if from < 0 {
@@ -98,27 +127,28 @@
 	if line.Request == "" || line.Outcome == "" {
 		return
 	}
-	line.Text = slices.Clone(text[from:])
+	if l.Request != "" {
+		if line.Request != l.Request {
+			l.others++
+			return
+		}
+		line.Text = slices.Clone(text[from:])
+	}
 	l.Lines = append(l.Lines, line.Line)
 }
 
 // Check tells whether anything was read that can be explained.
 func (l *Log) Check() error {
-	if len(l.Lines) == 0 {
+	if len(l.Lines)+l.others == 0 {
 		return NoLines.New("none of %d lines is a router's on a request", l.Foreign)
 	}
 	return nil
 }
 
-// Of returns the lines on a request, in the order in which they were written. A request
-// that was refused and came back has another id.
-func (l *Log) Of(request string) []Line {
-	var out []Line
-	for _, line := range l.Lines {
-		if line.Request == request {
-			out = append(out, line)
-		}
-	}
+// OfRequest returns the lines on the request that was asked for, in the order in which they
+// were written. A request that was refused and came back has another id.
+func (l *Log) OfRequest() []Line {
+	out := slices.Clone(l.Lines)
 	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return out
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -1,7 +1,11 @@
 package explain
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -86,11 +90,67 @@
 	line := func(outcome string, ms int) string {
 		return fmt.Sprintf(`{"router":"vm-1","request":"a","outcome":%q,"time":%q}`, outcome, at(ms))
 	}
-	l := read(t, line("done", 120), line("dispatched", 100), `{"router":"vm-1","request":"b","outcome":"done"}`)
-	lines := l.Of("a")
+	text := line("done", 120) + "\n" + line("dispatched", 100) + "\n" + `{"router":"vm-1","request":"b","outcome":"done"}`
+	l := Log{Request: "a"}
+	is.NoErr(l.Read(strings.NewReader(text)))
+	lines := l.OfRequest()
 	is.Equal(len(lines), 2)
 	is.Equal(lines[0].Outcome, "dispatched") // 00.1 before 00.12
-	is.Equal(len(l.Of("c")), 0)
+	is.Equal(string(lines[1].Text), line("done", 120))
+	none := Log{Request: "c"}
+	is.NoErr(none.Read(strings.NewReader(text)))
+	is.NoErr(none.Check()) // there are lines, on others
+	is.Equal(len(none.OfRequest()), 0)
+}
+
+// TestCompressedLogsAreRead reads the same lines plain and compressed, and a log that is cut
+// off in the middle.
+func TestCompressedLogsAreRead(t *testing.T) {
+	is := is.New(t)
+	text := refusal("1", "league", false, 0.2, 100) + "\n" + refusal("2", "league", false, 0.4, 300) + "\n"
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	_, err := w.Write([]byte(text))
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	var l Log
+	is.NoErr(l.Read(bytes.NewReader(packed.Bytes())))
+	is.Equal(len(l.Lines), 2)
+	var cut Log
+	is.True(cut.Read(bytes.NewReader(packed.Bytes()[:packed.Len()-12])) != nil)
+	var short Log
+	is.NoErr(short.Read(strings.NewReader("x")))
+	is.Equal(short.Foreign, 1)
+}
+
+// TestMomentsAreBySecond reads two seconds of decisions with one empty between them.
+func TestMomentsAreBySecond(t *testing.T) {
+	is := is.New(t)
+	line := func(request, outcome string, ms int, rest string) string {
+		return fmt.Sprintf(`{"router":"vm-1","request":%q,"route":"chat","outcome":%q,"time":%q,%s}`, request, outcome, at(ms), rest)
+	}
+	l := read(t,
+		line("1", "dispatched", 0, `"delay_ms":100,"age_ms":10,"loads_age_ms":40`),
+		line("1", "done", 900, `"begun_ms":160`),
+		line("2", "refused", 950, `"delay_ms":500`),
+		line("3", "dispatched", 2100, `"delay_ms":80,"age_ms":0,"loads_age_ms":60`),
+		line("4", "crowded", 2200, `"refused":7`),
+	)
+	is.Equal(l.LoadsAges(), Ages{Decisions: 2, P50: 40, P99: 60})
+	got := l.Moments()
+	is.Equal(len(got), 2)
+	is.Equal(got[0].Expected.P50, 100.0)
+	is.Equal(got[0].Came.P50, 150.0)
+	is.Equal(got[0].Refused, 1)
+	is.Equal(got[1].Second, 2)
+	is.Equal(got[1].Refused, 7)
+	is.Equal(got[1].LoadsAge.P50, 60.0)
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	is.NoErr(WritePlot(file, got))
+	drawn, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(bytes.Contains(drawn, []byte("<svg")))
+	is.True(WritePlot(filepath.Join(t.TempDir(), "plot.unknown"), got) != nil)
 }
 
 func TestLogsOfOthersAreToldSo(t *testing.T) {
