core, emulator: load reports, increments, usage and an event queue

Names that needed explaining become the field's: a router's word on its loads is a LoadReport, what is new of an account an AccountIncrement, its amounts its Usage, its news Placements, and the tests' agenda an event queue.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -113,7 +113,7 @@
 	})
 }
 
-// promptEndings are the endings in the words of the decisions by prompt.
+// promptEndings are the endings in the load reports of the decisions by prompt.
 var promptEndings = map[Ending]prompt.Ending{
 	Done: prompt.Done, Broken: prompt.Left, NotSent: prompt.NotSent, Cancelled: prompt.Left,
 	Rejected: prompt.Rejected, Failed: prompt.Failed,
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindstep/tamarindstep/core/member"
-	"github.com/tamarindstep/tamarindstep/internal/agenda"
+	"github.com/tamarindstep/tamarindstep/internal/eventqueue"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -93,7 +93,7 @@
 }
 
 type fleet struct {
-	time     agenda.Agenda
+	time     eventqueue.Queue
 	random   *rand.Rand
 	config   *Config
 	nodes    []*node
--- a/core/word.go
+++ b/core/loadreport.go
@@ -6,15 +6,15 @@
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
-// encodeWord puts a word of the decisions by prompt into a message, without its sender.
-func encodeWord(w prompt.Word) *wire.Loads {
+// encodeLoadReport puts a load report of the decisions by prompt into a message, without its sender.
+func encodeLoadReport(w prompt.LoadReport) *wire.Loads {
 	out := &wire.Loads{Sequence: w.Sequence}
 	for _, l := range w.Loads {
 		out.Backends = append(out.Backends, uint32(l.Backend))
 		out.Sent = append(out.Sent, l.Sent)
 		out.Running = append(out.Running, l.Running)
 	}
-	for _, n := range w.News {
+	for _, n := range w.Placements {
 		out.PlacedOn = append(out.PlacedOn, uint32(n.Backend))
 		out.Parts = append(out.Parts, n.Part)
 	}
@@ -26,10 +26,10 @@
 	return out
 }
 
-// decodeWord reads a word from a message; lists that should run side by side and differ
+// decodeLoadReport reads a load report from a message; lists that should run side by side and differ
 // in length are left out.
-func decodeWord(in *wire.Loads) prompt.Word {
-	out := prompt.Word{Sequence: in.Sequence}
+func decodeLoadReport(in *wire.Loads) prompt.LoadReport {
+	out := prompt.LoadReport{Sequence: in.Sequence}
 	if len(in.Backends) == len(in.Sent) && len(in.Backends) == len(in.Running) {
 		for i, id := range in.Backends {
 			out.Loads = append(out.Loads, prompt.Load{Backend: model.BackendID(id), Sent: in.Sent[i], Running: in.Running[i]})
@@ -37,12 +37,12 @@
 	}
 	if len(in.PlacedOn) == len(in.Parts) {
 		for i, id := range in.PlacedOn {
-			out.News = append(out.News, prompt.Placement{Backend: model.BackendID(id), Part: in.Parts[i]})
+			out.Placements = append(out.Placements, prompt.Placement{Backend: model.BackendID(id), Part: in.Parts[i]})
 		}
 	}
 	if len(in.Accounts) == len(in.Asked) && len(in.Accounts) == len(in.Begun) {
 		for i, id := range in.Accounts {
-			out.Accounts = append(out.Accounts, prompt.AccountNews{Account: model.AccountID(id), Asked: in.Asked[i], Begun: in.Begun[i]})
+			out.Accounts = append(out.Accounts, prompt.AccountIncrement{Account: model.AccountID(id), Asked: in.Asked[i], Begun: in.Begun[i]})
 		}
 	}
 	return out
--- a/core/loads.go
+++ b/core/loads.go
@@ -20,7 +20,7 @@
 	// relays, each of which holds it for half of this in the mean.
 	passOnEvery = 50 * time.Millisecond
 	// loadsRepeat is how often it is looked whether anything is to be told once more,
-	// as its last word may have been lost.
+	// as its last report may have been lost.
 	loadsRepeat = time.Second
 	// DefaultLoadsBytes is what each receiver is told in bytes a second unless it is set:
 	// most of the 13 KB a second that the target size leaves for control.
@@ -165,13 +165,13 @@
 
 // ownLoads returns what is to be told of this router, and takes it as told.
 func (c *Core) ownLoads() *wire.Loads {
-	word, settled := c.prompt.Tell()
+	report, settled := c.prompt.ReportLoads()
 	c.loads.changed = false
 	c.loads.unsettled = !settled
 	c.loads.told = c.now
 	c.loads.sequence++
 	self := c.members.Self()
-	out := encodeWord(word)
+	out := encodeLoadReport(report)
 	out.Router = model.HashName(self.Name)
 	out.Process = uint32(self.Boot)
 	out.Sequence = c.loads.sequence
@@ -275,7 +275,7 @@
 			continue
 		}
 		from := c.memberOf(in.Router)
-		if from == nil || from.Past != 0 && in.Process == uint32(from.Past) || !c.prompt.TakeWord(c.now, from.Name, in.Process, decodeWord(in)) {
+		if from == nil || from.Past != 0 && in.Process == uint32(from.Past) || !c.prompt.TakeLoadReport(c.now, from.Name, in.Process, decodeLoadReport(in)) {
 			continue
 		}
 		c.askDead(from.Name)
@@ -287,8 +287,8 @@
 	}
 }
 
-// forgetLoads takes back what a router that has died or was restarted had running. Words of
-// its new process may have come by the relays before the news of its restart: they stand.
+// forgetLoads takes back what a router that has died or was restarted had running. Reports of
+// its new process may have come by the relays before the notice of its restart: they stand.
 func (c *Core) forgetLoads(change member.Change) {
 	m := c.members.Get(change.Name)
 	if change.Restarted && m != nil && c.prompt.Knows(change.Name, uint32(m.Boot)) {
--- a/core/loads_bench_test.go
+++ b/core/loads_bench_test.go
@@ -11,10 +11,10 @@
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
-// BenchmarkWords measures what routers spend on telling each other their loads and their
-// accounts' amounts, and how old a word is when it comes, by the size of the fleet, the
+// BenchmarkLoadReports measures what routers spend on telling each other their loads and their
+// accounts' amounts, and how old a load report is when it comes, by the size of the fleet, the
 // requests a second of each router, and the bytes that it may spend.
-func BenchmarkWords(_ *testing.B) {
+func BenchmarkLoadReports(_ *testing.B) {
 	fmt.Printf("%9s %6s %9s | %9s %9s %8s %9s\n", "routers", "req/s", "allowed", "B/s", "B/s max", "msg/s", "age ms")
 	for _, row := range []struct {
 		routers, perSecond int
@@ -23,17 +23,17 @@
 		{9, 20, 100_000}, {18, 20, 100_000}, {40, 20, 100_000}, {59, 20, 100_000}, {85, 20, 100_000}, {160, 20, 100_000},
 		{59, 5, 100_000}, {59, 50, 100_000}, {59, 20, 1_000_000}, {59, 20, 9_000}, {85, 20, 9_000},
 	} {
-		w := measureWords(row.routers, row.perSecond, row.allowed)
+		w := measureLoadReports(row.routers, row.perSecond, row.allowed)
 		fmt.Printf("%9d %6d %9.0f | %9.0f %9.0f %8.1f %9.0f\n",
 			row.routers, row.perSecond, row.allowed, w.mean, w.most, w.messages, w.age)
 	}
 }
 
-// words is what a run of telling has cost: bytes and messages a second of a router, and
+// reportCosts is what a run of telling has cost: bytes and messages a second of a router, and
 // the mean age of what a router knows of another, in milliseconds.
-type words struct{ mean, most, messages, age float64 }
+type reportCosts struct{ mean, most, messages, age float64 }
 
-func measureWords(routers, perSecond int, allowed float64) words {
+func measureLoadReports(routers, perSecond int, allowed float64) reportCosts {
 	const seconds = 5
 	f := loadedFleet(routers, allowed)
 	bytes := map[string]float64{}
@@ -60,7 +60,7 @@
 		age += n.core.prompt.MeanAge().Seconds() * 1000
 		samples++
 	}
-	out := words{messages: messages / seconds / float64(routers), age: age / samples}
+	out := reportCosts{messages: messages / seconds / float64(routers), age: age / samples}
 	for _, v := range bytes {
 		out.mean += v / seconds / float64(routers)
 		out.most = max(out.most, v/seconds)
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -86,16 +86,16 @@
 			f.kill(f.byName[m.Name])
 		}
 	}
-	before := f.nodes[20].core.prompt.Amounts(account).Asked
+	before := f.nodes[20].core.prompt.Usage(account).Asked
 	for range 20 {
 		f.sendOne(f.nodes[20])
 	}
-	asked := f.nodes[20].core.prompt.Amounts(account).Asked
+	asked := f.nodes[20].core.prompt.Usage(account).Asked
 	is.True(asked > before)
 	f.runUntil(f.time.Now() + 2*loadsEvery + 20*time.Millisecond)
 	know := 0
 	for _, n := range f.nodes {
-		if !n.down && n.core.prompt.Amounts(account).Asked > 0.9*asked {
+		if !n.down && n.core.prompt.Usage(account).Asked > 0.9*asked {
 			know++
 		}
 	}
@@ -115,14 +115,14 @@
 	}
 	f.runUntil(f.time.Now() + 2*loadsEvery + 20*time.Millisecond)
 	for _, n := range f.nodes {
-		is.Equal(n.core.prompt.Amounts(account), prompt.Amounts{Asked: 50 * 1200})
+		is.Equal(n.core.prompt.Usage(account), prompt.Usage{Asked: 50 * 1200})
 		is.True(n.core.prompt.Idle())
 	}
 }
 
-// TestLostWordIsSaidAgain loses all that routers tell each other for a while: what is
+// TestLostLoadReportIsRepeated loses all that routers tell each other for a while: what is
 // told once more when it has settled makes up for it.
-func TestLostWordIsSaidAgain(t *testing.T) {
+func TestLostLoadReportIsRepeated(t *testing.T) {
 	is := is.New(t)
 	f := loadedFleet(9, 60_000)
 	f.tamper = func(d *wire.Datagram) *wire.Datagram {
--- a/core/prompt/levels.go
+++ b/core/prompt/levels.go
@@ -47,7 +47,7 @@
 }
 
 // demandOver adds up the amounts that a function returns of each account.
-func (s *shares) demandOver(amounts func(*history) Amounts) demand {
+func (s *shares) demandOver(amounts func(*history) Usage) demand {
 	var out demand
 	for _, account := range s.order {
 		a := amounts(s.accounts[account])
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -12,29 +12,29 @@
 	Part    uint32
 }
 
-// maxNews is how many placements are told at once.
-const maxNews = 64
+// maxPlacements is how many placements are told at once.
+const maxPlacements = 64
 
 // Load is what a router has newly got on a backend server.
 type Load struct {
 	Backend model.BackendID
-	Sent    uint64 // tokens sent to be read, since the word before
+	Sent    uint64 // tokens sent to be read, since the report before
 	Running uint32
 }
 
-// Word is what a router tells the others at once.
-type Word struct {
-	Sequence uint64 // increases with each word of a process
-	Loads    []Load
-	News     []Placement
-	Accounts []AccountNews
+// LoadReport is what a router tells the others at once.
+type LoadReport struct {
+	Sequence   uint64 // increases with each report of a process
+	Loads      []Load
+	Placements []Placement
+	Accounts   []AccountIncrement
 }
 
 // peerLoad is what another router has told.
 type peerLoad struct {
 	process  uint32
-	past     uint32     // its process before, whose words may still be passed on; 0 for none
-	sequence uint64     // of its last word
+	past     uint32     // its process before, whose reports may still be passed on; 0 for none
+	sequence uint64     // of its last report
 	at       model.Time // when it was last heard
 	runs     map[model.BackendID]uint32
 }
@@ -42,23 +42,23 @@
 // tell notes for the other routers that a backend server was sent a part, unless they
 // know and hold it for kept still.
 func (m *Machine) tell(s *server, part uint32) {
-	if len(m.news) < maxNews && s.kept.tell(s.sent, part, s.room) {
-		m.news = append(m.news, Placement{Backend: s.id, Part: part})
+	if len(m.placements) < maxPlacements && s.kept.tell(s.sent, part, s.room) {
+		m.placements = append(m.placements, Placement{Backend: s.id, Part: part})
 	}
 }
 
-// settleAfter is how long after its last word a backend server is told of once more, as
-// that word may have been lost: a further one would have put it right.
+// settleAfter is how long after its last report a backend server is told of once more, as
+// that report may have been lost: a further one would have put it right.
 const settleAfter = time.Second
 
-// restateAfter is how long after its last word a backend server is told of again as long
-// as anything runs there: a router that has started, or was cut off, has missed the words
-// before. Most answers end sooner, so that this seldom takes a word of its own.
+// restateAfter is how long after its last report a backend server is told of again as long
+// as anything runs there: a router that has started, or was cut off, has missed the load reports
+// before. Most answers end sooner, so that this seldom takes a load report of its own.
 const restateAfter = 3 * time.Second
 
-// Tell returns what the other routers don't know yet, and takes it as told; settled
+// ReportLoads returns what the other routers don't know yet, and takes it as told; settled
 // tells whether nothing of it is to be told once more.
-func (m *Machine) Tell() (word Word, settled bool) {
+func (m *Machine) ReportLoads() (report LoadReport, settled bool) {
 	settled = true
 	for _, id := range m.order {
 		s := m.servers[id]
@@ -66,20 +66,20 @@
 		repeat := s.unsettled && m.now >= s.toldAt+settleAfter
 		restate := s.toldRunning > 0 && m.now >= s.toldAt+restateAfter
 		if news || repeat || restate {
-			word.Loads = append(word.Loads, s.told(m.now, news))
+			report.Loads = append(report.Loads, s.told(m.now, news))
 		}
 		settled = settled && !s.unsettled && s.toldRunning == 0
 	}
-	word.News, m.news = m.news, nil
+	report.Placements, m.placements = m.placements, nil
 	for _, account := range m.shares.order {
 		if n, isNew := m.shares.accounts[account].tell(account); isNew {
-			word.Accounts = append(word.Accounts, n)
+			report.Accounts = append(report.Accounts, n)
 		}
 	}
-	return word, settled
+	return report, settled
 }
 
-// told returns a backend server's part of a word and takes it as told.
+// told returns a backend server's part of a load report and takes it as told.
 func (s *server) told(now model.Time, news bool) Load {
 	l := Load{Backend: s.id, Sent: uint64(s.untold), Running: uint32(len(s.flights))}
 	s.untold -= float64(l.Sent)
@@ -89,9 +89,9 @@
 	return l
 }
 
-// TakeWord takes what a process of another router has told of itself, and tells whether
+// TakeLoadReport takes what a process of another router has told of itself, and tells whether
 // it is new.
-func (m *Machine) TakeWord(now model.Time, router string, process uint32, w Word) bool {
+func (m *Machine) TakeLoadReport(now model.Time, router string, process uint32, w LoadReport) bool {
 	m.now = max(m.now, now)
 	p := m.peers[router]
 	if p != nil && p.past == process {
@@ -119,13 +119,13 @@
 			p.runs[l.Backend] = l.Running
 		}
 	}
-	for _, n := range w.News {
+	for _, n := range w.Placements {
 		if s := m.servers[n.Backend]; s != nil {
 			s.kept.touch(s.sent, n.Part, s.room)
 		}
 	}
 	for _, n := range w.Accounts {
-		m.shares.of(n.Account).now.add(Amounts{float64(n.Asked), float64(n.Begun)})
+		m.shares.of(n.Account).now.add(Usage{float64(n.Asked), float64(n.Begun)})
 	}
 	return true
 }
@@ -138,8 +138,8 @@
 	return 0
 }
 
-// oldestWord returns the age of the oldest word of another router.
-func (m *Machine) oldestWord() time.Duration {
+// oldestReport returns the age of the oldest load report of another router.
+func (m *Machine) oldestReport() time.Duration {
 	age := time.Duration(0)
 	for _, p := range m.peers {
 		age = max(age, m.now-p.at)
@@ -147,7 +147,7 @@
 	return age
 }
 
-// MeanAge returns how old the last words of the other routers are in the mean; it is
+// MeanAge returns how old the last load reports of the other routers are in the mean; it is
 // measured by a benchmark of package core.
 func (m *Machine) MeanAge() time.Duration {
 	if len(m.peers) == 0 {
@@ -160,15 +160,15 @@
 	return sum / time.Duration(len(m.peers))
 }
 
-// Knows tells whether the last word of a router was of a certain process.
+// Knows tells whether the last report of a router was of a certain process.
 func (m *Machine) Knows(router string, process uint32) bool {
 	p := m.peers[router]
 	return p != nil && p.process == process
 }
 
-// unheardKept is how long what a router has running is reckoned with after its last word:
+// unheardKept is how long what a router has running is reckoned with after its last report:
 // it tells of it again within restateAfter, so that one which doesn't has ended, though the
-// news of it hasn't come.
+// notice of it hasn't come.
 const unheardKept = 3 * restateAfter
 
 // forgetUnheard takes back what routers have running that aren't heard any more.
--- a/core/prompt/pace_test.go
+++ b/core/prompt/pace_test.go
@@ -77,7 +77,7 @@
 		m.Arrive(now, ask(id, 1, 1000+uint64(id), 1000))
 		return dispatched(t, m).Basis.Delay
 	}
-	m.TakeWord(0, "b", 1, Word{Sequence: 1})
+	m.TakeLoadReport(0, "b", 1, LoadReport{Sequence: 1})
 	before := expected(0, 1)
 	m.Finish(time.Second, 1, Done, 50)
 	now := 2 * time.Second
@@ -90,11 +90,11 @@
 			}
 		}
 	}
-	word := Word{Sequence: 2}
+	report := LoadReport{Sequence: 2}
 	for _, id := range m.order {
-		word.Loads = append(word.Loads, Load{Backend: id, Sent: 20_000})
+		report.Loads = append(report.Loads, Load{Backend: id, Sent: 20_000})
 	}
-	m.TakeWord(now+150*time.Millisecond, "b", 1, word)
+	m.TakeLoadReport(now+150*time.Millisecond, "b", 1, report)
 	for id := range sent {
 		m.Began(now+2*before, id)
 		m.Finish(now+3*time.Second, id, Done, 50)
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -9,7 +9,7 @@
 // counts is its backlog: the tokens sent to it that it hasn't read yet.
 //
 // Each router counts the tokens sent to each backend server, its own at once and
-// the other routers' from their words, which say what is new since the word
+// the other routers' from their load reports, which say what is new since the report
 // before. It estimates how many of them have been read: the estimate grows at the
 // engine's rate, and each first token of an answer corrects it. A request that has
 // begun shows that all that was sent before it has been read; one that hasn't
@@ -30,7 +30,7 @@
 // # Accounts
 //
 // Over a window of some seconds each account may begin its max-min share of what
-// the engines make, counted over the fleet from the routers' words: whoever asks for less
+// the engines make, counted over the fleet from the routers' load reports: whoever asks for less
 // than an even part gets it all, and what is left is divided evenly among the others. The
 // same holds for the last second, so that an account that is sent by many routers can't
 // fill the engines before the others' requests come. Work within the share goes first,
@@ -85,25 +85,25 @@
 
 // Machine is the state machine. It does no I/O and reads no clock.
 type Machine struct {
-	now      model.Time
-	config   Config
-	random   *rand.Rand
-	routers  int // that are live, this one included
-	servers  map[model.BackendID]*server
-	order    []model.BackendID // of servers
-	byPool   map[model.PoolID][]model.BackendID
-	version  int        // of the configuration here
-	waiting  []*request // by arrival
-	requests map[model.RequestID]*request
-	shares   shares
-	outputs  map[uint32]*mean // expected output by route
-	peers    map[string]*peerLoad
-	news     []Placement
-	actions  []Action
-	passed   model.Time // when all that waits was last gone over
-	homes    homes
-	paces    map[model.PoolID]*pace
-	unheard  unheard
+	now        model.Time
+	config     Config
+	random     *rand.Rand
+	routers    int // that are live, this one included
+	servers    map[model.BackendID]*server
+	order      []model.BackendID // of servers
+	byPool     map[model.PoolID][]model.BackendID
+	version    int        // of the configuration here
+	waiting    []*request // by arrival
+	requests   map[model.RequestID]*request
+	shares     shares
+	outputs    map[uint32]*mean // expected output by route
+	peers      map[string]*peerLoad
+	placements []Placement
+	actions    []Action
+	passed     model.Time // when all that waits was last gone over
+	homes      homes
+	paces      map[model.PoolID]*pace
+	unheard    unheard
 }
 
 // request is a request that waits or runs.
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -91,15 +91,15 @@
 	a, b := newMachine(9), newMachine(9)
 	a.Arrive(0, ask(1, 1, 7, 1000))
 	sent := dispatched(t, a)
-	word, _ := a.Tell()
-	word.Sequence = 1
-	is.True(b.TakeWord(0, "a", 1, word))
+	report, _ := a.ReportLoads()
+	report.Sequence = 1
+	is.True(b.TakeLoadReport(0, "a", 1, report))
 	b.Arrive(time.Second, ask(1, 1, 7, 1000))
 	got := dispatched(t, b)
 	is.Equal(got.Backend, sent.Backend)
 	is.Equal(got.Basis.Unread, 1000)
-	again, _ := a.Tell()
-	is.Equal(len(again.News), 0) // told once
+	again, _ := a.ReportLoads()
+	is.Equal(len(again.Placements), 0) // told once
 }
 
 func TestWhatIsReadPushesOutWhatIsNotUsed(t *testing.T) {
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -212,10 +212,10 @@
 	out := Basis{
 		Delay: p.delay, Unread: int(p.unread), Backlog: int(p.backlog), Soonest: p.soonest,
 		Over: m.standingOf(r.Account, l) != within, Had: m.had(r.Account, l.owed),
-		Lately: m.hadLately(r.Account, l), Age: m.oldestWord(),
+		Lately: m.hadLately(r.Account, l), Age: m.oldestReport(),
 	}
 	if l.owed > 0 {
-		out.Asked = m.Amounts(r.Account).Asked / l.owed
+		out.Asked = m.Usage(r.Account).Asked / l.owed
 	}
 	if s := p.server; s != nil {
 		out.Best, out.Slow = s.id, s.health.slowness()
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -53,7 +53,7 @@
 	Had     float64       // part of what the account is owed that has begun
 	Asked   float64       // the same of what it has asked for
 	Lately  float64       // part of its even part of the last second that has begun
-	Age     time.Duration // of the oldest word of another router
+	Age     time.Duration // of the oldest load report of another router
 }
 
 // Reason is why a request is refused.
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -29,14 +29,14 @@
 	at   model.Time // of the estimate
 
 	flights []*flight // from here, in the order they were sent
-	remote  int       // running for other routers, by their words
+	remote  int       // running for other routers, by their load reports
 	others  others    // what other routers send there
 	foreign float64   // tokens that they have told to have sent
 	assumed float64   // tokens that others may have sent, before any was heard
 
 	// untold counts the tokens sent from here that the other routers don't know of;
 	// toldRunning is how many requests they take to run from here, as told at toldAt;
-	// unsettled tells that this is to be said once more.
+	// unsettled tells that this is to be reported once more.
 	untold      float64
 	toldRunning int
 	toldAt      model.Time
@@ -119,7 +119,7 @@
 }
 
 // undisturbed tells whether nothing that other routers have sent may have been ahead of a
-// request, as far as their words tell until its answer begins.
+// request, as far as their load reports tell until its answer begins.
 func (s *server) undisturbed(f *flight) bool {
 	return f.alone && s.reading(s.foreign-f.others) <= idleAhead
 }
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -19,36 +19,36 @@
 	inBurst     = int(burst / sampleEvery)
 )
 
-// Amounts are what an account has asked for and what has begun of it, in tokens, since a
+// Usage are what an account has asked for and what has begun of it, in tokens, since a
 // start that doesn't matter.
-type Amounts struct {
+type Usage struct {
 	Asked float64
 	Begun float64
 }
 
 // history holds an account's amounts over the window.
 type history struct {
-	now    Amounts          // over the fleet, as far as known
-	untold Amounts          // of this router, that the others don't know of
-	past   [samples]Amounts // of now: a ring
-	last   int              // the newest entry
+	now    Usage          // over the fleet, as far as known
+	untold Usage          // of this router, that the others don't know of
+	past   [samples]Usage // of now: a ring
+	last   int            // the newest entry
 }
 
 // inWindow returns the amounts of the window. Entries that aren't filled yet are
 // zero, as the amounts are when the history begins.
-func (h *history) inWindow() Amounts {
+func (h *history) inWindow() Usage {
 	oldest := h.past[(h.last+1)%samples]
-	return Amounts{Asked: max(h.now.Asked-oldest.Asked, 0), Begun: max(h.now.Begun-oldest.Begun, 0)}
+	return Usage{Asked: max(h.now.Asked-oldest.Asked, 0), Begun: max(h.now.Begun-oldest.Begun, 0)}
 }
 
 // lately returns the amounts of the time of a burst, less up to one sample.
-func (h *history) lately() Amounts {
+func (h *history) lately() Usage {
 	then := h.past[(h.last+samples+1-inBurst)%samples]
-	return Amounts{Asked: max(h.now.Asked-then.Asked, 0), Begun: max(h.now.Begun-then.Begun, 0)}
+	return Usage{Asked: max(h.now.Asked-then.Asked, 0), Begun: max(h.now.Begun-then.Begun, 0)}
 }
 
 // shares knows the max-min share of each account. Each router counts what it has itself
-// asked and begun for an account, and the others' from their words. A router that has
+// asked and begun for an account, and the others' from their load reports. A router that has
 // just started knows of no more than what it has heard since.
 type shares struct {
 	accounts map[model.AccountID]*history
@@ -73,37 +73,37 @@
 // it, in tokens. Of what wasn't run in the end, begun takes the cost back.
 func (m *Machine) Count(account model.AccountID, asked, begun float64) {
 	h := m.shares.of(account)
-	h.now.add(Amounts{asked, begun})
-	h.untold.add(Amounts{asked, begun})
+	h.now.add(Usage{asked, begun})
+	h.untold.add(Usage{asked, begun})
 }
 
-func (a *Amounts) add(b Amounts) {
+func (a *Usage) add(b Usage) {
 	a.Asked += b.Asked
 	a.Begun += b.Begun
 }
 
-// AccountNews is what an account has newly asked for at a router, and what has begun
+// AccountIncrement is what an account has newly asked for at a router, and what has begun
 // of it, in tokens.
-type AccountNews struct {
+type AccountIncrement struct {
 	Account model.AccountID
 	Asked   int64
 	Begun   int64
 }
 
 // tell returns what the other routers don't know of an account, and takes it as told.
-func (h *history) tell(account model.AccountID) (AccountNews, bool) {
-	n := AccountNews{Account: account, Asked: int64(h.untold.Asked), Begun: int64(h.untold.Begun)}
-	h.untold.add(Amounts{-float64(n.Asked), -float64(n.Begun)})
+func (h *history) tell(account model.AccountID) (AccountIncrement, bool) {
+	n := AccountIncrement{Account: account, Asked: int64(h.untold.Asked), Begun: int64(h.untold.Begun)}
+	h.untold.add(Usage{-float64(n.Asked), -float64(n.Begun)})
 	return n, n.Asked != 0 || n.Begun != 0
 }
 
-// Amounts returns what an account has asked for, and what has begun of it, in the
+// Usage returns what an account has asked for, and what has begun of it, in the
 // window.
-func (m *Machine) Amounts(account model.AccountID) Amounts {
+func (m *Machine) Usage(account model.AccountID) Usage {
 	if h := m.shares.accounts[account]; h != nil {
 		return h.inWindow()
 	}
-	return Amounts{}
+	return Usage{}
 }
 
 // Begun returns what has begun of an account over the fleet since this router's start, in
--- a/core/prompt/shares_test.go
+++ b/core/prompt/shares_test.go
@@ -58,14 +58,14 @@
 	m.Count(1, 100, 50)
 	for now := time.Duration(0); now < window-sampleEvery; now += sampleEvery {
 		m.Sample(now)
-		is.Equal(m.shares.accounts[1].inWindow(), Amounts{100, 50})
+		is.Equal(m.shares.accounts[1].inWindow(), Usage{100, 50})
 	}
 	for now := window; now < 2*window; now += sampleEvery {
 		m.Sample(now)
 	}
-	is.Equal(m.shares.accounts[1].inWindow(), Amounts{})
+	is.Equal(m.shares.accounts[1].inWindow(), Usage{})
 	m.Count(1, 40, 0)
-	is.Equal(m.shares.accounts[1].inWindow(), Amounts{Asked: 40})
+	is.Equal(m.shares.accounts[1].inWindow(), Usage{Asked: 40})
 }
 
 // TestNobodyBeginsTheWholeWindowAtOnce lets an account begin more in a moment than is its
--- a/core/prompt/unheard.go
+++ b/core/prompt/unheard.go
@@ -6,14 +6,14 @@
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
-// unheardFor is how long after its first send a router that has heard no other's word
+// unheardFor is how long after its first send a router that has heard no other's report
 // takes them to send as much as it does itself.
 const unheardFor = 300 * time.Millisecond
 
 // unheard is what a router that has just started takes the others to have sent, until it
 // hears of it. Where all routers have started together, after a loss of power, their
 // callers come back at once: each would else fill engines that look empty to it, in the
-// time until the first words arrive, several times over.
+// time until the first reports arrive, several times over.
 type unheard struct {
 	began bool       // something was sent to an engine
 	until model.Time // when the others are taken to send nothing, if none was heard
--- a/core/prompt/unheard_test.go
+++ b/core/prompt/unheard_test.go
@@ -17,7 +17,7 @@
 		m := newMachine(4)
 		m.SetRouters(routers)
 		if hear {
-			m.TakeWord(0, "other", 1, Word{Sequence: 1})
+			m.TakeLoadReport(0, "other", 1, LoadReport{Sequence: 1})
 		}
 		for i := range 10 {
 			m.Arrive(0, ask(model.RequestID(i), 1, uint64(i), 1000))
--- a/core/prompt/unseen.go
+++ b/core/prompt/unseen.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// wordAge is how old the words of the other routers are in the mean: half an
+	// reportAge is how old the load reports of the other routers are in the mean: half an
 	// exchange, and the way along rows in a larger fleet.
-	wordAge = 80 * time.Millisecond
+	reportAge = 80 * time.Millisecond
 	// othersOver is the time over which the rate of what others send is taken.
 	othersOver = time.Second
 )
@@ -18,7 +18,7 @@
 // others is how much the other routers send to a backend server.
 type others struct {
 	rate float64    // tokens a second, at the time it was seen
-	seen model.Time // when the last word of it came
+	seen model.Time // when the last report of it came
 }
 
 // add counts tokens that another router has sent.
@@ -32,7 +32,7 @@
 	return o.rate * math.Exp(-(now-o.seen).Seconds()/othersOver.Seconds())
 }
 
-// unseen returns how many of the tokens that others have sent, and of which no word can
+// unseen returns how many of the tokens that others have sent, and of which no report can
 // have come yet, are expected to be unread: the busier the engine, the more of them.
 func (s *server) unseen(now model.Time) float64 {
 	if s.pace.rate <= 0 {
@@ -40,5 +40,5 @@
 	}
 	rate := s.others.at(now)
 	busy := min(rate/s.pace.rate, 1)
-	return rate * wordAge.Seconds() * busy
+	return rate * reportAge.Seconds() * busy
 }
--- a/core/prompt/unseen_test.go
+++ b/core/prompt/unseen_test.go
@@ -23,8 +23,8 @@
 		return s.unseen(now + quiet)
 	}
 	full := unseen(1, 0)
-	is.True(full > 0.8*rate*wordAge.Seconds())
-	is.True(full < 1.2*rate*wordAge.Seconds())
+	is.True(full > 0.8*rate*reportAge.Seconds())
+	is.True(full < 1.2*rate*reportAge.Seconds())
 	is.True(unseen(0.1, 0) < full/50) // most of it has been read meanwhile
 	is.True(unseen(1, 5*time.Second) < full/100)
 }
--- a/core/restart_test.go
+++ b/core/restart_test.go
@@ -53,8 +53,8 @@
 			f.submitPrompt(n, account, tokens, output)
 		}
 		if now >= 25*time.Second {
-			is.True(restarted.core.prompt.Amounts(account).Asked < 1.2*inWindow)
+			is.True(restarted.core.prompt.Usage(account).Asked < 1.2*inWindow)
 		}
 	}
-	is.True(restarted.core.prompt.Amounts(account).Asked > 0.8*inWindow)
+	is.True(restarted.core.prompt.Usage(account).Asked > 0.8*inWindow)
 }
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -18,7 +18,7 @@
 
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/member"
-	"github.com/tamarindstep/tamarindstep/internal/agenda"
+	"github.com/tamarindstep/tamarindstep/internal/eventqueue"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -71,7 +71,7 @@
 // world is an experiment under way.
 type world struct {
 	Experiment
-	time    agenda.Agenda
+	time    eventqueue.Queue
 	source  *source
 	random  *rand.Rand
 	nodes   []*node
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/tamarindstep/tamarindstep/internal/agenda"
+	"github.com/tamarindstep/tamarindstep/internal/eventqueue"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy/policies"
 )
@@ -56,7 +56,7 @@
 
 func TestEngineReadsPromptsOnce(t *testing.T) {
 	is := is.New(t)
-	var time agenda.Agenda
+	var time eventqueue.Queue
 	shape := DefaultEngine
 	shape.Memory = 10_000
 	e := newEngine(shape, &time)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/tamarindstep/tamarindstep/internal/agenda"
+	"github.com/tamarindstep/tamarindstep/internal/eventqueue"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -46,7 +46,7 @@
 // engine is one engine at work.
 type engine struct {
 	Engine
-	time    *agenda.Agenda
+	time    *eventqueue.Queue
 	batch   []*run
 	waiting []*run
 	kept    map[uint64]int // tokens of each part
@@ -60,7 +60,7 @@
 	working time.Duration
 }
 
-func newEngine(shape Engine, time *agenda.Agenda) *engine {
+func newEngine(shape Engine, time *eventqueue.Queue) *engine {
 	return &engine{Engine: shape, time: time, kept: map[uint64]int{}, seen: map[uint64]bool{}}
 }
 
--- a/internal/agenda/agenda.go
+++ b/internal/eventqueue/eventqueue.go
@@ -1,6 +1,6 @@
-// Package agenda is virtual time: what is planned happens in order, and time passes from
+// Package eventqueue is virtual time: what is planned happens in order, and time passes from
 // one event to the next.
-package agenda
+package eventqueue
 
 import (
 	"container/heap"
@@ -41,27 +41,27 @@
 	return last
 }
 
-// Agenda is a time and what is planned for later.
-type Agenda struct {
+// Queue is a time and what is planned for later.
+type Queue struct {
 	now    model.Time
 	seq    uint64
 	events events
 }
 
 // Now returns the time.
-func (a *Agenda) Now() model.Time { return a.now }
+func (a *Queue) Now() model.Time { return a.now }
 
 // At plans something; a time that has passed is taken for now.
-func (a *Agenda) At(t model.Time, do func()) {
+func (a *Queue) At(t model.Time, do func()) {
 	a.seq++
 	heap.Push(&a.events, event{max(t, a.now), a.seq, do})
 }
 
 // After plans something for so much later.
-func (a *Agenda) After(d time.Duration, do func()) { a.At(a.now+d, do) }
+func (a *Queue) After(d time.Duration, do func()) { a.At(a.now+d, do) }
 
 // Run lets time pass until then, with all that is planned for it.
-func (a *Agenda) Run(until model.Time) {
+func (a *Queue) Run(until model.Time) {
 	for len(a.events) > 0 && a.events[0].at <= until {
 		e := heap.Pop(&a.events).(event)
 		a.now = e.at
