core: a relay that passes on late isn't taken for silent

Cause, found by reading: a relay counted as silent 400 ms after the first message that wasn't confirmed, though confirmations of others came, as soon as one took longer than it takes to tell again. A relay with little processor under load would so lose whom it serves to the next one, and that one to it.

Change: a confirmation starts the time anew. TestSlowRelayIsKept (round trips of 140 to 280 ms, a request every 50) fails without it. No change where confirmations take less than 100 ms.

--- a/core/loads.go
+++ b/core/loads.go
@@ -271,14 +271,12 @@
 	}
 	for _, in := range d.Loads {
 		if in.Router == own {
-			c.loads.link.confirm(in, process)
+			c.loads.link.confirm(c.now, in, process)
 			continue
 		}
-		from := c.memberOf(in.Router)
-		if from == nil || from.Past != 0 && in.Process == uint32(from.Past) || !c.prompt.TakeLoadReport(c.now, from.Name, in.Process, decodeLoadReport(in)) {
+		if !c.takeLoadReport(in) {
 			continue
 		}
-		c.askDead(from.Name)
 		if isEmpty(in) {
 			c.sendLoads([]string{d.From}, []*wire.Loads{in}, wire.PassOn_PASS_ON_NOBODY)
 			continue
@@ -287,6 +285,20 @@
 	}
 }
 
+// takeLoadReport takes what a router has told of itself, and tells whether it is new. One
+// of a process that has ended since, which a relay may still pass on, isn't.
+func (c *Core) takeLoadReport(in *wire.Loads) bool {
+	from := c.memberOf(in.Router)
+	if from == nil || from.Past != 0 && in.Process == uint32(from.Past) {
+		return false
+	}
+	if !c.prompt.TakeLoadReport(c.now, from.Name, in.Process, decodeLoadReport(in)) {
+		return false
+	}
+	c.askDead(from.Name)
+	return true
+}
+
 // forgetLoads takes back what a router that has died or was restarted had running. Reports of
 // its new process may have come by the relays before the notice of its restart: they stand.
 func (c *Core) forgetLoads(change member.Change) {
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -251,3 +251,23 @@
 		f.submitPrompt(n, model.Account(accountNames(1)[0]), 1000, 100_000)
 	}
 }
+
+// TestSlowRelayIsKept lets confirmations take longer than it takes to tell again: a relay
+// that passes everything on, if late, isn't silent.
+func TestSlowRelayIsKept(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(59, 100_000)
+	f.delay = 70 * time.Millisecond // to twice as much, each way
+	changes := 0
+	served := f.nodes[20]
+	relay := served.core.loads.link.relay
+	for range 100 {
+		f.sendOne(served)
+		f.runUntil(f.time.Now() + 50*time.Millisecond)
+		if served.core.loads.link.relay != relay {
+			changes++
+			relay = served.core.loads.link.relay
+		}
+	}
+	is.Equal(changes, 0)
+}
--- a/core/relaylink.go
+++ b/core/relaylink.go
@@ -28,7 +28,7 @@
 type relayLink struct {
 	relay       string        // "" where this router is a relay itself
 	unconfirmed []*wire.Loads // told, and not yet passed on as far as known
-	since       model.Time    // when the first of them was told
+	since       model.Time    // when the first of them was told, or one before it was confirmed
 	heard       model.Time    // when the relay has last told anything
 	silent      map[string]model.Time
 }
@@ -50,10 +50,11 @@
 
 // confirm takes that a message of this router has been passed on. One that was lost on
 // the way to the relay isn't told again once a later one came through.
-func (l *relayLink) confirm(message *wire.Loads, process uint32) {
+func (l *relayLink) confirm(now model.Time, message *wire.Loads, process uint32) {
 	if message.Process != process {
 		return
 	}
+	l.since = now
 	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(o *wire.Loads) bool {
 		return o.Sequence <= message.Sequence
 	})
