gateway: a request whose caller has left before it is read isn't sent

Cause: a router that comes late to a request (stopped, or with no processor left) finds its caller's end beside it. The connection is watched from then on, but the decision is made beside the watch, and now and then was first: the request reached a backend server though its caller had left long before.

Change: a request is looked at for its caller's end before it is decided on, by one call that reads nothing.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -80,6 +80,11 @@
 		a.refuse(a.refused, startRetryAfter)
 		return a.keep
 	}
+	if a.conn.hasLeft() {
+		a.log("caller-left").Msg("caller left before its request was read")
+		a.count("caller-left")
+		return false
+	}
 	ctx, left := context.WithDeadline(context.Background(), a.deadline)
 	defer left()
 	a.ctx = ctx
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/socket"
 )
 
 // writeTimeout is how long a caller may take to read a part of its answer.
@@ -58,6 +60,11 @@
 // bytes.
 const answerBuffer = 4096
 
+// hasLeft tells whether the caller has closed its connection by now. A router that comes late
+// to a request finds its end there already; watch alone would tell too late of it, as the
+// decision is made beside it.
+func (c *callerConn) hasLeft() bool { return socket.Look(c.Conn) == socket.Ended }
+
 // watch calls left if the caller closes its connection, until stop is called.
 // While a request is served nothing else reads from the connection.
 func (c *callerConn) watch(left context.CancelFunc) (stop func()) {
