--- a/core/core.go
+++ b/core/core.go
@@ -133,8 +133,8 @@
 // LimitRetries sets the fleet's retry budget, which is unlimited until then.
 func (c *Core) LimitRetries(limits retry.Limits) { c.retries = retry.New(limits) }
 
-// LimitLoads sets how many bytes a second this router spends on telling the others what
-// it has on the backend servers, and on handing on what they tell.
+// LimitLoads sets how many bytes a second this router tells each of those that it tells: of
+// what it has on the backend servers, and of what it passes on as a relay.
 func (c *Core) LimitLoads(bytesPerSecond float64) { c.loads = newLoadExchange(bytesPerSecond) }
 
 // Step takes one event at a time that never goes back, and returns what is to
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -48,7 +48,7 @@
 	Drain         time.Duration
 	RetryRatio    float64
 	RetrySlack    float64
-	LoadsBytes    float64 // a second, for telling other routers of loads
+	LoadsBytes    float64 // a second, that each router is told of the others' requests
 	MemoryMB      float64
 	Processor     float64 // part of a core
 	Profiles      bool
@@ -75,8 +75,8 @@
 	f.String("drain-seconds", "900", "how long a stopping router waits for its requests, in seconds")
 	f.String("retry-ratio", "0.2", "second sends for each request, over the fleet")
 	f.String("retry-slack", "50", "second sends beyond that in ten seconds, over the fleet")
-	f.String("loads-bytes", strconv.Itoa(core.DefaultLoadsBytes), "bytes a second for telling the other routers what "+
-		"this one has on the backend servers; what is told gets older where there are fewer")
+	f.String("loads-bytes", strconv.Itoa(core.DefaultLoadsBytes), "bytes a second that each router is told of the "+
+		"others' requests; what is told gets older where there are fewer")
 	f.String("memory-mb", "512", "memory that the process may use, in MB; it takes fewer requests at once where there is less")
 	f.String("processor", "1", "part of a core that the process may use; the routers with the most pass on what the others tell")
 	f.String("profiles", wordOff, "on: profiles of the process are served below /debug/pprof/ of the admin listener; off: they aren't")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,11 +59,11 @@
 	keepAliveMargin = 500 * time.Millisecond
 )
 
-// keepAlive finds a connection that rests and has gone silent within a few seconds, and
-// unacknowledged one that a request was written to: without it the system would go on
-// sending that request for a quarter of an hour.
+// keepAlive finds a connection that rests and has gone silent within a few seconds.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
+// unacknowledged is how long what was written to a connection may go unacknowledged until the
+// connection has failed: the system alone would go on sending it for a quarter of an hour.
 const unacknowledged = 2500 * time.Millisecond
 
 type conn struct {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,8 +88,8 @@
 // LimitRetries sets the fleet's retry budget; it must be done before the start.
 func (s *Service) LimitRetries(limits retry.Limits) { s.retries = limits }
 
-// LimitLoads sets the bytes a second that are spent on telling the other routers what
-// this one has on the backend servers; it must be done before the start.
+// LimitLoads sets the bytes a second that each router is told of the others' requests; it
+// must be done before the start.
 func (s *Service) LimitLoads(bytesPerSecond float64) { s.loadsBytes = bytesPerSecond }
 
 // New returns the service of a router.
