core/prompt: plain services by what waits there, drawn by chance; catalogs fetched with a pause

What changes: what a request takes is learned from those that found a slot; a backend server is drawn, the fuller the less likely; the chance to be sent falls to none where the answer would come after 0.8 of the objective; account shares, which count tokens, don't refuse entries. A catalog is fetched at most every 0.15 s, as each change is compiled whole.

--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -25,6 +24,9 @@
 
 // best returns the best place for a request; ok is false where there is none.
 func (m *Machine) best(r *request) (place, bool) {
+	if !m.config.Pools[r.Pool].Engine {
+		return m.bestService(r)
+	}
 	if r.chosenFor != m.version {
 		r.candidates = m.candidates(r)
 		r.chosenFor = m.version
@@ -40,9 +42,7 @@
 			continue
 		}
 		p := m.placeAt(s, r, holder)
-		if s.engine {
-			p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
-		}
+		p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
 		if !found || p.delay < soonest {
 			soonest = p.delay
 		}
@@ -56,9 +56,6 @@
 
 // placeAt returns what is expected of a request at a backend server.
 func (m *Machine) placeAt(s *server, r *request, holder *server) place {
-	if !s.engine {
-		return m.placeAtService(s)
-	}
 	p := place{server: s, backlog: s.backlog(m.now), unread: m.unreadAt(s, r)}
 	p.ahead = s.reading(p.backlog)
 	m.copyFrom(&p, holder, r)
@@ -126,30 +123,6 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// placeAtService expects the least delay where the least runs for its slots.
-func (m *Machine) placeAtService(s *server) place {
-	load := float64(len(s.flights)*m.routers+s.running()) / 2
-	full := load / float64(max(s.Slots, 1))
-	p := place{server: s, score: full + s.health.failing(m.now)*m.config.Tuning.FailureWeight}
-	if !s.Near {
-		p.score += serviceFarPenalty
-	}
-	if full >= 1 {
-		p.delay = time.Duration(math.Min(full, maxFull) * float64(m.config.Tuning.SlotDelay))
-	}
-	p.score += m.random.Float64() * serviceJitter
-	return p
-}
-
-const (
-	// serviceFarPenalty is what another data hall counts for, in full slots.
-	serviceFarPenalty = 0.2
-	// serviceJitter spreads requests over services that are alike.
-	serviceJitter = 0.02
-	// maxFull bounds how full a service is taken to be.
-	maxFull = 10
-)
-
 const (
 	// maxCandidates is how many backend servers are looked at for a request,
 	// however many there are: the first ones by rendezvous hashing, those that
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -112,6 +112,7 @@
 	passed     model.Time // when all that waits was last gone over
 	homes      homes
 	paces      map[model.PoolID]*pace
+	works      map[model.PoolID]*mean // how long a request of a plain service takes
 	unheard    unheard
 	fleet      fleet
 	usable     float64 // part of the engines that aren't evacuated
@@ -126,6 +127,7 @@
 	server   *server // that it was sent to
 	flight   *flight
 	began    bool
+	draw     float64 // by chance, from 0 to 1
 
 	home       *server           // to which routers that know nothing send it
 	candidates []model.BackendID // to look at, in order
@@ -142,6 +144,7 @@
 		outputs:  map[uint32]*mean{},
 		peers:    map[string]*peerLoad{},
 		paces:    map[model.PoolID]*pace{},
+		works:    map[model.PoolID]*mean{},
 		fleet:    fleet{began: now},
 		usable:   1,
 	}
@@ -236,7 +239,7 @@
 // Arrive takes a request.
 func (m *Machine) Arrive(now model.Time, in Request) {
 	m.now = max(m.now, now)
-	r := &request{Request: in, arrived: m.now, deadline: m.now + in.Wait}
+	r := &request{Request: in, arrived: m.now, deadline: m.now + in.Wait, draw: m.random.Float64()}
 	r.cost = m.CostOf(&in)
 	m.requests[in.ID] = r
 	if !m.makeRoom(r) {
@@ -295,6 +298,9 @@
 		m.decide()
 		return
 	}
+	if ending == Done {
+		m.learnWork(r.server, r.flight)
+	}
 	r.server.finished(m.now, r.flight, m.judged(r, ending), m.random)
 	if ending == Done && output > 0 {
 		if m.outputs[r.Route] == nil {
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -104,7 +104,10 @@
 		return
 	}
 	p, ok := m.best(r)
-	stands := m.standingOf(r.Account, l)
+	stands := within // of plain services there are no shares
+	if m.config.Pools[r.Pool].Engine {
+		stands = m.standingOf(r.Account, l)
+	}
 	if ok && m.mayBegin(r, p, stands) {
 		m.dispatch(r, p, l)
 		return
@@ -131,7 +134,7 @@
 		return true
 	}
 	if !p.server.engine {
-		return p.delay <= r.Objective
+		return m.mayBeginService(r, p)
 	}
 	if p.delay <= m.mayDelay(r, p, stands) {
 		return true
@@ -208,6 +211,8 @@
 	r.flight.ahead, r.flight.copied = p.ahead, p.from != nil
 	if s.engine {
 		m.assume(s.Pool, p.unread)
+	} else {
+		r.flight.alone = float64(len(s.flights))+float64(s.remote) <= float64(s.Slots)
 	}
 	m.markHome(r, p)
 	for i, part := range r.Prompt.Parts {
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -39,6 +40,11 @@
 	})
 }
 
+// fetchPause is how long a router rests after it has fetched something. Each change is
+// compiled anew for all backend servers; while a thousand of them start, the routers that
+// watch see twenty changes a second.
+const fetchPause = 150 * time.Millisecond
+
 // versions returns the versions of what this router holds.
 func (s *Service) versions() core.Versions {
 	s.mu.Lock()
@@ -100,12 +106,15 @@
 		return
 	}
 	s.fetching = true
+	pause := fetchPause - time.Since(s.fetched)
 	s.ended.Add(1)
 	go func() {
 		defer s.ended.Done()
+		rest(s.run, pause)
 		_ = s.fetch(address)
 		s.mu.Lock()
 		s.fetching = false
+		s.fetched = time.Now()
 		s.mu.Unlock()
 	}()
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -137,6 +137,7 @@
 	file     *config.InForce // of the document, with no backend servers but its own
 	revision int64           // of the document in the store, 0 where it came from a router
 	fetching bool
+	fetched  time.Time // when that ended last
 	catalog  catalog
 	halls    halls
 
