ctl, config, status: operators evacuate data halls by the command line; TS2012

Cause: only the users' platform could evacuate a data hall; our own operators' files had no word for it, nor did status tell of it. Ruled out: a second mechanism beside the configuration: swap, generations and fetches of the file already bring it everywhere.

--- a/config/check/checks/checks.go
+++ b/config/check/checks/checks.go
@@ -16,6 +16,7 @@
 	"github.com/tamarindstep/tamarindstep/config/check/ts2009"
 	"github.com/tamarindstep/tamarindstep/config/check/ts2010"
 	"github.com/tamarindstep/tamarindstep/config/check/ts2011"
+	"github.com/tamarindstep/tamarindstep/config/check/ts2012"
 	"github.com/tamarindstep/tamarindstep/finding"
 )
 
@@ -33,6 +34,7 @@
 	ts2009.Check,
 	ts2010.Check,
 	ts2011.Check,
+	ts2012.Check,
 }
 
 // File reads and checks an operators' file and returns all findings in one
--- a/config/check/ts2004/ts2004.go
+++ b/config/check/ts2004/ts2004.go
@@ -40,6 +40,8 @@
 		path := fmt.Sprintf("pools[%d]", i)
 		notNegative(p, path+".expected-output", pool.ExpectedOutput)
 		notNegative(p, path+".call-cost", pool.CallCost)
+		notNegative(p, path+".cold-rate", pool.ColdRate)
+		notNegative(p, path+".cold-for", float64(pool.ColdFor))
 		for j, b := range pool.Backends {
 			if b.Slots < 1 || b.Slots > maxSlots {
 				p.Report(fmt.Sprintf("%s.backends[%d].slots", path, j), "%d slots is not between 1 and %d", b.Slots, maxSlots)
--- /dev/null
+++ b/config/check/ts2012/ts2012.go
@@ -0,0 +1,45 @@
+// Package ts2012 finds where data halls are evacuated that aren't there, or all of them.
+package ts2012
+
+import (
+	"fmt"
+
+	"github.com/tamarindstep/tamarindstep/config/check"
+	"github.com/tamarindstep/tamarindstep/finding"
+)
+
+// Check is the documented check.
+var Check = &check.Check{
+	Code: "TS2012",
+	Doc: check.Doc{
+		Title:    "an evacuation that may not be meant",
+		Text:     "An evacuated data hall without a backend server may be a mistaken name. Where every data hall is evacuated all requests are refused.",
+		Since:    "0.2",
+		Severity: finding.Warning,
+	},
+	Run: run,
+}
+
+func run(p *check.Pass) {
+	inHall := map[string]int{}
+	for _, pool := range p.File.Pools {
+		if pool.Discovered {
+			return // which data halls there are isn't known here
+		}
+		for _, b := range pool.Backends {
+			inHall[b.DataHall]++
+		}
+	}
+	left := len(inHall)
+	for i, hall := range p.File.Evacuated {
+		path := fmt.Sprintf("evacuated[%d]", i)
+		if inHall[hall] == 0 {
+			p.Report(path, "no backend server is in data hall %q", hall)
+			continue
+		}
+		left--
+		if left == 0 {
+			p.Report(path, "every data hall is evacuated")
+		}
+	}
+}
--- a/core/view.go
+++ b/core/view.go
@@ -44,9 +44,21 @@
 		out.Backends = append(out.Backends, &wire.BackendStatus{
 			Name: c.config.Backends[id].Name, Pool: c.config.Pools[b.pool].Name,
 			Slots: uint32(slots), Limit: uint32(min(b.limit, slots)), Occupied: uint32(c.occupied(b)),
-			Leaving: b.load.Leaving || b.load.Failed || c.refuses(id),
+			Leaving: b.load.Leaving || b.load.Failed || c.refuses(id), Evacuated: c.config.Backends[id].Evacuated,
 		})
 	}
+	out.Evacuated = c.evacuated()
+}
+
+// evacuated returns the evacuated data halls that have backend servers, in order.
+func (c *Core) evacuated() []string {
+	halls := map[string]bool{}
+	for _, b := range c.config.Backends {
+		if b.Evacuated {
+			halls[b.DataHall] = true
+		}
+	}
+	return sortedKeys(halls)
 }
 
 func (c *Core) viewAccounts(out *wire.StatusResponse) {
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -93,7 +93,7 @@
 	f.String("router", "", "IP and port of a router's administration API (TAMARINDSTEP_ROUTER)")
 	f.String("operator-token-file", "", "file with the operators' token (TAMARINDSTEP_OPERATOR_TOKEN_FILE)")
 	f.StringVarP(&o.output, "output", "o", "text", "text or json")
-	c.AddCommand(o.validate(), o.diff(), o.apply(), o.get(), o.status(), o.drain(), o.policies(), o.hashKey(), o.explain())
+	c.AddCommand(o.validate(), o.diff(), o.apply(), o.get(), o.status(), o.evacuate(), o.drain(), o.policies(), o.hashKey(), o.explain())
 	return c
 }
 
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/tamarindstep/tamarindstep/admin"
@@ -63,9 +64,9 @@
 	}
 	table(w, rows)
 	fmt.Fprintln(w)
-	rows = [][]any{{"BACKEND SERVER", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING"}}
+	rows = [][]any{{"BACKEND SERVER", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING", "EVACUATED"}}
 	for _, b := range f.Backends {
-		rows = append(rows, []any{b.Name, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving})
+		rows = append(rows, []any{b.Name, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving, b.Evacuated})
 	}
 	table(w, rows)
 	fmt.Fprintln(w)
@@ -75,4 +76,7 @@
 	}
 	table(w, rows)
 	fmt.Fprintf(w, "\ngeneration %d, gap %d tokens\n", f.Generation, f.GapTokens)
+	if len(f.Evacuated) > 0 {
+		fmt.Fprintln(w, "evacuated:", strings.Join(f.Evacuated, ", "))
+	}
 }
--- a/e2e/evacuate_test.go
+++ b/e2e/evacuate_test.go
@@ -1,9 +1,12 @@
 package e2e
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/tamarindstep/tamarindstep/ctl"
 	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
 
@@ -122,3 +125,33 @@
 		}
 	}
 }
+
+// TestEvacuateByCommandLine evacuates a data hall of the product's own fleet and takes it
+// back; the engine there gets nothing new, and no request fails.
+func TestEvacuateByCommandLine(t *testing.T) {
+	f := newFleet(t, 3)
+	is := check(t)
+	from := f.routers[1]
+	code, out := f.ctl(f.routers[0], "evacuate", halls[0])
+	is.Equal(code, 0)
+	f.await("the evacuation is in force: "+out, func() bool {
+		for _, r := range f.status(from).Routers {
+			if r.Generation < 2 {
+				return false
+			}
+		}
+		return slices.Equal(f.status(from).Evacuated, []string{halls[0]})
+	})
+	before := len(f.engines[0].Runs())
+	for i := range 20 {
+		id := fmt.Sprintf("evacuated-%d", i)
+		events, err := f.stream(f.routers[i%3], id, 5)
+		is.NoErr(wholeStream(id, 5, events, err))
+	}
+	is.Equal(len(f.engines[0].Runs()), before)
+	code, _ = f.ctl(from, "evacuate", halls[0])
+	is.Equal(code, ctl.ExitUsage) // it is evacuated already
+	code, _ = f.ctl(from, "evacuate", "--back", halls[0])
+	is.Equal(code, 0)
+	f.await("the hall is taken back", func() bool { return len(f.status(from).Evacuated) == 0 })
+}
--- a/status/status.go
+++ b/status/status.go
@@ -131,6 +131,8 @@
 	Accounts   []Account `json:"accounts"`
 	GapTokens  int64     `json:"gap_tokens"` // between the backlogged accounts of a pool, the widest
 	Generation uint64    `json:"generation"` // the highest in force anywhere
+	// Evacuated names the data halls that are evacuated by what any router has in force.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // Router is one router.
@@ -153,6 +155,8 @@
 	Limit    uint32 `json:"limit"`
 	Occupied uint32 `json:"occupied"`
 	Leaving  bool   `json:"leaving"`
+	// Evacuated tells that its data hall is evacuated.
+	Evacuated bool `json:"evacuated"`
 }
 
 // Account is one client account in one pool, over the fleet.
@@ -230,13 +234,16 @@
 	slices.SortFunc(answers, func(a, b *wire.StatusResponse) int { return cmp.Compare(a.Name, b.Name) })
 	for _, a := range answers {
 		f.Generation = max(f.Generation, a.Generation)
+		f.Evacuated = append(f.Evacuated, a.Evacuated...)
 		for _, b := range a.Backends {
 			f.Backends = append(f.Backends, Backend{
 				Name: b.Name, Pool: b.Pool, Owner: a.Name, Slots: b.Slots, Limit: b.Limit,
-				Occupied: b.Occupied, Leaving: b.Leaving,
+				Occupied: b.Occupied, Leaving: b.Leaving, Evacuated: b.Evacuated,
 			})
 		}
 	}
+	slices.Sort(f.Evacuated)
+	f.Evacuated = slices.Compact(f.Evacuated)
 	slices.SortFunc(f.Backends, func(a, b Backend) int { return cmp.Compare(a.Name+a.Owner, b.Name+b.Owner) })
 	f.Accounts = sumAccounts(answers)
 	f.GapTokens = fillGaps(f.Accounts)
