gateway, admin, front: a router outlasts the end of its descriptors

What changes: listeners outlast failures to accept; callers' connections are bounded by the descriptors (--files), and end with their answers from half of the bound on. Ruled out: a leak: the connections rest within the callers' idle time.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -24,6 +24,7 @@
 	"github.com/tamarindstep/tamarindstep/config/check/checks"
 	"github.com/tamarindstep/tamarindstep/finding"
 	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/policy/policies"
 	"github.com/tamarindstep/tamarindstep/status"
@@ -131,7 +132,7 @@
 	}
 	go func() {
 		defer close(s.ended)
-		_ = s.server.Serve(s.listener)
+		_ = s.server.Serve(socket.Patient{Listener: s.listener})
 	}()
 	return nil
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -33,6 +33,15 @@
 // one holds its body, of some ten kilobytes, and the buffers of two connections.
 const requestsPerMB = 5
 
+const (
+	// filesKept is how many descriptors are for other things than connections to callers
+	// and backend servers: routers, the store, and the runtime.
+	filesKept = 300
+	// callersPart is the part of the others that callers' connections may take. Each request
+	// takes one to a backend server as well, and some connections of both kinds rest.
+	callersPart = 0.45
+)
+
 // retryWindow is the span over which the retry budget is counted.
 const retryWindow = 10 * time.Second
 
@@ -119,6 +128,7 @@
 		key:     key,
 		callers: gateway.New(gateway.Settings{
 			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
+			MaxConns: int((s.Files - filesKept) * callersPart),
 		}, log, metrics),
 		leave: routers.Leave,
 	}, nil
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -52,6 +52,7 @@
 	ColdSlack     float64
 	LoadsBytes    float64 // a second, that each router is told of the others' requests
 	MemoryMB      float64
+	Files         float64 // descriptors
 	Processor     float64 // part of a core
 	Profiles      bool
 	LogLevel      string
@@ -82,6 +83,7 @@
 	f.String("loads-bytes", strconv.Itoa(core.DefaultLoadsBytes), "bytes a second that each router is told of the "+
 		"others' requests; what is told gets older where there are fewer")
 	f.String("memory-mb", "512", "memory that the process may use, in MB; it takes fewer requests at once where there is less")
+	f.String("files", "1024", "descriptors that the process may have open; fewer callers' connections are kept where there are fewer")
 	f.String("processor", "1", "part of a core that the process may use; the routers with the most pass on what the others tell")
 	f.String("profiles", wordOff, "on: profiles of the process are served below /debug/pprof/ of the admin listener; off: they aren't")
 	f.String("log-level", "info", "debug, info, warn or error")
@@ -112,6 +114,7 @@
 		ColdSlack:     r.Number("cold-slack", 0),
 		LoadsBytes:    r.Number("loads-bytes", 1000),
 		MemoryMB:      r.Number("memory-mb", 32),
+		Files:         r.Number("files", 512),
 		Processor:     r.Number("processor", 0.01),
 		Profiles:      r.Word("profiles", wordOff, wordOn) == wordOn,
 		LogLevel:      r.Word("log-level", "debug", "info", "warn", "error"),
--- /dev/null
+++ b/e2e/descriptors_test.go
@@ -0,0 +1,60 @@
+package e2e
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+// TestPlatformRouterOutlastsExhaustedDescriptors takes away nearly all descriptors of a router
+// while many callers and probes connect, and gives them back: it is ready again, and serves.
+func TestPlatformRouterOutlastsExhaustedDescriptors(t *testing.T) {
+	w := newWorld(t, 1)
+	is := w.is
+	r := w.routers[0]
+	pid := r.cmd.Process.Pid
+	var before unix.Rlimit
+	is.NoErr(unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &before))
+	few := unix.Rlimit{Cur: 24, Max: before.Max}
+	is.NoErr(unix.Prlimit(pid, unix.RLIMIT_NOFILE, &few, nil))
+	var open []net.Conn
+	for range 60 {
+		for _, address := range []string{r.callers, r.admin} {
+			if c, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+				open = append(open, c)
+			}
+		}
+	}
+	time.Sleep(200 * time.Millisecond) // until the router has run out
+	for _, c := range open {
+		is.NoErr(c.Close())
+	}
+	is.NoErr(unix.Prlimit(pid, unix.RLIMIT_NOFILE, &before, nil))
+	w.awaitReady(r)
+	await(t, "requests are served", func() bool { return users.Call(r.callers, w.request("GET", "/look/1")).Status == 200 })
+}
+
+// TestPlatformRestingCallersLeaveRoom lets callers keep more connections than a router has
+// descriptors for: those beyond half of its share end with their answers.
+func TestPlatformRestingCallersLeaveRoom(t *testing.T) {
+	w := newWorld(t, 1, "--files", "512") // of which 95 are for callers
+	is := w.is
+	kept := 0
+	for range 80 {
+		c, err := users.Dial(w.routers[0].callers)
+		is.NoErr(err)
+		t.Cleanup(c.Close)
+		is.NoErr(c.Send(w.request("GET", "/look/1")))
+		got := c.Read()
+		is.Equal(got.Status, 200)
+		if !got.Close {
+			kept++
+		}
+	}
+	is.True(kept >= 40 && kept < 60)
+	w.awaitReady(w.routers[0])
+}
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -24,7 +24,8 @@
 	doors    []*users.Door // of each router, to the store
 	version  int
 	accounts map[string]string
-	last     int // number of the last request
+	last     int      // number of the last request
+	flags    []string // of the routers, beside the usual ones
 }
 
 const callerKey = "key-of-a-caller"
@@ -39,10 +40,10 @@
 }
 
 // newWorld starts a store, two engines, two plain services and routers, each at
-// an IP of its own.
-func newWorld(t testing.TB, routers int) *world {
+// an IP of its own, with flags beside the usual ones.
+func newWorld(t testing.TB, routers int, flags ...string) *world {
 	t.Helper()
-	w := &world{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}}
+	w := &world{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}, flags: flags}
 	t.Cleanup(w.store.Close)
 	w.configure()
 	for i := range 2 {
@@ -78,10 +79,12 @@
 	}
 	door := w.store.Door()
 	w.doors = append(w.doors, door)
-	r.cmd = exec.Command(binary,
+	args := append([]string{
 		"--interface", "platform", "--name", r.name, "--data-hall", "hall-a", "--caller-listen", r.callers,
 		"--admin-listen", r.admin, "--peer-listen", r.peers, "--store", door.Address(),
-		"--drain-seconds", "8")
+		"--drain-seconds", "8",
+	}, w.flags...)
+	r.cmd = exec.Command(binary, args...)
 	w.is.NoErr(r.cmd.Start())
 	go func() { r.exited <- r.cmd.Wait() }()
 	w.t.Cleanup(func() { _ = r.cmd.Process.Kill() })
--- a/front/front.go
+++ b/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/claim"
 	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
@@ -92,7 +93,7 @@
 	}
 	go func() {
 		defer close(s.ended)
-		_ = s.server.Serve(listener)
+		_ = s.server.Serve(socket.Patient{Listener: listener})
 	}()
 	return nil
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,7 +54,7 @@
 func (a *attempt) admit() {
 	s := a.service
 	a.began = time.Now()
-	a.keep = !a.req.Header.ConnectionClose() && !s.draining.Load()
+	a.keep = !a.req.Header.ConnectionClose() && !s.draining.Load() && !s.crowdedOut()
 	if s.overloaded() {
 		a.keep = false // the next one is turned away unread, or goes to another router
 		a.refused, a.shed = tooMany, true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 
 	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
@@ -46,6 +47,10 @@
 	Dialect Dialect
 	// MaxRequests is how many requests are served at once; more are refused.
 	MaxRequests int
+	// MaxConns is how many connections of callers are open at once; more are turned away.
+	// From half of it on, connections end with their answers: callers keep those that rest
+	// for many seconds, and those of an account that is refused often would take up all.
+	MaxConns int
 }
 
 // Service serves callers.
@@ -62,6 +67,7 @@
 	draining  atomic.Bool
 	ending    atomic.Bool // no new requests are taken
 	open      atomic.Int64
+	connected atomic.Int64 // connections of callers, those that were turned away left out
 	shed      atomic.Int64 // connections turned away that are still open
 	shedNoted *occasional
 	pending   pending
@@ -93,12 +99,13 @@
 	if err := errors.Join(failures[:]...); err != nil {
 		return err
 	}
-	var err error
 	// A caller that is gone is found by the time its request has, and its idle time.
 	listen := net.ListenConfig{KeepAlive: -1}
-	if s.listener, err = listen.Listen(ctx, "tcp", s.settings.Listen); err != nil {
+	listener, err := listen.Listen(ctx, "tcp", s.settings.Listen)
+	if err != nil {
 		return err
 	}
+	s.listener = socket.Patient{Listener: listener}
 	s.ended.Add(1)
 	go s.accept()
 	return nil
@@ -119,17 +126,14 @@
 	defer s.ended.Done()
 	for {
 		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
 		if err != nil {
-			time.Sleep(drainPoll) // out of descriptors, say
-			continue
+			return // it is closed
 		}
-		if s.overloaded() {
+		if s.overloaded() || s.connected.Load() >= int64(s.settings.MaxConns) {
 			s.turnAway(c)
 			continue
 		}
+		s.connected.Add(1)
 		s.ended.Add(1)
 		go s.serve(c)
 	}
@@ -147,6 +151,7 @@
 		delete(s.conns, c)
 		s.mu.Unlock()
 		c.release()
+		s.connected.Add(-1)
 	}()
 	for s.serveOne(c) {
 		c.busy.Store(false)
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -26,6 +26,9 @@
 	return s.open.Load() > int64(s.settings.MaxRequests) || s.scheduler.Behind()
 }
 
+// crowdedOut tells whether so many connections of callers are open that none may rest.
+func (s *Service) crowdedOut() bool { return s.connected.Load() > int64(s.settings.MaxConns)/2 }
+
 // turnAway refuses whatever a new connection brings without reading it. Reading a
 // request and its body costs several times as much, which a router that can't keep
 // up needs for the requests it has.
