generation, platform: catalogs are fetched nearby, watches and failures pace themselves

Each of twelve watches called the store every 0.15 s while servers start; failed calls are counted too, and came four times a second of each watch and once a second of each router. Ruled out: fewer watchers: six is what the store's turning some away asks for.

--- a/core/core.go
+++ b/core/core.go
@@ -313,7 +313,9 @@
 	}
 	theirs := Versions{Generation: d.Generation, Catalog: d.Catalog, Halls: d.Halls}
 	if theirs.Exceed(c.config.Versions()) {
-		c.do(GenerationSeen{From: d.From, Address: c.members.Get(d.From).Address, Versions: theirs})
+		from := c.members.Get(d.From)
+		near := from.DataHall == c.members.Self().DataHall
+		c.do(GenerationSeen{From: d.From, Address: from.Address, Near: near, Versions: theirs})
 	}
 }
 
--- a/core/event.go
+++ b/core/event.go
@@ -190,6 +190,7 @@
 type GenerationSeen struct {
 	From     string
 	Address  string
+	Near     bool // in this router's data hall
 	Versions Versions
 }
 
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -7,9 +7,11 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/store"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
@@ -20,8 +22,8 @@
 	// seconds old, and costs less.
 	List(ctx context.Context, stale bool) ([]Announcement, uint64, error)
 	// Changes waits for changes after a revision, and returns them with the
-	// revision up to which they are complete. The error says nothing of whether
-	// there were any: the announcements must then be listed anew.
+	// revision up to which they are complete. The error is of type store.Forgotten where
+	// the changes aren't known any more, and all must be listed anew.
 	Changes(ctx context.Context, revision uint64) ([]Announcement, uint64, error)
 }
 
@@ -75,19 +77,20 @@
 		return
 	}
 	rest(ctx, watchSettle-time.Since(s.began))
+	var p pace
 	for ctx.Err() == nil {
-		if s.listCatalog(ctx, false) != nil {
-			s.pause()
-			continue
-		}
-		for ctx.Err() == nil && s.followCatalog(ctx) == nil {
-			rest(ctx, watchPause)
+		err := s.listCatalog(ctx, false)
+		for err == nil && ctx.Err() == nil {
+			err = s.followCatalog(ctx, &p)
 		}
-		rest(ctx, retryPause)
+		rest(ctx, p.afterFailure())
 	}
 }
 
-func (s *Service) followCatalog(ctx context.Context) error {
+// followCatalog waits for changes and takes them. It fails only where all must be listed
+// anew: while the store is out, the watch goes on from where it was.
+func (s *Service) followCatalog(ctx context.Context, p *pace) error {
+	began := time.Now()
 	s.mu.Lock()
 	since := s.catalog.at
 	s.mu.Unlock()
@@ -95,8 +98,13 @@
 	changes, at, err := s.catalog.discovery.Changes(ctx, since)
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("watch").Inc()
-		return err
+		if errorx.IsOfType(err, store.Forgotten) {
+			return err
+		}
+		rest(ctx, p.afterFailure())
+		return nil
 	}
+	defer func() { rest(ctx, p.afterChange(time.Since(began))) }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.catalog.at = max(s.catalog.at, at)
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -45,6 +45,11 @@
 // watch see twenty changes a second.
 const fetchPause = 150 * time.Millisecond
 
+// farPause is how long a router that sees a newer catalog in another data hall waits for one
+// in its own: in each data hall a router watches the store, so that the bytes of a catalog
+// cross between data halls once, and not once a router.
+const farPause = 300 * time.Millisecond
+
 // versions returns the versions of what this router holds.
 func (s *Service) versions() core.Versions {
 	s.mu.Lock()
@@ -98,23 +103,51 @@
 	s.replaceCatalog(next)
 }
 
-// generationSeen fetches what is newer from the router that has it.
-func (s *Service) generationSeen(address string, theirs core.Versions) {
+// generationSeen fetches what is newer from a router that has it.
+func (s *Service) generationSeen(seen core.GenerationSeen) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fetching || !theirs.Exceed(s.heldVersions()) || s.run.Err() != nil {
+	if !seen.Versions.Exceed(s.heldVersions()) || s.run.Err() != nil {
+		return
+	}
+	if s.fetching {
+		if seen.Near {
+			s.fetchFrom = seen.Address
+		}
 		return
 	}
 	s.fetching = true
+	s.fetchFrom = seen.Address
 	pause := fetchPause - time.Since(s.fetched)
+	if !seen.Near && !s.isUrgent(seen.Versions) {
+		pause = max(pause, farPause)
+	}
 	s.ended.Add(1)
 	go func() {
 		defer s.ended.Done()
 		rest(s.run, pause)
-		_ = s.fetch(address)
-		s.mu.Lock()
-		s.fetching = false
-		s.fetched = time.Now()
-		s.mu.Unlock()
+		s.fetchNewer(seen.Versions)
 	}()
 }
+
+// isUrgent tells whether versions are newer in more than the catalog. The caller holds the
+// lock.
+func (s *Service) isUrgent(theirs core.Versions) bool {
+	theirs.Catalog = 0
+	return theirs.Exceed(s.heldVersions())
+}
+
+// fetchNewer fetches what is newer than this router's, unless it came meanwhile.
+func (s *Service) fetchNewer(theirs core.Versions) {
+	s.mu.Lock()
+	from := s.fetchFrom
+	newer := theirs.Exceed(s.heldVersions())
+	s.mu.Unlock()
+	if newer {
+		_ = s.fetch(from)
+	}
+	s.mu.Lock()
+	s.fetching = false
+	s.fetched = time.Now()
+	s.mu.Unlock()
+}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -47,14 +47,10 @@
 const Key = "tamarindstep/configuration"
 
 const (
-	// watchPause is how long a watch rests after a change: changes come in bursts,
-	// and every call is counted.
-	watchPause = 150 * time.Millisecond
 	// watchSettle is how long after its start a router doesn't watch: until it knows
 	// the others, each takes itself for one of those that do.
 	watchSettle = 1500 * time.Millisecond
 
-	retryPause   = 250 * time.Millisecond
 	fetchTimeout = 2 * time.Second
 	applyTimeout = 10 * time.Second
 )
@@ -131,15 +127,16 @@
 	inForce atomic.Pointer[config.InForce]
 	ready   atomic.Bool
 
-	began    time.Time
-	mu       sync.Mutex
-	document *wire.Document
-	file     *config.InForce // of the document, with no backend servers but its own
-	revision int64           // of the document in the store, 0 where it came from a router
-	fetching bool
-	fetched  time.Time // when that ended last
-	catalog  catalog
-	halls    halls
+	began     time.Time
+	mu        sync.Mutex
+	document  *wire.Document
+	file      *config.InForce // of the document, with no backend servers but its own
+	revision  int64           // of the document in the store, 0 where it came from a router
+	fetching  bool
+	fetchFrom string    // the router to fetch from: the one that was seen first, or one nearby
+	fetched   time.Time // when that ended last
+	catalog   catalog
+	halls     halls
 
 	watch  chan bool
 	cancel context.CancelFunc
@@ -323,7 +320,9 @@
 }
 
 func (s *Service) watchStore(ctx context.Context) {
+	var p pace
 	for ctx.Err() == nil {
+		began := time.Now()
 		s.mu.Lock()
 		revision := s.revision
 		s.mu.Unlock()
@@ -331,11 +330,11 @@
 		v, err := s.store.Wait(ctx, s.format.Key(), revision)
 		if err != nil {
 			s.metrics.StoreFailures.WithLabelValues("watch").Inc()
-			s.pause()
+			rest(ctx, p.afterFailure())
 			continue
 		}
 		s.installValue(v)
-		rest(ctx, watchPause)
+		rest(ctx, p.afterChange(time.Since(began)))
 	}
 }
 
--- a/generation/halls.go
+++ b/generation/halls.go
@@ -69,19 +69,21 @@
 // watch the store. It begins with a read that isn't stale, as the changes since a stale one
 // aren't known where its pages were of different ages.
 func (s *Service) watchOperators(ctx context.Context) {
+	var p pace
 	for ctx.Err() == nil {
 		at, err := s.readOperators(ctx, false)
 		for err == nil && ctx.Err() == nil {
-			at, err = s.followOperators(ctx, at)
+			at, err = s.followOperators(ctx, at, &p)
 		}
-		rest(ctx, retryPause)
+		rest(ctx, p.afterFailure())
 	}
 }
 
 // followOperators waits for one change, and returns the revision from which to watch on. It
 // fails only where all must be read anew: while the store is out, the watch goes on from
 // where it was.
-func (s *Service) followOperators(ctx context.Context, since uint64) (uint64, error) {
+func (s *Service) followOperators(ctx context.Context, since uint64, p *pace) (uint64, error) {
+	began := time.Now()
 	s.metrics.StoreCalls.WithLabelValues("watch").Inc()
 	written, at, err := s.halls.operators.Changes(ctx, since)
 	if err != nil {
@@ -89,14 +91,14 @@
 		if errorx.IsOfType(err, store.Forgotten) {
 			return 0, err
 		}
-		rest(ctx, retryPause)
+		rest(ctx, p.afterFailure())
 		return since, nil
 	}
 	s.mu.Lock()
 	s.takeEvacuations(written.Evacuations, newestOf(written.Evacuations))
 	s.mu.Unlock()
 	s.installValue(written.Configuration)
-	rest(ctx, watchPause)
+	rest(ctx, p.afterChange(time.Since(began)))
 	return max(at, since), nil
 }
 
--- /dev/null
+++ b/generation/pace_test.go
@@ -0,0 +1,25 @@
+package generation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPaceOfWatches lets changes come in a burst, one by one, and the store fail.
+func TestPaceOfWatches(t *testing.T) {
+	is := is.New(t)
+	var p pace
+	is.Equal(p.afterChange(0), watchPause)
+	is.Equal(p.afterChange(0), 2*watchPause)
+	is.Equal(p.afterChange(0), maxWatchPause)
+	is.Equal(p.afterChange(0), maxWatchPause)
+	is.Equal(p.afterChange(time.Second), watchPause) // the next one is told of soon again
+	is.Equal(p.afterFailure(), retryPause)
+	is.Equal(p.afterFailure(), 2*retryPause)
+	is.Equal(p.afterFailure(), maxRetryPause)
+	is.Equal(p.afterFailure(), maxRetryPause)
+	is.Equal(p.afterChange(time.Second), watchPause)
+	is.Equal(p.afterFailure(), retryPause)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,9 +56,8 @@
 type Observer struct {
 	// Loads is given the backend servers whose load is to be asked for.
 	Loads func(backends []model.BackendID)
-	// Generation is given the address of a router with a newer configuration or
-	// a newer catalog of backend servers.
-	Generation func(address string, versions core.Versions)
+	// Generation is given a router that has something newer in force.
+	Generation func(core.GenerationSeen)
 	// Store tells whether the store is to be watched.
 	Store func(watch bool)
 	// Contact asks whether the store answers; core.StoreContacted is to be told.
@@ -263,7 +262,7 @@
 	case core.GenerationSeen:
 		s.eachObserver(func(o Observer) {
 			if o.Generation != nil {
-				o.Generation(a.Address, a.Versions)
+				o.Generation(a)
 			}
 		})
 	case core.MemberChanged:
