--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(CURDIR)/bin/tools
 REVIVE := $(TOOLS)/revive
 
-.PHONY: build demo test lint unit bench emulate proto clean
+.PHONY: build demo test lint unit soak bench emulate proto clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,6 +34,12 @@
 $(REVIVE):
 	GOBIN=$(TOOLS) $(GO) install github.com/mgechev/revive@v1.13.0
 
+# soak lets faults come over one another for some seconds a seed: make soak SEEDS=50 SEED=1
+SEED ?= 1
+SEEDS ?= 50
+soak:
+	$(GO) test ./e2e -count=1 -timeout 60m -run TestSoak -soak.seed $(SEED) -soak.seeds $(SEEDS)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 60m ./...
 
--- a/e2e/evacuate_test.go
+++ b/e2e/evacuate_test.go
@@ -19,9 +19,7 @@
 // secondHall adds a plain service in another data hall, and returns once every router has
 // sent something there.
 func (w *world) secondHall() {
-	b, err := users.NewBackend(w.store, "service-run-b", "entries", hallB)
-	w.is.NoErr(err)
-	w.t.Cleanup(b.Close)
+	b := w.backendIn("service-run-b", "entries", hallB)
 	w.services = append(w.services, b)
 	w.store.Evacuate(hallA, "{}")
 	for _, r := range w.routers {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -53,6 +53,8 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{world: newWorld(t, 3), random: rand.New(rand.NewPCG(seed, 1)), paused: map[int]bool{}}
+	s.engines = append(s.engines, s.backendIn("engine-run-b", "engines", hallB))
+	s.services = append(s.services, s.backendIn("service-run-b", "entries", hallB))
 	s.behave(s.engines, users.Behaviour{Events: 20, Gap: 2 * time.Millisecond})
 	s.behave(s.services, users.Behaviour{Gap: time.Millisecond})
 	until := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
@@ -93,7 +95,7 @@
 // fault draws a fault and lets it come.
 func (s *soak) fault() {
 	i := s.random.IntN(len(s.routers))
-	switch s.random.IntN(9) {
+	switch s.random.IntN(12) {
 	case 0:
 		s.replace(i, syscall.SIGKILL)
 	case 1:
@@ -112,9 +114,24 @@
 		s.misbehave(s.engines)
 	case 8:
 		s.replaceBackend()
+	case 9:
+		s.store.Evacuate(s.drawHall(), "{}")
+	case 10:
+		s.store.TakeBack(s.drawHall())
+	case 11:
+		s.chill()
 	}
 }
 
+func (s *soak) drawHall() string { return []string{hallA, hallB}[s.random.IntN(2)] }
+
+// chill lets one of the engines become cold, or end it.
+func (s *soak) chill() {
+	b := s.engines[s.random.IntN(len(s.engines))]
+	b.Cold = time.Duration(s.random.IntN(2)) * 3 * time.Second
+	b.Announce("ready")
+}
+
 // replace ends a router by a signal, waits for its end, and starts it anew.
 func (s *soak) replace(i int, signal syscall.Signal) {
 	s.resume(i)
@@ -169,6 +186,8 @@
 		s.resume(i)
 	}
 	s.store.SetDown(false)
+	s.store.TakeBack(hallA)
+	s.store.TakeBack(hallB)
 }
 
 // check holds what callers got against what backend servers ran.
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -59,8 +59,10 @@
 	return w
 }
 
-func (w *world) backend(name, pool string) *users.Backend {
-	b, err := users.NewBackend(w.store, name, pool, "hall-a")
+func (w *world) backend(name, pool string) *users.Backend { return w.backendIn(name, pool, hallA) }
+
+func (w *world) backendIn(name, pool, hall string) *users.Backend {
+	b, err := users.NewBackend(w.store, name, pool, hall)
 	w.is.NoErr(err)
 	w.t.Cleanup(b.Close)
 	return b
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -58,6 +58,7 @@
 	for name := range pools {
 		service := map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100}
 		if strings.HasPrefix(name, "engine") {
+			service["cold_per_s"], service["cold_start_s"] = 6.1, 3.0
 			service["engine"] = map[string]any{"slots": 8, "kv_capacity": 100000}
 		}
 		services = append(services, service)
