core/cold: senders of cold backend servers are found on a ring

Each change of the catalog or of the membership worked out anew the senders of every cold backend server, sorting all routers by rendezvous hashing for each: a thousand are cold when a data hall comes back, 0.3 s of processor at a time. Each request went over all backend servers for those that are cold. What changes: the routers are sorted once on a ring, a lookup takes 0.07 us at 9 to 520 routers (BenchmarkPart); the cold ones that this router sends to are kept as a list. Nothing is evacuated: no second pass over the backend servers. Ruled out: catalogs' compiling: 4.4 ms a change at 3,000 (BenchmarkCatalogChange), as before.

--- a/config/compile.go
+++ b/config/compile.go
@@ -139,6 +139,9 @@
 
 // compileEvacuated marks the backend servers of the data halls that are evacuated.
 func (c *InForce) compileEvacuated() {
+	if len(c.File.Evacuated)+len(c.Evacuated) == 0 {
+		return
+	}
 	evacuated := map[string]bool{}
 	for _, hall := range append(slices.Clone(c.File.Evacuated), c.Evacuated...) {
 		evacuated[hall] = true
--- a/core/prompt/coldstart.go
+++ b/core/prompt/coldstart.go
@@ -61,7 +61,9 @@
 	settled bool       // it is old enough to send to cold backend servers
 	told    bool       // somebody has said which other routers there are
 	self    string
-	routers []string // all that are known, dead ones too, and this one
+	ring    *cold.Ring // of all routers that are known, dead ones too, and this one
+	// mine are the cold backend servers of which this router is a sender, by pool.
+	mine map[model.PoolID][]model.BackendID
 }
 
 // KnowRouters takes the names of all routers that are known, this one included; told tells
@@ -69,7 +71,7 @@
 func (m *Machine) KnowRouters(self string, routers []string, told bool) {
 	m.fleet.told = told
 	m.fleet.self = self
-	m.fleet.routers = routers
+	m.fleet.ring = cold.NewRing(routers)
 	m.shareColdOut()
 	m.version++
 }
@@ -77,11 +79,16 @@
 // shareColdOut works out this router's parts of the backend servers that are cold.
 func (m *Machine) shareColdOut() {
 	may := m.fleet.told && m.fleet.settled
+	m.fleet.mine = map[model.PoolID][]model.BackendID{}
 	for _, id := range m.order {
 		s := m.servers[id]
 		s.cold.part = 0
-		if may && s.cold.is(m.now) {
-			s.cold.part = cold.Part(m.fleet.self, s.Name, m.fleet.routers, m.config.Pools[s.Pool].ColdBound)
+		if !may || !s.cold.is(m.now) {
+			continue
+		}
+		s.cold.part = m.fleet.ring.Part(m.fleet.self, s.Name, m.config.Pools[s.Pool].ColdBound)
+		if s.cold.part > 0 {
+			m.fleet.mine[s.Pool] = append(m.fleet.mine[s.Pool], id)
 		}
 	}
 }
@@ -97,7 +104,7 @@
 // ownCold returns cold backend servers of a pool that take something from this router.
 func (m *Machine) ownCold(pool model.PoolID) []model.BackendID {
 	var out []model.BackendID
-	for _, id := range m.byPool[pool] {
+	for _, id := range m.fleet.mine[pool] {
 		s := m.servers[id]
 		if len(out) < maxOwnCold && s.cold.is(m.now) && s.takes(m.now) {
 			out = append(out, id)
