--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -154,8 +154,9 @@
 // mayBeginOver tells whether a request beyond its account's share is sent to the place found
 // for it now: where little is ahead of it and its own prompt is kept, so that it takes what
 // would idle and pushes out little of what engines keep for others. It copies nothing,
-// which halves what is copied on the busiest day of 64 routers (3,037 to 1,565 GB). Its delay is bounded by a part of what an idle engine leaves of
-// the objective, as a part of the whole would keep out all requests of short objectives.
+// which halves what is copied on the busiest day of 64 routers (3,037 to 1,565 GB). Its delay
+// is bounded by a part of what an idle engine leaves of the objective, as a part of the whole
+// would keep out all requests of short objectives.
 func (m *Machine) mayBeginOver(r *request, p place, stands standing) bool {
 	base := p.server.pace.base
 	part := m.config.Tuning.BeginOver
