generation: the log tells how watches of the store end

Cause: between the store's return and the late change nothing was logged of the watches, so that a watch nobody answers looked like one that brings nothing. Ruled out: watches answered with nothing; changes seen and not taken. What is decided is unchanged; the loops moved to a file of their own, and what they need of other services are interfaces.

--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -96,6 +96,7 @@
 	s.mu.Unlock()
 	s.metrics.StoreCalls.WithLabelValues("watch").Inc()
 	changes, at, err := s.catalog.discovery.Changes(ctx, since)
+	s.noteWatch(ctx, watchEnded{of: "backend-servers", began: began, since: since, changes: len(changes), err: err})
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("watch").Inc()
 		if errorx.IsOfType(err, store.Forgotten) {
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -144,10 +144,18 @@
 	newer := theirs.Exceed(s.heldVersions())
 	s.mu.Unlock()
 	if newer {
-		_ = s.fetch(from)
+		s.fetchNoted(from)
 	}
 	s.mu.Lock()
 	s.fetching = false
 	s.fetched = time.Now()
 	s.mu.Unlock()
 }
+
+// fetchNoted fetches from a router, and logs where that fails.
+func (s *Service) fetchNoted(from string) {
+	began := time.Now()
+	if err := s.fetch(from); err != nil && s.run.Err() == nil {
+		s.log.Warn().Err(err).Str("from", from).Dur("age_ms", time.Since(began)).Msg("another router's newer state can't be fetched")
+	}
+}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -47,10 +47,6 @@
 const Key = "tamarindstep/configuration"
 
 const (
-	// watchSettle is how long after its start a router doesn't watch: until it knows
-	// the others, each takes itself for one of those that do.
-	watchSettle = 1500 * time.Millisecond
-
 	fetchTimeout = 2 * time.Second
 	applyTimeout = 10 * time.Second
 )
@@ -74,6 +70,18 @@
 	Routers() map[string]string
 }
 
+// Decisions are told what is in force, and say what is to be done for it.
+type Decisions interface {
+	Tell(core.Event)
+	Configure(*config.InForce)
+	Observe(scheduler.Observer)
+}
+
+// Calls makes calls of other routers, as peer.Service does.
+type Calls interface {
+	Call(ctx context.Context, address string, do func(context.Context, wire.DRPCPeerClient) error) error
+}
+
 // Format is the form in which the store holds the configuration.
 type Format interface {
 	// Key is where the store holds it.
@@ -120,8 +128,8 @@
 	log     zerolog.Logger
 	metrics *telemetry.Platform
 
-	scheduler *scheduler.Service
-	calls     *peer.Service
+	decisions Decisions
+	calls     Calls
 	peers     Peers
 
 	inForce atomic.Pointer[config.InForce]
@@ -138,10 +146,11 @@
 	catalog   catalog
 	halls     halls
 
-	watch  chan bool
-	cancel context.CancelFunc
-	run    context.Context
-	ended  sync.WaitGroup
+	watch   chan bool
+	reached atomic.Bool // the store, when it was asked last
+	cancel  context.CancelFunc
+	run     context.Context
+	ended   sync.WaitGroup
 }
 
 // New returns the service.
@@ -169,7 +178,7 @@
 // Start implements kernel.Service. It doesn't wait for a configuration.
 func (s *Service) Start(ctx context.Context, k *kernel.Kernel) error {
 	var err error
-	if s.scheduler, err = kernel.Lookup[*scheduler.Service](k, scheduler.ServiceName); err != nil {
+	if s.decisions, err = kernel.Lookup[*scheduler.Service](k, scheduler.ServiceName); err != nil {
 		return err
 	}
 	if s.calls, err = kernel.Lookup[*peer.Service](k, peer.ServiceName); err != nil {
@@ -178,12 +187,17 @@
 	if s.peers, err = kernel.Lookup[Peers](k, "fleet"); err != nil {
 		return err
 	}
+	s.begin(ctx)
+	return nil
+}
+
+// begin begins to follow the configuration.
+func (s *Service) begin(ctx context.Context) {
 	s.run, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	s.scheduler.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted, Contact: s.contactStore})
+	s.decisions.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted, Contact: s.contactStore})
 	s.ended.Add(2)
-	go s.begin()
+	go s.getFirst()
 	go s.followStore()
-	return nil
 }
 
 // Stop implements kernel.Service.
@@ -206,9 +220,9 @@
 	return s.document
 }
 
-// begin gets the first configuration: from the store, or while that is out from
+// getFirst gets the first configuration: from the store, or while that is out from
 // the other routers.
-func (s *Service) begin() {
+func (s *Service) getFirst() {
 	defer s.ended.Done()
 	for s.run.Err() == nil && !s.ready.Load() {
 		if s.readConfiguration() && s.readCatalog() || s.askRouters() {
@@ -244,59 +258,6 @@
 	return true
 }
 
-// contactTimeout is how long the store may take for the smallest of answers. A slow store
-// takes half of it.
-const contactTimeout = 600 * time.Millisecond
-
-// contactStore asks the store for a small answer, and tells the core whether it came.
-func (s *Service) contactStore() {
-	if s.run.Err() != nil {
-		return
-	}
-	s.ended.Add(1)
-	go func() {
-		defer s.ended.Done()
-		ctx, cancel := context.WithTimeout(s.run, contactTimeout)
-		defer cancel()
-		s.metrics.StoreCalls.WithLabelValues("ping").Inc()
-		err := s.store.Ping(ctx)
-		if err != nil {
-			s.metrics.StoreFailures.WithLabelValues("ping").Inc()
-		}
-		s.scheduler.Tell(core.StoreContacted{Reached: err == nil})
-	}()
-}
-
-func (s *Service) watchWanted(watch bool) {
-	select {
-	case s.watch <- watch:
-	case <-s.run.Done():
-	}
-}
-
-// followStore watches the store while this router is one of those that do.
-func (s *Service) followStore() {
-	defer s.ended.Done()
-	stop := func() {}
-	for {
-		select {
-		case <-s.run.Done():
-			stop()
-			return
-		case watch := <-s.watch:
-			stop()
-			stop = func() {}
-			if watch {
-				ctx, cancel := context.WithCancel(s.run)
-				stop = cancel
-				s.ended.Add(2)
-				go s.watchConfiguration(ctx)
-				go s.watchCatalog(ctx)
-			}
-		}
-	}
-}
-
 // rest waits for so long, or until the context ends.
 func rest(ctx context.Context, long time.Duration) {
 	if long <= 0 {
@@ -308,36 +269,6 @@
 	}
 }
 
-// watchConfiguration follows what the operators write.
-func (s *Service) watchConfiguration(ctx context.Context) {
-	defer s.ended.Done()
-	rest(ctx, watchSettle-time.Since(s.began))
-	if s.halls.operators == nil {
-		s.watchStore(ctx)
-		return
-	}
-	s.watchOperators(ctx)
-}
-
-func (s *Service) watchStore(ctx context.Context) {
-	var p pace
-	for ctx.Err() == nil {
-		began := time.Now()
-		s.mu.Lock()
-		revision := s.revision
-		s.mu.Unlock()
-		s.metrics.StoreCalls.WithLabelValues("watch").Inc()
-		v, err := s.store.Wait(ctx, s.format.Key(), revision)
-		if err != nil {
-			s.metrics.StoreFailures.WithLabelValues("watch").Inc()
-			rest(ctx, p.afterFailure())
-			continue
-		}
-		s.installValue(v)
-		rest(ctx, p.afterChange(time.Since(began)))
-	}
-}
-
 func (s *Service) installValue(v store.Value) {
 	if v.Revision == 0 {
 		return
@@ -387,6 +318,6 @@
 	})
 	c.Core.Edition = s.catalog.edition
 	s.inForce.Store(c)
-	s.scheduler.Configure(c)
+	s.decisions.Configure(c)
 	return c
 }
--- a/generation/halls.go
+++ b/generation/halls.go
@@ -30,6 +30,15 @@
 	Evacuations   []Evacuation
 }
 
+// changes returns how many changes were written.
+func (w *Written) changes() int {
+	n := len(w.Evacuations)
+	if w.Configuration.Revision > 0 {
+		n++
+	}
+	return n
+}
+
 // Evacuation is the last change of a data hall.
 type Evacuation struct {
 	Hall     string
@@ -86,6 +95,7 @@
 	began := time.Now()
 	s.metrics.StoreCalls.WithLabelValues("watch").Inc()
 	written, at, err := s.halls.operators.Changes(ctx, since)
+	s.noteWatch(ctx, watchEnded{of: "operators", began: began, since: since, changes: written.changes(), err: err})
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("watch").Inc()
 		if errorx.IsOfType(err, store.Forgotten) {
