core, generation: watches are begun anew when the store is back after silence

Cause: a watch begun while the store is silent is never answered, and was waited for 5.5 s; of a fleet that saw the last change together all watches are begun, and lost, together.

--- a/core/event.go
+++ b/core/event.go
@@ -203,6 +203,10 @@
 	Unreached time.Duration
 }
 
+// StoreReturned tells that the store answers again, which hadn't when it was asked before. A call
+// that was made in between may never be answered, however long it is waited for.
+type StoreReturned struct{ Silent time.Duration }
+
 // ContactStore asks for a small answer of the store; StoreContacted tells whether it came.
 type ContactStore struct{}
 
@@ -214,4 +218,5 @@
 func (RelayChanged) action()   {}
 func (GenerationSeen) action() {}
 func (WatchStore) action()     {}
+func (StoreReturned) action()  {}
 func (ContactStore) action()   {}
--- a/core/watch.go
+++ b/core/watch.go
@@ -49,6 +49,7 @@
 	told    bool       // to the driver, as in the last WatchStore
 
 	asking bool       // the store, at present
+	silent model.Time // when it was asked first of the times that it hasn't answered since; 0 for none
 	asked  model.Time // when it was asked last
 	next   model.Time // when it may be asked again
 }
@@ -121,6 +122,7 @@
 	w := &c.watch
 	w.asking = false
 	w.next = c.now + contactEvery
+	c.noteSilence(e.Reached)
 	switch {
 	case e.Reached && w.active():
 		w.reached = max(w.reached, w.asked)
@@ -133,6 +135,21 @@
 	}
 }
 
+// noteSilence takes whether the store has answered, and tells the driver of its return. Watches
+// that were begun in a silence are then begun anew, and not waited for to their end: a change
+// is in force 1.0 s after the return at the latest, and not 6.0 s, for a call or two of each
+// router that watches (generation TestChangesAreInForceSoonAfterTheStoresReturn).
+func (c *Core) noteSilence(reached bool) {
+	w := &c.watch
+	switch {
+	case !reached && w.silent == 0:
+		w.silent = w.asked
+	case reached && w.silent > 0:
+		c.do(StoreReturned{Silent: c.now - w.silent})
+		w.silent = 0
+	}
+}
+
 // watchPatience returns how long ago the store may have been reached for all this router
 // knows.
 func (c *Core) watchPatience() time.Duration {
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -56,7 +56,9 @@
 
 func (s *Service) listCatalog(ctx context.Context, stale bool) error {
 	s.metrics.StoreCalls.WithLabelValues("list").Inc()
-	all, at, err := s.catalog.discovery.List(ctx, stale)
+	wait, done := s.unlessBack(ctx)
+	defer done()
+	all, at, err := s.catalog.discovery.List(wait, stale)
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("list").Inc()
 		return err
@@ -83,7 +85,7 @@
 		for err == nil && ctx.Err() == nil {
 			err = s.followCatalog(ctx, &p)
 		}
-		rest(ctx, p.afterFailure())
+		s.restUnlessBack(ctx, p.afterFailure())
 	}
 }
 
@@ -95,14 +97,16 @@
 	since := s.catalog.at
 	s.mu.Unlock()
 	s.metrics.StoreCalls.WithLabelValues("watch").Inc()
-	changes, at, err := s.catalog.discovery.Changes(ctx, since)
-	s.noteWatch(ctx, watchEnded{of: "backend-servers", began: began, since: since, changes: len(changes), err: err})
+	wait, done := s.unlessBack(ctx)
+	defer done()
+	changes, at, err := s.catalog.discovery.Changes(wait, since)
+	s.noteWatch(wait, watchEnded{of: "backend-servers", began: began, since: since, changes: len(changes), err: err})
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("watch").Inc()
 		if errorx.IsOfType(err, store.Forgotten) {
 			return err
 		}
-		rest(ctx, p.afterFailure())
+		rest(wait, p.afterFailure())
 		return nil
 	}
 	defer func() { rest(ctx, p.afterChange(time.Since(began))) }()
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -148,6 +148,7 @@
 
 	watch   chan bool
 	reached atomic.Bool // the store, when it was asked last
+	waits   waits
 	cancel  context.CancelFunc
 	run     context.Context
 	ended   sync.WaitGroup
@@ -194,7 +195,8 @@
 // begin begins to follow the configuration.
 func (s *Service) begin(ctx context.Context) {
 	s.run, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	s.decisions.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted, Contact: s.contactStore})
+	s.storeReturned()
+	s.decisions.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted, Contact: s.contactStore, Returned: s.storeReturned})
 	s.ended.Add(2)
 	go s.getFirst()
 	go s.followStore()
@@ -233,7 +235,7 @@
 	}
 }
 
-func (s *Service) pause() { rest(s.run, retryPause) }
+func (s *Service) pause() { s.restUnlessBack(s.run, retryPause) }
 
 // readConfiguration reads what the operators have written, and tells whether that was
 // possible.
--- a/generation/halls.go
+++ b/generation/halls.go
@@ -57,7 +57,9 @@
 // which changes are to be watched.
 func (s *Service) readOperators(ctx context.Context, stale bool) (uint64, error) {
 	s.metrics.StoreCalls.WithLabelValues("list").Inc()
-	written, at, err := s.halls.operators.Read(ctx, stale)
+	wait, done := s.unlessBack(ctx)
+	defer done()
+	written, at, err := s.halls.operators.Read(wait, stale)
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("list").Inc()
 		return 0, err
@@ -84,7 +86,7 @@
 		for err == nil && ctx.Err() == nil {
 			at, err = s.followOperators(ctx, at, &p)
 		}
-		rest(ctx, p.afterFailure())
+		s.restUnlessBack(ctx, p.afterFailure())
 	}
 }
 
@@ -94,14 +96,16 @@
 func (s *Service) followOperators(ctx context.Context, since uint64, p *pace) (uint64, error) {
 	began := time.Now()
 	s.metrics.StoreCalls.WithLabelValues("watch").Inc()
-	written, at, err := s.halls.operators.Changes(ctx, since)
-	s.noteWatch(ctx, watchEnded{of: "operators", began: began, since: since, changes: written.changes(), err: err})
+	wait, done := s.unlessBack(ctx)
+	defer done()
+	written, at, err := s.halls.operators.Changes(wait, since)
+	s.noteWatch(wait, watchEnded{of: "operators", began: began, since: since, changes: written.changes(), err: err})
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("watch").Inc()
 		if errorx.IsOfType(err, store.Forgotten) {
 			return 0, err
 		}
-		rest(ctx, p.afterFailure())
+		rest(wait, p.afterFailure())
 		return since, nil
 	}
 	s.mu.Lock()
--- a/generation/returned_test.go
+++ b/generation/returned_test.go
@@ -225,6 +225,8 @@
 			l.observer.Store(a.Watch)
 		case core.ContactStore:
 			l.observer.Contact()
+		case core.StoreReturned:
+			l.observer.Returned()
 		}
 	}
 }
--- a/generation/watch.go
+++ b/generation/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -39,6 +40,45 @@
 	}()
 }
 
+// waits are the calls of the store that are waited for, and the rests after those that failed.
+type waits struct {
+	mu   sync.Mutex
+	back context.Context // ends when the store is back after silence
+	end  context.CancelFunc
+}
+
+// storeReturned ends all waits for the store that are under way: what was asked in its silence
+// is never answered, and what is asked now is.
+func (s *Service) storeReturned() {
+	w := &s.waits
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.end != nil {
+		w.end()
+	}
+	w.back, w.end = context.WithCancel(s.run)
+}
+
+// unlessBack returns a context that also ends when the store is back.
+func (s *Service) unlessBack(ctx context.Context) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithCancel(ctx)
+	w := &s.waits
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stop := context.AfterFunc(w.back, cancel)
+	return out, func() {
+		stop()
+		cancel()
+	}
+}
+
+// restUnlessBack waits for so long, until the context ends or until the store is back.
+func (s *Service) restUnlessBack(ctx context.Context, long time.Duration) {
+	ctx, done := s.unlessBack(ctx)
+	defer done()
+	rest(ctx, long)
+}
+
 func (s *Service) watchWanted(watch bool) {
 	select {
 	case s.watch <- watch:
@@ -88,13 +128,16 @@
 		revision := s.revision
 		s.mu.Unlock()
 		s.metrics.StoreCalls.WithLabelValues("watch").Inc()
-		v, err := s.store.Wait(ctx, s.format.Key(), revision)
-		s.noteWatch(ctx, watchEnded{of: "configuration", began: began, since: uint64(revision), changes: 1, err: err})
+		wait, done := s.unlessBack(ctx)
+		v, err := s.store.Wait(wait, s.format.Key(), revision)
+		s.noteWatch(wait, watchEnded{of: "configuration", began: began, since: uint64(revision), changes: 1, err: err})
 		if err != nil {
 			s.metrics.StoreFailures.WithLabelValues("watch").Inc()
-			rest(ctx, p.afterFailure())
+			rest(wait, p.afterFailure())
+			done()
 			continue
 		}
+		done()
 		s.installValue(v)
 		rest(ctx, p.afterChange(time.Since(began)))
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,6 +60,9 @@
 	Generation func(core.GenerationSeen)
 	// Store tells whether the store is to be watched.
 	Store func(watch bool)
+	// Returned tells that calls of the store that wait may never be answered, and that new
+	// ones are.
+	Returned func()
 	// Contact asks whether the store answers; core.StoreContacted is to be told.
 	Contact func()
 }
@@ -253,6 +256,13 @@
 				o.Store(a.Watch)
 			}
 		})
+	case core.StoreReturned:
+		s.log.Info().Dur("silent_ms", a.Silent).Msg("the store answers again")
+		s.eachObserver(func(o Observer) {
+			if o.Returned != nil {
+				o.Returned()
+			}
+		})
 	case core.ContactStore:
 		s.eachObserver(func(o Observer) {
 			if o.Contact != nil {
