core/prompt: a test of the pace gives the same verdict each time

It now takes twenty orders drawn from seeds, and compares the soonest answer of any engine: as strict on the pace, which all engines share, and it fails where disturbed answers set the pace.

--- a/core/prompt/pace_test.go
+++ b/core/prompt/pace_test.go
@@ -65,28 +65,36 @@
 }
 
 // TestLateStartDoesNotSetThePace lets a router begin before engines that look idle to it
-// and aren't: its answers come late, as others have sent there too, which it hears
+// and aren't: its answers come late, in any order, as others have sent there too, which it hears
 // afterwards. When all has been quiet for a while it must take an idle engine for as fast
 // as before. A router that takes engines for slow sends less, and would never learn better.
 func TestLateStartDoesNotSetThePace(t *testing.T) {
+	for order := range uint64(20) {
+		lateStart(t, rand.New(rand.NewPCG(order, 1)))
+	}
+}
+
+// lateStart is one such start, with its answers in an order by chance.
+func lateStart(t *testing.T, random *rand.Rand) {
 	is := is.New(t)
 	const engines = 60
 	m := newMachine(engines)
 	m.SetRouters(2)
+	// Soonest, as an engine whose answer was late may be taken for slow itself.
 	expected := func(now model.Time, id model.RequestID) time.Duration {
 		m.Arrive(now, ask(id, 1, 1000+uint64(id), 1000))
-		return dispatched(t, m).Basis.Delay
+		return dispatched(t, m).Basis.Soonest
 	}
 	m.TakeLoadReport(0, "b", 1, LoadReport{Sequence: 1})
 	before := expected(0, 1)
 	m.Finish(time.Second, 1, Done, 50)
 	now := 2 * time.Second
-	sent := map[model.RequestID]bool{}
+	var sent []model.RequestID
 	for id := range model.RequestID(engines) {
 		m.Arrive(now, ask(id+2, 1, uint64(id), 1000))
 		for _, a := range m.Take() {
 			if d, ok := a.(Dispatch); ok {
-				sent[d.ID] = true
+				sent = append(sent, d.ID)
 			}
 		}
 	}
@@ -95,7 +103,8 @@
 		report.Loads = append(report.Loads, Load{Backend: id, Sent: 20_000})
 	}
 	m.TakeLoadReport(now+150*time.Millisecond, "b", 1, report)
-	for id := range sent {
+	random.Shuffle(len(sent), func(i, j int) { sent[i], sent[j] = sent[j], sent[i] })
+	for _, id := range sent {
 		m.Began(now+2*before, id)
 		m.Finish(now+3*time.Second, id, Done, 50)
 	}
