core: relays put what waits of a router into one message

Cause: a relay's queue held every message by itself; once more was told than its receivers' bytes allow it grew without bound, and what routers knew of accounts and engines was seconds old. Ruled out: telling all again by another relay while the first is only slow, which counted amounts twice: a relay that is heard has three seconds, and one batch is what a quarter of a second's bytes allow.

--- a/core/loads.go
+++ b/core/loads.go
@@ -25,9 +25,6 @@
 	// DefaultLoadsBytes is what each receiver is told in bytes a second unless it is set:
 	// most of the 13 KB a second that the target size leaves for control.
 	DefaultLoadsBytes = 9000
-	// maxPassOn is how many messages of others are kept to be passed on; more come only
-	// where the budget is far too small, and are lost as a datagram may be.
-	maxPassOn = 4096
 	// maxAtOnce is the size in bytes from which on a datagram takes no further messages:
 	// a UDP datagram holds 64 KB, one of which may be a router's whole report.
 	maxAtOnce = 16 << 10
@@ -49,17 +46,21 @@
 	planned   bool       // the plan is of the fleet as it is known now
 	plannedAt model.Time // when it was made
 	link      relayLink
-	toAll     []*wire.Loads         // for the other relays and the routers served here
-	toServed  []*wire.Loads         // for the routers served here
+	toAll     loadQueue             // for the other relays and the routers served here
+	toServed  loadQueue             // for the routers served here
 	callers   map[string]model.Time // that have told this router as their relay, and when
 }
 
 func newLoadExchange(bytesPerSecond float64) loadExchange {
 	size := bytesPerSecond / 4
 	return loadExchange{
-		budget:  bucket{rate: bytesPerSecond, size: size, level: size},
-		names:   map[uint32]string{},
-		link:    newRelayLink(),
+		budget: bucket{rate: bytesPerSecond, size: size, level: size},
+		names:  map[uint32]string{},
+		link:   newRelayLink(),
+
+		toAll:    newLoadQueue(),
+		toServed: newLoadQueue(),
+
 		callers: map[string]model.Time{},
 	}
 }
@@ -96,7 +97,7 @@
 
 // nextPassOn returns when it is to pass on what others have told.
 func (l *loadExchange) nextPassOn() model.Time {
-	if len(l.toAll)+len(l.toServed) == 0 {
+	if l.toAll.len()+l.toServed.len() == 0 {
 		return never
 	}
 	return l.passed + passOnEvery
@@ -153,7 +154,7 @@
 	l := &c.loads
 	own := c.ownLoads()
 	if l.link.relay == "" {
-		l.toAll = append(l.toAll, own)
+		l.toAll.add(own)
 		return
 	}
 	if isEmpty(own) {
@@ -182,8 +183,9 @@
 func (c *Core) passOn() {
 	l := &c.loads
 	l.passed = c.now
-	toAll := takeAtMost(&l.toAll, maxAtOnce)
-	toServed := takeAtMost(&l.toServed, maxAtOnce-sizeOf(toAll))
+	atOnce := min(maxAtOnce, int(l.budget.size)) // so that its silence is short where bytes are few
+	toAll := l.toAll.take(atOnce)
+	toServed := l.toServed.take(atOnce - sizeOf(toAll))
 	if len(toAll) > 0 {
 		c.sendLoads(l.plan.Relays, toAll, wire.PassOn_PASS_ON_SERVED)
 	}
@@ -192,19 +194,6 @@
 	}
 }
 
-// takeAtMost takes messages of so many bytes together from the front of a list, one at
-// least.
-func takeAtMost(list *[]*wire.Loads, bytes int) []*wire.Loads {
-	n := 0
-	for n < len(*list) && (n == 0 || bytes > 0) {
-		bytes -= proto.Size((*list)[n])
-		n++
-	}
-	out := (*list)[:n:n]
-	*list = (*list)[n:]
-	return out
-}
-
 func sizeOf(loads []*wire.Loads) int {
 	size := 0
 	for _, l := range loads {
@@ -317,15 +306,12 @@
 // keepToPassOn keeps a message for those whom this router is to pass it on to.
 func (c *Core) keepToPassOn(in *wire.Loads, passOn wire.PassOn) {
 	l := &c.loads
-	if len(l.toAll)+len(l.toServed) >= maxPassOn {
-		return
-	}
 	switch passOn {
 	case wire.PassOn_PASS_ON_ALL:
-		l.toAll = append(l.toAll, in)
+		l.toAll.add(in)
 	case wire.PassOn_PASS_ON_SERVED:
 		if len(l.plan.Serves)+len(l.callers) > 0 {
-			l.toServed = append(l.toServed, in)
+			l.toServed.add(in)
 		}
 	case wire.PassOn_PASS_ON_NOBODY:
 	}
--- a/core/relaylink.go
+++ b/core/relaylink.go
@@ -14,6 +14,9 @@
 	// than failure detection takes, so that a dead relay costs the routers that it served
 	// a few exchanges only.
 	confirmWithin = 400 * time.Millisecond
+	// busyWithin is how long one has that is heard meanwhile: it has more to pass on than its
+	// bytes allow, and so would have the next one, which would be told all again.
+	busyWithin = 3 * time.Second
 	// quietFor is how long a router hears nothing from its relay until it tells it an empty
 	// message, only to have it confirmed.
 	quietFor = 500 * time.Millisecond
@@ -65,7 +68,7 @@
 	if l.relay == "" || len(l.unconfirmed) == 0 {
 		return never
 	}
-	return l.since + confirmWithin
+	return max(l.since+confirmWithin, min(l.heard+confirmWithin, l.since+busyWithin))
 }
 
 // quiet returns when the relay is to be asked for a sign of life.
@@ -110,7 +113,9 @@
 	lost := l.link.unconfirmed
 	switch {
 	case l.link.relay == "":
-		l.toAll = append(l.toAll, lost...)
+		for _, message := range lost {
+			l.toAll.add(message)
+		}
 		l.link.unconfirmed = nil
 	case len(lost) > 0:
 		c.sendLoads([]string{l.link.relay}, lost, wire.PassOn_PASS_ON_ALL)
