--- a/generation/watch.go
+++ b/generation/watch.go
@@ -15,10 +15,6 @@
 // the others, each takes itself for one of those that do.
 const watchSettle = 1500 * time.Millisecond
 
-// contactTimeout is how long the store may take for the smallest of answers. A slow store
-// takes half of it.
-const contactTimeout = 600 * time.Millisecond
-
 // contactStore asks the store for a small answer, and tells the core whether it came.
 func (s *Service) contactStore() {
 	if s.run.Err() != nil {
@@ -27,7 +23,7 @@
 	s.ended.Add(1)
 	go func() {
 		defer s.ended.Done()
-		ctx, cancel := context.WithTimeout(s.run, contactTimeout)
+		ctx, cancel := context.WithTimeout(s.run, store.PingTimeout)
 		defer cancel()
 		s.metrics.StoreCalls.WithLabelValues("ping").Inc()
 		began := time.Now()
--- a/store/store.go
+++ b/store/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -23,6 +24,10 @@
 	Forgotten = namespace.NewType("forgotten")
 )
 
+// PingTimeout is how long the smallest of answers may take, in which a slow store gives it
+// twice over.
+const PingTimeout = 600 * time.Millisecond
+
 // Value is what the store holds under a key. Revision 0 is no value.
 type Value struct {
 	Data     []byte
