platform, store: one question finds that resting connections went silent

The question's own wait ends 0.1 s before its caller's. Ruled out: counting every call that its caller gives up, as those to engines are given up when callers' deadlines pass, and each would cost new connections.

--- a/store/etcd.go
+++ b/store/etcd.go
@@ -108,7 +108,7 @@
 // Get implements Store.
 func (s *Etcd) Get(ctx context.Context, key string) (Value, error) {
 	var out rangeResponse
-	if err := s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
+	if err := s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out, callTimeout); err != nil {
 		return Value{}, Unavailable.Wrap(err, "the store doesn't answer")
 	}
 	return out.value(), nil
@@ -122,8 +122,8 @@
 
 // Ping implements Store.
 func (s *Etcd) Ping(ctx context.Context) error {
-	_, err := s.Get(ctx, pingKey)
-	return err
+	var out rangeResponse
+	return s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(pingKey)}, &out, PingPatience)
 }
 
 // Swap implements Store.
@@ -135,7 +135,7 @@
 		Failure: []requestOp{{Range: &rangeRequest{Key: name}}},
 	}
 	var out txnResponse
-	if err := s.call(ctx, "/v3/kv/txn", request, &out); err != nil {
+	if err := s.call(ctx, "/v3/kv/txn", request, &out, callTimeout); err != nil {
 		if exchange.NotSent(err) {
 			return Value{}, false, Unavailable.Wrap(err, "the store isn't reached")
 		}
@@ -173,8 +173,8 @@
 	return Value{}, Unavailable.New("the store's watch ended: %v", lines.Err())
 }
 
-func (s *Etcd) call(ctx context.Context, path string, in, out any) error {
-	answer, err := s.post(ctx, path, in, callTimeout)
+func (s *Etcd) call(ctx context.Context, path string, in, out any, patient time.Duration) error {
+	answer, err := s.post(ctx, path, in, patient)
 	if err != nil {
 		return err
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -28,6 +28,10 @@
 // twice over.
 const PingTimeout = 600 * time.Millisecond
 
+// PingPatience is how long an adapter waits for it. Its own wait must end first: only then does
+// it know that the connection is silent, and leave the others that rest, which may be as well.
+const PingPatience = PingTimeout - 100*time.Millisecond
+
 // Value is what the store holds under a key. Revision 0 is no value.
 type Value struct {
 	Data     []byte
