--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -111,12 +111,13 @@
 		return
 	}
 	if s.fetching {
-		if seen.Near {
+		if seen.Near && s.asked.IsZero() {
 			s.fetchFrom = seen.Address
 		}
+		s.askSecond(seen.Address)
 		return
 	}
-	s.fetching = true
+	s.fetching, s.second, s.asked = true, false, time.Time{}
 	s.fetchFrom = seen.Address
 	pause := fetchPause - time.Since(s.fetched)
 	if !seen.Near && !s.isUrgent(seen.Versions) {
@@ -130,6 +131,26 @@
 	}()
 }
 
+// secondAfter is how long a router that is fetched from may take until another one that has what
+// is newer is asked as well. Most answers come within some milliseconds; one that has frozen, or
+// lost its power, gives none, and is waited for fetchTimeout: what all others have would be in
+// force here two seconds later than there.
+const secondAfter = 400 * time.Millisecond
+
+// askSecond fetches from a second router where the first one may be silent. The caller holds the
+// lock.
+func (s *Service) askSecond(address string) {
+	if s.second || s.asked.IsZero() || address == s.fetchFrom || time.Since(s.asked) < secondAfter {
+		return
+	}
+	s.second = true
+	s.ended.Add(1)
+	go func() {
+		defer s.ended.Done()
+		s.fetchNoted(address)
+	}()
+}
+
 // isUrgent tells whether versions are newer in more than the catalog. The caller holds the
 // lock.
 func (s *Service) isUrgent(theirs core.Versions) bool {
@@ -142,6 +163,7 @@
 	s.mu.Lock()
 	from := s.fetchFrom
 	newer := theirs.Exceed(s.heldVersions())
+	s.asked = time.Now()
 	s.mu.Unlock()
 	if newer {
 		s.fetchNoted(from)
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -143,6 +143,8 @@
 	fetching  bool
 	fetchFrom string    // the router to fetch from: the one that was seen first, or one nearby
 	fetched   time.Time // when that ended last
+	asked     time.Time // when the router that is fetched from was asked, zero for not yet
+	second    bool      // another one is asked as well
 	catalog   catalog
 	halls     halls
 
