platform, generation: entries that nobody can read name no server, and all others hold

What a server's key names once it can't be read is treated as leaving, counted and logged. Ruled out: dropping such a server at once, which half of a pool at a time would be taken for the store's lapse and kept as if sound.

--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -33,6 +33,8 @@
 	Revision uint64
 	// Backend is nil where the announcement was taken back, or can't be read.
 	Backend *config.Discovered
+	// Problem is why it can't be read, nil where it can or was taken back.
+	Problem error
 }
 
 // catalog is what is known of the backend servers that announce themselves.
@@ -65,9 +67,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.catalog.entries
 	s.catalog.entries = map[string]*wire.CatalogEntry{}
 	s.catalog.at = at
-	s.takeAnnouncements(all, at)
+	s.takeAnnouncements(all, at, before)
 	return nil
 }
 
@@ -117,24 +120,45 @@
 	for _, change := range changes {
 		last = max(last, change.Revision)
 	}
-	s.takeAnnouncements(changes, last)
+	s.takeAnnouncements(changes, last, s.catalog.entries)
 	return nil
 }
 
 // takeAnnouncements brings announcements into the catalog, which then is of the
-// given revision where anything changed. The caller holds the lock.
-func (s *Service) takeAnnouncements(changes []Announcement, revision uint64) {
+// given revision where anything changed; before are the entries as they were. The caller holds
+// the lock.
+func (s *Service) takeAnnouncements(changes []Announcement, revision uint64, before map[string]*wire.CatalogEntry) {
 	for _, change := range changes {
-		if change.Backend == nil {
+		switch {
+		case change.Backend != nil:
+			s.catalog.entries[change.Key] = entryOf(change.Backend)
+		case change.Problem != nil:
+			s.takeUnreadable(change, before)
+		default:
 			delete(s.catalog.entries, change.Key)
-			continue
 		}
-		s.catalog.entries[change.Key] = entryOf(change.Backend)
 	}
 	next := &wire.Catalog{Revision: revision, Entries: slices.SortedFunc(maps.Values(s.catalog.entries), byName)}
 	s.replaceCatalog(next)
 }
 
+// takeUnreadable takes an announcement that can't be read. The backend server that its key named
+// before gets nothing new, and what it runs goes on, as at one that leaves; a key that named none names
+// none. The caller holds the lock.
+func (s *Service) takeUnreadable(change Announcement, before map[string]*wire.CatalogEntry) {
+	s.metrics.Unreadable.Inc()
+	named := before[change.Key]
+	s.log.Warn().Err(change.Problem).Str("key", change.Key).Uint64("revision", change.Revision).
+		Bool("replaced", named != nil).Msg("announcement can't be read")
+	delete(s.catalog.entries, change.Key)
+	if named == nil {
+		return
+	}
+	left := proto.Clone(named).(*wire.CatalogEntry)
+	left.Leaving = true
+	s.catalog.entries[change.Key] = left
+}
+
 func byName(a, b *wire.CatalogEntry) int { return cmp.Compare(a.Name, b.Name) }
 
 // installCatalog takes another router's catalog.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -52,6 +52,7 @@
 	Claims        *prometheus.CounterVec // by result
 	Generation    prometheus.Gauge
 	Evacuated     prometheus.Gauge
+	Unreadable    prometheus.Counter
 }
 
 // waitBuckets reach from a millisecond to some minutes, in seconds.
@@ -92,6 +93,7 @@
 			Claims:        f.counters("claims_total", "Claims of idempotency keys, by result.", "result"),
 			Generation:    f.gauge("generation", "Generation of the configuration in force."),
 			Evacuated:     f.gauge("evacuated_halls", "Data halls that are evacuated, but for those of the operators' file."),
+			Unreadable:    f.counter("unreadable_announcements_total", "Announcements of backend servers that couldn't be read."),
 		},
 	}
 }
