--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -261,17 +261,9 @@
 		})
 	case core.StoreReturned:
 		s.log.Info().Dur("silent_ms", a.Silent).Msg("the store answers again")
-		s.eachObserver(func(o Observer) {
-			if o.Returned != nil {
-				o.Returned()
-			}
-		})
+		s.signal(func(o Observer) func() { return o.Returned })
 	case core.ContactStore:
-		s.eachObserver(func(o Observer) {
-			if o.Contact != nil {
-				o.Contact()
-			}
-		})
+		s.signal(func(o Observer) func() { return o.Contact })
 	case core.GenerationSeen:
 		s.eachObserver(func(o Observer) {
 			if o.Generation != nil {
@@ -285,6 +277,15 @@
 	}
 }
 
+// signal calls a function of each observer that has it.
+func (s *Service) signal(of func(Observer) func()) {
+	s.eachObserver(func(o Observer) {
+		if tell := of(o); tell != nil {
+			tell()
+		}
+	})
+}
+
 func (s *Service) eachObserver(tell func(Observer)) {
 	s.mu.Lock()
 	observers := s.observers
