gateway, back: an answer that broke off tells whose request it was, and whether its server has ended

Cause: logs couldn't tell a request come again from others, nor a server's end from a connection's. Ruled out: path and body in logs. No decision changes.

--- a/back/back.go
+++ b/back/back.go
@@ -3,9 +3,13 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/kernel"
@@ -24,6 +28,7 @@
 // Service keeps the connections to the backend servers.
 type Service struct {
 	clients *exchange.Clients
+	looks   singleflight.Group // by address
 }
 
 // New returns the service.
@@ -54,3 +59,21 @@
 func (s *Service) Exchange(ctx context.Context, address string, req *fasthttp.Request, options exchange.Options) (*exchange.Answer, error) {
 	return s.clients.Of(address).Do(ctx, req, options)
 }
+
+// lookTimeout bounds the look at a backend server whose answer broke off: a port that nobody listens on
+// is refused within a round trip, some milliseconds, and whoever waits longer learns no more of it.
+const lookTimeout = 150 * time.Millisecond
+
+// Ended tells whether the backend server at an IP and port has ended, as far as a new connection shows:
+// it is refused there. One that is cut off, frozen or dark doesn't answer, and one that has only reset
+// connections takes new ones; neither has ended. All requests that one end broke off share one look.
+func (s *Service) Ended(address string) bool {
+	ended, _, _ := s.looks.Do(address, func() (any, error) {
+		c, err := net.DialTimeout("tcp", address, lookTimeout)
+		if err == nil {
+			_ = c.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED), nil
+	})
+	return ended.(bool)
+}
--- /dev/null
+++ b/back/back_test.go
@@ -0,0 +1,19 @@
+package back
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEndedMeansThatNobodyListens(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	defer func() { is.NoErr(s.Stop(t.Context())) }()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.True(!s.Ended(listener.Addr().String())) // it takes connections, and answers none
+	is.NoErr(listener.Close())
+	is.True(s.Ended(listener.Addr().String()))
+}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -14,6 +14,7 @@
 	"github.com/tamarindstep/tamarindstep/core/cold"
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/core/retry"
+	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/fleet"
 	"github.com/tamarindstep/tamarindstep/front"
 	"github.com/tamarindstep/tamarindstep/gateway"
@@ -128,7 +129,7 @@
 		key:     key,
 		callers: gateway.New(gateway.Settings{
 			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
-			MaxConns: int((s.Files - filesKept) * callersPart),
+			MaxConns: int((s.Files - filesKept) * callersPart), Fingerprints: fingerprint.NewMaker([]byte(key)),
 		}, log, metrics),
 		leave: routers.Leave,
 	}, nil
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,7 +47,8 @@
 	misses     int  // backend servers that couldn't be reached
 	tried      []model.BackendID
 	relay      relay
-	keep       bool // the connection may carry another request
+	print      model.Fingerprint // 0 while nobody has asked for it
+	keep       bool              // the connection may carry another request
 }
 
 // admit finds, by the header alone, what the request is and whether it is refused.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/back"
+	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
@@ -51,6 +52,8 @@
 	// From half of it on, connections end with their answers: callers keep those that rest
 	// for many seconds, and those of an account that is refused often would take up all.
 	MaxConns int
+	// Fingerprints makes those of requests, alike at all routers.
+	Fingerprints fingerprint.Maker
 }
 
 // Service serves callers.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -8,7 +8,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 )
 
@@ -37,9 +39,9 @@
 	a.sends++
 	a.tried = append(a.tried, d.Backend)
 	if err != nil {
-		return a.failed(err)
+		return a.failed(d, err)
 	}
-	return a.take(answer)
+	return a.take(d, answer)
 }
 
 const (
@@ -106,17 +108,17 @@
 }
 
 // take takes a backend server's answer.
-func (a *attempt) take(answer *exchange.Answer) bool {
+func (a *attempt) take(d scheduler.Decision, answer *exchange.Answer) bool {
 	defer answer.Close()
 	meta := a.service.settings.Dialect.Answer(&answer.Header)
 	if meta.ID == "" && answer.StatusCode() < fasthttp.StatusBadRequest {
-		return a.failed(errNameless)
+		return a.failed(d, errNameless)
 	}
 	if meta.NotRun {
 		return a.notRun()
 	}
 	if promises[answer.StatusCode()] {
-		return a.failed(errFalsePromise)
+		return a.failed(d, errFalsePromise)
 	}
 	if answer.StatusCode() >= fasthttp.StatusInternalServerError && a.route.Repeatable && a.mayRetry() {
 		a.ran = true
@@ -131,7 +133,7 @@
 		a.count("done")
 		return true
 	}
-	return a.failed(err)
+	return a.failed(d, err)
 }
 
 // notRun handles an answer that says that the request wasn't run.
@@ -160,7 +162,7 @@
 
 // failed handles a request that was sent and whose answer broke off. It returns
 // false where it is sent again.
-func (a *attempt) failed(cause error) bool {
+func (a *attempt) failed(d scheduler.Decision, cause error) bool {
 	if errors.Is(a.ctx.Err(), context.Canceled) {
 		a.finish(core.Broken, 0)
 		a.keep = false
@@ -170,7 +172,9 @@
 	}
 	a.ran = true
 	a.finish(core.Failed, 0)
-	a.log("broke-off").Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).Msg("answer broke off")
+	ended := a.serverEnded(d, cause)
+	a.log("broke-off").Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).
+		Bool("server_ended", ended).Stringer("fingerprint", a.fingerprint()).Msg("answer broke off")
 	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
 		return false
 	}
@@ -185,3 +189,23 @@
 	a.refuse(brokeOff, 0)
 	return true
 }
+
+// serverEnded tells whether the backend server of a send whose answer broke off has ended, and not
+// only its connection.
+func (a *attempt) serverEnded(d scheduler.Decision, cause error) bool {
+	if errors.Is(cause, errCaller) || errors.Is(cause, errNameless) || errors.Is(cause, errFalsePromise) {
+		return false
+	}
+	return a.service.back.Ended(a.service.generation.InForce().AddressOf(d.Backend))
+}
+
+// fingerprint returns the request's.
+func (a *attempt) fingerprint() model.Fingerprint {
+	if a.print == 0 {
+		a.print = a.service.settings.Fingerprints.Of(fingerprint.Request{
+			Account: a.name, Host: a.req.Header.Host(), Method: a.req.Header.Method(),
+			Path: a.req.Header.RequestURI(), Body: a.req.Body(),
+		})
+	}
+	return a.print
+}
--- a/model/model.go
+++ b/model/model.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,12 @@
 // RequestID identifies a request inside one process.
 type RequestID uint64
 
+// Fingerprint tells a request that comes again from others; package fingerprint makes it.
+type Fingerprint uint64
+
+// String returns the form that logs and operators use.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Class is the urgency of a request inside its account.
 type Class uint8
 
