--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -26,12 +26,15 @@
 	Surplus   bool          // another request's answer comes first
 	Early     bool          // the answer comes before the body is read
 	Nameless  bool          // the answer doesn't say whose it is
+	EndsUnder string        // the body of requests under which the server ends, "" for none
+	EndsAfter time.Duration // how long such a request has run by then
 }
 
 // Run is one request that a backend server has run.
 type Run struct {
 	ID, Path, Body, Account, Key, LastEvent string
 	TimeLeft                                int
+	At                                      time.Time
 	Left                                    bool // its caller left while it ran
 }
 
@@ -43,6 +46,7 @@
 	listener net.Listener
 	store    *Store
 	ended    sync.WaitGroup
+	once     sync.Once
 	closed   chan struct{}
 
 	mu        sync.Mutex
@@ -103,18 +107,28 @@
 	}
 }
 
-// Close ends it.
+// Close ends it, and waits until it serves nothing.
 func (b *Backend) Close() {
-	close(b.closed)
-	_ = b.listener.Close()
-	b.mu.Lock()
-	for c := range b.conns {
-		_ = c.Close()
-	}
-	b.mu.Unlock()
+	b.crash()
 	b.ended.Wait()
 }
 
+// Closed is closed once it has ended.
+func (b *Backend) Closed() <-chan struct{} { return b.closed }
+
+// crash ends it without notice: its entry in the store stays.
+func (b *Backend) crash() {
+	b.once.Do(func() {
+		_ = b.listener.Close()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for c := range b.conns {
+			_ = c.Close()
+		}
+		close(b.closed)
+	})
+}
+
 func (b *Backend) accept() {
 	defer b.ended.Done()
 	for {
@@ -167,6 +181,11 @@
 		return b.reject(c, req)
 	}
 	run := b.note(req, body)
+	if x.EndsUnder != "" && x.EndsUnder == string(body) {
+		time.Sleep(x.EndsAfter)
+		b.crash()
+		return false
+	}
 	if x.Drop {
 		return false
 	}
@@ -204,7 +223,7 @@
 	b.runs = append(b.runs, Run{
 		ID: h.Get("Tamarindstep-Request-Id"), Path: req.URL.RequestURI(), Body: string(body),
 		Account: h.Get("Tamarindstep-Tenant-Id"), Key: h.Get("Tamarindstep-Key"),
-		LastEvent: h.Get("Last-Event-Id"), TimeLeft: left,
+		LastEvent: h.Get("Last-Event-Id"), TimeLeft: left, At: time.Now(),
 	})
 	return len(b.runs) - 1
 }
