front, blame: the product's own interface holds such requests back as well

Its backend servers keep their names, so that an end counts by its time as well: two ends of one server a second apart are two. What the two interfaces share has a package of its own. Ruled out: one end for each server, as names that stay would be blamed once only. Conclusion: mended in both.

--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -59,6 +59,9 @@
 	// together is how far apart two backend servers end at the most that may have ended for one
 	// reason: a lost data hall or a rack takes some milliseconds, and others tell of it late.
 	together = 250 * time.Millisecond
+	// sameEnd is how far apart two routers see the same end at the most. A backend server that starts again
+	// under its name needs longer.
+	sameEnd = time.Second
 	// minRun is the shortest time from sending to an end that is held against a request: one that was
 	// written to a backend server which had ended already can't have ended it.
 	minRun = 5 * time.Millisecond
@@ -111,7 +114,7 @@
 type Suspicion struct {
 	Fingerprint model.Fingerprint
 	Account     model.AccountID
-	Ends        []End      // one of each backend server
+	Ends        []End
 	Answered    model.Time // when it last got a whole answer; ends before don't count
 	Tried       model.Time // when it was last tried while held back
 }
@@ -164,9 +167,7 @@
 
 // Ended notes that a backend server has ended while a request ran there, as this router saw.
 func (b *Book) Ended(now model.Time, f model.Fingerprint, account model.AccountID, end End) {
-	if _, known := b.ended[end.Backend]; !known {
-		b.ended[end.Backend] = end.At
-	}
+	b.noteEnd(end)
 	b.touch()
 	if end.Ran < minRun {
 		return
@@ -180,6 +181,13 @@
 	b.prune(now)
 }
 
+// noteEnd keeps when a backend server ended last. What is told of one end differs a little between routers.
+func (b *Book) noteEnd(end End) {
+	if at, known := b.ended[end.Backend]; !known || end.At > at+sameEnd {
+		b.ended[end.Backend] = end.At
+	}
+}
+
 // Answered notes that a request has got a whole answer, and tells whether it was held back.
 func (b *Book) Answered(now model.Time, f model.Fingerprint) bool {
 	e := b.entries[f]
@@ -234,9 +242,7 @@
 	e.Tried = max(e.Tried, in.Tried)
 	e.Answered = max(e.Answered, in.Answered)
 	for _, end := range in.Ends {
-		if at, known := b.ended[end.Backend]; !known || end.At < at {
-			b.ended[end.Backend] = end.At
-		}
+		b.noteEnd(end)
 		changed = e.add(end) || changed
 	}
 	if changed {
@@ -388,10 +394,10 @@
 	own := len(e.counting())
 	for f := range others {
 		other := b.entries[f]
-		if f == e.Fingerprint || !other.has(end.Backend) {
+		if f == e.Fingerprint || !other.has(end.Backend, end.At) {
 			continue
 		}
-		if len(other.counting()) > own || end.Try && other.triedOn(end.Backend) {
+		if len(other.counting()) > own || end.Try && other.triedOn(end) {
 			return true
 		}
 	}
@@ -401,7 +407,7 @@
 // withOthers tells whether a backend server ended together with one on which the request didn't run.
 func (b *Book) withOthers(e *entry, end End) bool {
 	for backend, at := range b.ended {
-		if (at-end.At).Abs() <= together && !e.has(backend) {
+		if (at-end.At).Abs() <= together && !e.has(backend, at) {
 			return true
 		}
 	}
@@ -453,7 +459,7 @@
 
 // add adds an end, and tells whether it is new.
 func (e *entry) add(end End) bool {
-	if e.has(end.Backend) || end.At <= e.Answered {
+	if e.has(end.Backend, end.At) || end.At <= e.Answered {
 		return false
 	}
 	e.Ends = append(e.Ends, end)
@@ -464,13 +470,18 @@
 	return true
 }
 
-func (e *entry) has(backend model.BackendID) bool {
-	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.Backend == backend })
+// has tells whether the request ran on a backend server as it ended at about some time.
+func (e *entry) has(backend model.BackendID, at model.Time) bool {
+	return slices.ContainsFunc(e.Ends, func(end End) bool {
+		return end.Backend == backend && (end.At-at).Abs() <= sameEnd
+	})
 }
 
 // triedOn tells whether the request was being tried on a backend server as it ended.
-func (e *entry) triedOn(backend model.BackendID) bool {
-	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.Backend == backend && end.Try })
+func (e *entry) triedOn(at End) bool {
+	return slices.ContainsFunc(e.Ends, func(end End) bool {
+		return end.Try && end.Backend == at.Backend && (end.At-at.At).Abs() <= sameEnd
+	})
 }
 
 // counting returns the ends since the last whole answer.
--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -52,6 +52,14 @@
 	is.True(!b.Judge(2*time.Second, 1).Held)
 }
 
+func TestAServerThatStartsAgainUnderItsNameEndsAgain(t *testing.T) {
+	is := is.New(t)
+	b := New(1)
+	b.Ended(time.Second, 1, account, endedAt(time.Second, 1))
+	b.Ended(4*time.Second, 1, account, endedAt(4*time.Second, 1))
+	is.True(b.Judge(5*time.Second, 1).Held)
+}
+
 func TestARequestSentToAnEndedServerIsNotSuspected(t *testing.T) {
 	is := is.New(t)
 	b := New(1)
--- /dev/null
+++ b/core/suspicions_test.go
@@ -0,0 +1,124 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+const lethal = model.Fingerprint(0xfeed)
+
+// endUnder lets a router see a backend server end under the request.
+func (f *fleet) endUnder(n *node, server string) {
+	f.step(n, ServerEnded{
+		Fingerprint: lethal, Account: model.Account(accountNames(1)[0]), Backend: model.Backend(server), Ran: 80 * time.Millisecond,
+	})
+}
+
+// holding returns how many live routers hold the request back.
+func (f *fleet) holding() int {
+	out := 0
+	for _, n := range f.nodes {
+		if !n.down && n.core.suspicions.held[lethal] {
+			out++
+		}
+	}
+	return out
+}
+
+// TestEndsSeenAtSeveralRoutersAddUp lets two routers see one end each. All others hold the request back well
+// before the four seconds that users give a fleet to hear of it.
+func TestEndsSeenAtSeveralRoutersAddUp(t *testing.T) {
+	for _, routers := range []int{2, 9, 59, 295} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			is := is.New(t)
+			f := loadedFleet(routers, 60_000)
+			f.endUnder(f.nodes[0], "run-1")
+			f.runUntil(f.time.Now() + time.Second)
+			is.Equal(f.holding(), 0)
+			f.endUnder(f.nodes[routers-1], "run-2")
+			began := f.time.Now()
+			for f.holding() < routers && f.time.Now() < began+4*time.Second {
+				f.runUntil(f.time.Now() + 10*time.Millisecond)
+			}
+			t.Logf("all %d routers hold it back after %v", routers, f.time.Now()-began)
+			is.Equal(f.holding(), routers)
+			is.True(f.time.Now()-began < time.Second)
+			f.step(f.nodes[routers/2], Answered{Fingerprint: lethal})
+			f.runUntil(f.time.Now() + time.Second)
+			is.Equal(f.holding(), 0)
+		})
+	}
+}
+
+// TestRoutersThatComeBackHearWhatIsHeldBack cuts a router off and starts another anew while a request
+// is held back: both hear of it with the first datagrams.
+func TestRoutersThatComeBackHearWhatIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(9, 60_000)
+	alone := f.nodes[4]
+	f.cut = func(a, b *node) bool { return (a == alone) != (b == alone) }
+	f.kill(f.nodes[5])
+	f.endUnder(f.nodes[0], "run-1")
+	f.endUnder(f.nodes[1], "run-2")
+	f.runUntil(f.time.Now() + 20*time.Second)
+	f.endUnder(f.nodes[1], "run-3")
+	f.runUntil(f.time.Now() + time.Second)
+	is.Equal(f.holding(), 7)
+	f.cut = nil
+	f.start(f.nodes[5])
+	f.runUntil(f.time.Now() + 3*time.Second)
+	is.Equal(f.holding(), 9)
+	quiet := 0
+	f.tamper = func(d *wire.Datagram) *wire.Datagram {
+		quiet += len(d.Suspicions)
+		return d
+	}
+	f.runUntil(f.time.Now() + 5*time.Second)
+	is.Equal(quiet, 0) // those that know the same tell each other nothing
+}
+
+// TestSuspicionsInMessagesAreReadStrictly reads what no router of this kind writes.
+func TestSuspicionsInMessagesAreReadStrictly(t *testing.T) {
+	is := is.New(t)
+	for _, in := range []*wire.Suspicion{
+		{},
+		{Fingerprint: 1, Backends: []uint32{1}},
+		{Fingerprint: 1, Backends: []uint32{1}, EndedMs: []uint32{1}, RanMs: []uint32{1, 2}, Marks: []uint32{0}},
+	} {
+		_, ok := decodeSuspicion(time.Minute, in)
+		is.True(!ok)
+	}
+	whole := &wire.Suspicion{
+		Fingerprint: 1, Account: 2, Backends: []uint32{3, 4}, EndedMs: []uint32{100, 200}, RanMs: []uint32{50, 60},
+		Marks: []uint32{markBegun, markTry}, AnsweredMs: 301, TriedMs: 0,
+	}
+	s, ok := decodeSuspicion(time.Minute, whole)
+	is.True(ok)
+	is.True(proto.Equal(whole, encodeSuspicion(time.Minute, s)))
+}
+
+// FuzzSuspicions decodes any message, which must not panic nor hold back what it doesn't name.
+func FuzzSuspicions(f *testing.F) {
+	seed, _ := proto.Marshal(&wire.Suspicion{Fingerprint: 1, Backends: []uint32{3}, EndedMs: []uint32{1}, RanMs: []uint32{9}, Marks: []uint32{1}})
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var in wire.Suspicion
+		if proto.Unmarshal(data, &in) != nil {
+			return
+		}
+		c := newSuspicions(1)
+		if s, ok := decodeSuspicion(time.Hour, &in); ok {
+			c.book.Take(time.Hour, s)
+		}
+		if in.Fingerprint != uint64(lethal) && c.book.Judge(time.Hour, lethal).Held {
+			t.Fatal("another request is held back")
+		}
+	})
+}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -105,7 +105,7 @@
 		source:  generation.Source{Store: store.NewEtcd(s.Store)},
 		routers: vmlist.NewHTTP(s.VMList),
 		key:     s.PeerKey,
-		callers: front.New(s.CallerListen, log, metrics),
+		callers: front.New(s.CallerListen, fingerprint.NewMaker([]byte(s.PeerKey)), log, metrics),
 		leave:   func(context.Context) error { return nil },
 	}
 }
--- /dev/null
+++ b/e2e/fragile_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fragile is a plain service that ends under a request with the lethal body, and starts again at the
+// same address after a while.
+type fragile struct {
+	address string
+	mu      sync.Mutex
+	runs    int // of lethal requests
+	stopped bool
+	server  *http.Server
+}
+
+func newFragile(t *testing.T) *fragile {
+	f := &fragile{address: freePort(t)}
+	f.begin(t)
+	t.Cleanup(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.stopped = true
+		_ = f.server.Close()
+	})
+	return f
+}
+
+func (f *fragile) begin(t *testing.T) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", f.address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.handle(t, w, r) })}
+	f.server = server
+	go func() { _ = server.Serve(listener) }()
+}
+
+func (f *fragile) handle(t *testing.T, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if !bytes.Equal(body, []byte(lethal)) {
+		_, _ = io.WriteString(w, "served")
+		return
+	}
+	f.mu.Lock()
+	f.runs++
+	server := f.server
+	f.mu.Unlock()
+	time.Sleep(30 * time.Millisecond)
+	_ = server.Close()
+	time.AfterFunc(backAfter, func() { f.begin(t) })
+}
+
+func (f *fragile) lethalRuns() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs
+}
+
+// TestRequestsThatEndServersAreHeldBack is of the product's own interface: its backend servers start
+// again under their names, and a caller sends what ends them to the routers in turn.
+func TestRequestsThatEndServersAreHeldBack(t *testing.T) {
+	f := newFleet(t, 3)
+	var servers []*fragile
+	var pool strings.Builder
+	for i := range 4 {
+		servers = append(servers, newFragile(t))
+		pool.WriteString("      - {name: fragile-" + string(rune('a'+i)) + ", address: \"" + servers[i].address + "\", data-hall: hall-a, slots: 50}\n")
+	}
+	before := f.configuration("")
+	at := strings.Index(before, "routes:\n")
+	text := before[:at] + "  - name: fragile\n    kind: service\n    backends:\n" + pool.String() + before[at:] +
+		"  - {name: fragile, service: fragile, path: /, pool: fragile, repeatable: true, wait: 30s}\n"
+	if code, out := f.ctl(f.routers[0], "apply", f.write("fragile.yaml", text)); code != 0 {
+		t.Fatalf("apply: exit code %d: %s", code, out)
+	}
+	post := func(n int, body string) (int, string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+f.routers[n%3].callers+"/services/fragile/x", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+leagueKey)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, ""
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text)
+	}
+	f.await("a sound request is served", func() bool { status, _ := post(0, "sound"); return status == http.StatusOK })
+	until := time.Now().Add(10 * time.Second)
+	last := ""
+	for n := 0; time.Now().Before(until); n++ {
+		_, last = post(n, lethal)
+		time.Sleep(250 * time.Millisecond)
+	}
+	runs := 0
+	for _, s := range servers {
+		runs += s.lethalRuns()
+	}
+	t.Logf("%d runs", runs)
+	if runs > 3+sendsAfter {
+		t.Errorf("%d servers ended", runs)
+	}
+	if !strings.Contains(last, "held-back") {
+		t.Errorf("last answered with %s", last)
+	}
+	f.await("a sound request is served", func() bool { status, _ := post(1, "sound"); return status == http.StatusOK })
+}
--- a/front/front.go
+++ b/front/front.go
@@ -17,7 +17,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/back"
+	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/claim"
+	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
@@ -38,15 +40,18 @@
 
 // Service serves callers.
 type Service struct {
-	listen  string
-	log     zerolog.Logger
-	metrics *telemetry.Metrics
+	listen string
+	// fingerprints makes those of requests, alike at all routers.
+	fingerprints fingerprint.Maker
+	log          zerolog.Logger
+	metrics      *telemetry.Metrics
 
 	scheduler  *scheduler.Service
 	generation *generation.Service
 	claims     *claim.Service
 	back       *back.Service
 	traces     *telemetry.Traces
+	witness    blame.Witness
 
 	pace     pace
 	server   *fasthttp.Server
@@ -57,8 +62,8 @@
 }
 
 // New returns the service that listens on an IP and port.
-func New(listen string, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{listen: listen, log: log, metrics: metrics, ended: make(chan struct{})}
+func New(listen string, fingerprints fingerprint.Maker, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
+	return &Service{listen: listen, fingerprints: fingerprints, log: log, metrics: metrics, ended: make(chan struct{})}
 }
 
 // Name implements kernel.Service.
@@ -104,6 +109,9 @@
 	s.generation, failures[1] = kernel.Lookup[*generation.Service](k, generation.ServiceName)
 	s.claims, failures[2] = kernel.Lookup[*claim.Service](k, claim.ServiceName)
 	s.back, failures[3] = kernel.Lookup[*back.Service](k, back.ServiceName)
+	s.witness = blame.Witness{
+		Decisions: s.scheduler, Servers: s.back, Fingerprints: s.fingerprints, Ended: s.metrics.Front.Ended,
+	}
 	s.traces, failures[4] = kernel.Lookup[*telemetry.Traces](k, telemetry.TracesName)
 	return errors.Join(failures[:]...)
 }
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -46,6 +46,7 @@
 	WaitExceeded = &Refusal{"wait-exceeded", 503, NotRun, "the request has waited as long as it may"}
 	Draining     = &Refusal{"draining", 503, NotRun, "the router is stopping; another will take the request"}
 	Unreachable  = &Refusal{"backends-unreachable", 503, NotRun, "no backend server could be reached"}
+	HeldBack     = &Refusal{"held-back", 503, NotRun, "backend servers have ended under this request, one after the other; it is tried again then"}
 	Withdrawn    = &Refusal{"account-withdrawn", 403, NotRun, "the configuration no longer has the client account or the pool"}
 
 	ClaimUnavailable = &Refusal{"claim-unavailable", 503, NotRun, "the request may not be repeated, and its key can't be claimed now"}
@@ -57,7 +58,7 @@
 var refusals = []*Refusal{
 	UnknownKey, UnknownModel, UnknownService, UnknownPath, MalformedBody, BodyTooLarge, BadDeadline,
 	BadClass, BadKey, NotReady, QueueFull, RateLimited, WaitExceeded, Draining, Unreachable,
-	Withdrawn, ClaimUnavailable, AlreadyClaimed, BackendBroke,
+	HeldBack, Withdrawn, ClaimUnavailable, AlreadyClaimed, BackendBroke,
 }
 
 // Refusals returns every kind of refusal.
--- a/front/relay.go
+++ b/front/relay.go
@@ -87,6 +87,7 @@
 	told     time.Time
 	progress func(tokens float64)
 	finish   func(tokens float64, ending core.Ending)
+	brokeOff func() // the backend server did, after part of the answer was read
 	finished bool
 }
 
@@ -101,6 +102,9 @@
 	case err == io.EOF:
 		r.end(core.Done)
 	case err != nil:
+		if !r.finished {
+			r.brokeOff()
+		}
 		r.end(core.Broken)
 	case time.Since(r.told) >= progressEvery:
 		r.told = time.Now()
--- a/front/serve.go
+++ b/front/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,8 +12,10 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/claim"
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -43,12 +46,15 @@
 	holder  claim.Holder
 	sends   int
 	sent    time.Time // when it was last sent
+	sentTo  blame.Send
+	blame   *blame.Case
 }
 
 // serve carries a request through: it waits for a backend server, claims its
 // key, is sent, and its answer is relayed.
 func (s *Service) serve(ctx *fasthttp.RequestCtx, c *call) {
 	a := &attempt{service: s, ctx: ctx, call: c, began: time.Now(), holder: claim.NewHolder()}
+	a.blame = s.witness.Follow(c.account, a.unchanging())
 	a.trace, a.span = s.traces.Begin(s.traces.Extract(context.Background(), &ctx.Request.Header), "request", trace.SpanKindServer)
 	a.span.SetAttributes(attribute.String("account", c.name), attribute.String("route", c.route.Name))
 	ctx.Response.Header.Set(requestIDHeader, c.id)
@@ -87,7 +93,7 @@
 func (a *attempt) submit() {
 	a.held = a.service.scheduler.Submit(core.Arrive{
 		Account: a.call.account, Pool: a.call.route.Pool, Class: a.call.class,
-		Input: a.call.input, Wait: a.call.wait - time.Since(a.began),
+		Input: a.call.input, Wait: a.call.wait - time.Since(a.began), Fingerprint: a.blame.Suspect(),
 	})
 }
 
@@ -197,6 +203,7 @@
 		stop = s.pace.follow(a.held.Progress)
 	}
 	a.sent = time.Now()
+	a.sentTo = blame.Send{Backend: d.Backend, Address: c.AddressOf(d.Backend), At: a.sent}
 	answer, err := s.back.Send(context.WithoutCancel(ctx), c.AddressOf(d.Backend), req)
 	stop()
 	if exchange.NotSent(err) {
@@ -217,6 +224,7 @@
 // went to the caller. It returns false where the request waits again.
 func (a *attempt) brokeOff(cause error) bool {
 	a.held.Finish(0, core.Broken)
+	a.blame.BrokeOff(a.sentTo)
 	if a.call.repeatable() && a.sends < maxSends {
 		a.submit()
 		return false
@@ -231,6 +239,7 @@
 	events := strings.HasPrefix(string(answer.Header.ContentType()), "text/event-stream")
 	r := &relay{answer: answer, meter: meter{events: events}, told: time.Now(), progress: a.held.Progress}
 	r.finish = a.finished
+	r.brokeOff = a.brokeOffBegun
 	size := firstBuffer
 	if !events {
 		size = maxHeld
@@ -295,6 +304,7 @@
 	c := s.generation.InForce()
 	s.metrics.Share.Tokens.WithLabelValues(a.call.name, a.call.route.Name, c.Core.Policy.Name).Add(tokens + a.call.input)
 	if ending == core.Done {
+		a.blame.Answered()
 		s.pace.observe(tokens, time.Since(a.sent))
 		a.end("done")
 		return
@@ -303,6 +313,25 @@
 	a.end("broken")
 }
 
+// brokeOffBegun is called where the backend server broke off an answer of which part was handed on. It
+// may be called after the handler has returned.
+func (a *attempt) brokeOffBegun() {
+	send := a.sentTo
+	send.Begun = true
+	a.blame.BrokeOff(send)
+}
+
+// unchanging returns what stays the same of the request when it comes again. Its parts are copied, as a
+// stream may break off after the handler has returned and its request is used again.
+func (a *attempt) unchanging() func() fingerprint.Request {
+	method, path, body := a.ctx.Method(), a.ctx.RequestURI(), a.call.body
+	request := fingerprint.Request{Account: a.call.name, Method: method, Path: path, Body: body}
+	if a.call.eventsWish {
+		request.Method, request.Path, request.Body = slices.Clone(method), slices.Clone(path), slices.Clone(body)
+	}
+	return func() fingerprint.Request { return request }
+}
+
 func (a *attempt) refuse(r *Refusal, detail string, retryAfter time.Duration) {
 	a.span.SetStatus(codes.Error, r.Code)
 	a.service.refuse(a.ctx, r, detail, retryAfter)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
@@ -48,7 +49,7 @@
 	misses     int  // backend servers that couldn't be reached
 	tried      []model.BackendID
 	relay      relay
-	print      model.Fingerprint // 0 while nobody has asked for it
+	blame      *blame.Case
 	keep       bool              // the connection may carry another request
 }
 
@@ -87,6 +88,7 @@
 		a.count("caller-left")
 		return false
 	}
+	a.blame = a.service.witness.Follow(a.account, a.unchanging)
 	ctx, left := context.WithDeadline(context.Background(), a.deadline)
 	defer left()
 	a.ctx = ctx
@@ -188,7 +190,7 @@
 			Except:    a.tried,
 			Repeat:    a.sends > 0,
 
-			Fingerprint: a.suspect(),
+			Fingerprint: a.blame.Suspect(),
 		})
 	}
 	select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/back"
+	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
@@ -65,6 +66,7 @@
 	scheduler  *scheduler.Service
 	generation *generation.Service
 	back       *back.Service
+	witness    blame.Witness
 
 	listener  net.Listener
 	draining  atomic.Bool
@@ -102,6 +104,9 @@
 	if err := errors.Join(failures[:]...); err != nil {
 		return err
 	}
+	s.witness = blame.Witness{
+		Decisions: s.scheduler, Servers: s.back, Fingerprints: s.settings.Fingerprints, Ended: s.metrics.Front.Ended,
+	}
 	// A caller that is gone is found by the time its request has, and its idle time.
 	listen := net.ListenConfig{KeepAlive: -1}
 	listener, err := listen.Listen(ctx, "tcp", s.settings.Listen)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -7,7 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 )
@@ -128,7 +130,7 @@
 	err := a.relay.run(a, answer)
 	if err == nil {
 		a.finish(core.Done, a.relay.output())
-		a.clear()
+		a.blame.Answered()
 		a.log("done").Int("status", answer.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.begunAfter).Msg("request answered")
 		a.count("done")
 		return true
@@ -172,9 +174,9 @@
 	}
 	a.ran = true
 	a.finish(core.Failed, 0)
-	ended := a.blame(d, cause)
+	ended := a.serverEnded(d, cause)
 	a.log("broke-off").Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).
-		Bool("server_ended", ended).Stringer("fingerprint", a.fingerprint()).Msg("answer broke off")
+		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
 	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
 		return false
 	}
@@ -189,3 +191,23 @@
 	a.refuse(brokeOff, 0)
 	return true
 }
+
+// serverEnded tells whether the backend server of a send whose answer broke off has ended, which is
+// held against the request then.
+func (a *attempt) serverEnded(d scheduler.Decision, cause error) bool {
+	if errors.Is(cause, errCaller) || errors.Is(cause, errNameless) || errors.Is(cause, errFalsePromise) {
+		return false
+	}
+	return a.blame.BrokeOff(blame.Send{
+		Backend: d.Backend, Address: a.service.generation.InForce().AddressOf(d.Backend),
+		At: a.sentAt, Begun: a.relay.begun,
+	})
+}
+
+// unchanging returns what stays the same of the request when it comes again.
+func (a *attempt) unchanging() fingerprint.Request {
+	return fingerprint.Request{
+		Account: a.name, Host: a.req.Header.Host(), Method: a.req.Header.Method(),
+		Path: a.req.Header.RequestURI(), Body: a.req.Body(),
+	}
+}
