--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,7 +50,7 @@
 	tried      []model.BackendID
 	relay      relay
 	blame      *blame.Case
-	keep       bool              // the connection may carry another request
+	keep       bool // the connection may carry another request
 }
 
 // admit finds, by the header alone, what the request is and whether it is refused.
