internal/clock: ages and bounds count the time that a machine is suspended

Cause: the steady clock of the runtime stands still meanwhile, and all ages were differences of it: leases, callers' deadlines, what is believed of others, resting connections and the configuration were as fresh after a sleep as before it. CLOCK_BOOTTIME is read by the core's goroutine, at most every 50 ms, and what was slept is added to the steady clock. After a sleep requests whose time is over end with a true answer, calls of the store are made anew, and after a second or more the router isn't ready until another router or the store has told what holds now. Ruled out: reading the boot clock each time (a system call for every reading; the core takes three an event). A real suspension could not be played here; tests use a clock that jumps. Conclusion: mended for the core, callers' deadlines, leases, claims, resting connections and readiness; pauses and timers of single services still count steady time.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -14,6 +14,7 @@
 
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/claims"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/peer"
@@ -77,7 +78,7 @@
 	store   store.Store
 	writes  float64 // a second, of all shards together
 	metrics *telemetry.Platform
-	began   time.Time
+	began   time.Duration
 
 	peers     *peer.Service
 	scheduler *scheduler.Service
@@ -92,7 +93,7 @@
 // New returns the service; storeWrites is how many writes a second the store takes
 // from the whole fleet.
 func New(store store.Store, storeWrites float64, metrics *telemetry.Platform) *Service {
-	return &Service{store: store, writes: storeWrites * writesPart, metrics: metrics, began: time.Now()}
+	return &Service{store: store, writes: storeWrites * writesPart, metrics: metrics, began: clock.System.Now()}
 }
 
 // Name implements kernel.Service.
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tamarindstep/tamarindstep/core/claims"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -47,7 +48,7 @@
 	}
 }
 
-func (r *runner) now() model.Time { return time.Since(r.service.began) }
+func (r *runner) now() model.Time { return clock.System.Since(r.service.began) }
 
 func (r *runner) loop(ctx context.Context) {
 	defer r.service.ended.Done()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,11 +36,12 @@
 	account model.AccountID
 	name    string // of the account
 
-	refused    *refusal // found by its header
-	shed       bool     // it is refused for what there is to do here
-	began      time.Time
-	deadline   time.Time
-	ctx        context.Context // ends when the caller has left
+	refused    *refusal      // found by its header
+	shed       bool          // it is refused for what there is to do here
+	began      time.Duration // by the clock that counts sleep, as the deadline is
+	deadline   time.Duration
+	ctx        context.Context // ends when the caller has left, or its time is over
+	overslept  atomic.Bool     // its time was over when the machine woke
 	held       *scheduler.Request
 	sentAt     time.Time     // of the last send
 	begunAfter time.Duration // until the first part of a stream came, 0 for none yet
@@ -56,7 +58,7 @@
 // admit finds, by the header alone, what the request is and whether it is refused.
 func (a *attempt) admit() {
 	s := a.service
-	a.began = time.Now()
+	a.began = s.clock.Now()
 	a.keep = !a.req.Header.ConnectionClose() && !s.draining.Load() && !s.crowdedOut()
 	if s.overloaded() {
 		a.keep = false // the next one is turned away unread, or goes to another router
@@ -89,9 +91,11 @@
 		return false
 	}
 	a.blame = a.service.witness.Follow(a.account, a.unchanging)
-	ctx, left := context.WithDeadline(context.Background(), a.deadline)
+	ctx, left := context.WithTimeout(context.Background(), a.left())
 	defer left()
 	a.ctx = ctx
+	a.service.sleepers.add(a, left)
+	defer a.service.sleepers.remove(a)
 	gone := make(chan struct{})
 	stop := a.conn.watch(func() { close(gone); left() })
 	a.serve()
@@ -154,7 +158,7 @@
 	if a.meta.TimeLeft > 0 {
 		limit = min(limit, a.meta.TimeLeft)
 	}
-	a.deadline = a.began.Add(limit)
+	a.deadline = a.began + limit
 }
 
 // serve decides and sends until there is an answer.
@@ -181,7 +185,7 @@
 			Pool:    a.route.PoolFor(rand.Float64()),
 			Class:   a.route.Class,
 			Input:   float64(a.meta.Prompt.Tokens),
-			Wait:    time.Until(a.deadline),
+			Wait:    a.left(),
 
 			Route:     model.HashName(a.route.Name),
 			Prompt:    a.meta.Prompt,
@@ -240,7 +244,7 @@
 		route = a.route.Name
 	}
 	return a.service.log.Info().Str("request", a.meta.ID).Str("outcome", outcome).
-		Str("account", a.name).Str("route", route).Dur("age_ms", time.Since(a.began))
+		Str("account", a.name).Str("route", route).Dur("age_ms", a.service.clock.Since(a.began))
 }
 
 // logDispatch notes a decision with what it rests on.
@@ -262,7 +266,7 @@
 // end answers a request of which nothing was sent, once its time is over or its
 // caller has left.
 func (a *attempt) end(r *refusal) {
-	if !errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+	if a.callerLeft() {
 		a.keep = false
 		a.count("caller-left")
 		return
@@ -273,9 +277,17 @@
 	a.giveUp(r)
 }
 
+// left returns how much of the request's time is left.
+func (a *attempt) left() time.Duration { return a.service.clock.Until(a.deadline) }
+
+// callerLeft tells whether the request has ended as its caller left, and not as its time is over.
+func (a *attempt) callerLeft() bool {
+	return errors.Is(a.ctx.Err(), context.Canceled) && !a.overslept.Load()
+}
+
 // mayRetry tells whether the request may be sent to another backend server.
 func (a *attempt) mayRetry() bool {
-	return a.sends < max(a.route.Through.Attempts, 1) && time.Until(a.deadline) > 0
+	return a.sends < max(a.route.Through.Attempts, 1) && a.left() > 0
 }
 
 func (a *attempt) finish(ending core.Ending, output float64) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -67,6 +68,8 @@
 	generation *generation.Service
 	back       *back.Service
 	witness    blame.Witness
+	clock      *clock.Clock
+	sleepers   sleepers
 
 	listener  net.Listener
 	draining  atomic.Bool
@@ -84,7 +87,7 @@
 
 // New returns the service.
 func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional()}
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers()}
 }
 
 // Name implements kernel.Service.
@@ -107,6 +110,7 @@
 	s.witness = blame.Witness{
 		Decisions: s.scheduler, Servers: s.back, Fingerprints: s.settings.Fingerprints, Ended: s.metrics.Front.Ended,
 	}
+	s.scheduler.Observe(scheduler.Observer{Slept: func(time.Duration) { s.sleepers.wake() }})
 	// A caller that is gone is found by the time its request has, and its idle time.
 	listen := net.ListenConfig{KeepAlive: -1}
 	listener, err := listen.Listen(ctx, "tcp", s.settings.Listen)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -105,7 +104,7 @@
 		if n > 0 {
 			if !began {
 				began = true
-				a.begunAfter = time.Since(a.began)
+				a.begunAfter = a.service.clock.Since(a.began)
 				a.held.Began()
 			}
 			r.parts++
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -27,7 +26,7 @@
 	a.req.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(a.req.Body())
 	s.settings.Dialect.Forward(&req.Header, Forward{
-		Backend: backend.Name, Account: a.name, TimeLeft: time.Until(a.deadline), LastEvent: a.relay.resumeAt(),
+		Backend: backend.Name, Account: a.name, TimeLeft: a.left(), LastEvent: a.relay.resumeAt(),
 		CopyFrom: inForce.AddressOf(d.CopyFrom),
 	})
 	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
@@ -60,7 +59,7 @@
 // patience returns how long a backend server may be silent. One that may have
 // fallen dark isn't waited for while another can still answer in time.
 func (a *attempt) patience() time.Duration {
-	left := time.Until(a.deadline)
+	left := a.left()
 	through := a.route.Through
 	another := a.route.Repeatable && !through.Streaming && a.sends+1 < through.Attempts
 	if !another || through.Objective <= 0 {
@@ -165,7 +164,7 @@
 // failed handles a request that was sent and whose answer broke off. It returns
 // false where it is sent again.
 func (a *attempt) failed(d scheduler.Decision, cause error) bool {
-	if errors.Is(a.ctx.Err(), context.Canceled) {
+	if a.callerLeft() {
 		a.finish(core.Broken, 0)
 		a.keep = false
 		a.log("caller-left").Int("send", a.sends).Msg("caller left")
@@ -184,7 +183,7 @@
 		a.breakOff()
 		return true
 	}
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil { // its time is over
 		a.refuse(timedOut, 0)
 		return true
 	}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -199,7 +199,7 @@
 func (s *Service) begin(ctx context.Context) {
 	s.run, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	s.storeReturned()
-	s.decisions.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted, Contact: s.contactStore, Returned: s.storeReturned})
+	s.decisions.Observe(scheduler.Observer{Generation: s.generationSeen, Store: s.watchWanted, Contact: s.contactStore, Returned: s.storeReturned, Slept: s.slept})
 	s.ended.Add(2)
 	go s.getFirst()
 	go s.followStore()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 )
 
@@ -71,7 +72,7 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	wrote  atomic.Bool
-	idle   time.Time
+	idle   time.Duration // when it began to be, by the clock that counts sleep
 	rest   time.Duration // how long it may be idle
 }
 
@@ -170,7 +171,7 @@
 // usable tells whether a kept connection is still open and silent: one that
 // has ended, or carries bytes nobody asked for, is not used again.
 func (c *conn) usable() bool {
-	fresh := time.Since(c.idle) <= c.rest && c.reader.Buffered() == 0
+	fresh := clock.System.Since(c.idle) <= c.rest && c.reader.Buffered() == 0
 	return fresh && socket.Look(c.Conn) == socket.Silent
 }
 
@@ -208,7 +209,7 @@
 }
 
 func (c *Client) keep(conn *conn) {
-	conn.idle = time.Now()
+	conn.idle = clock.System.Now()
 	_ = conn.SetDeadline(time.Time{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/core/retry"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/peer"
@@ -66,6 +67,8 @@
 	Returned func()
 	// Contact asks whether the store answers; core.StoreContacted is to be told.
 	Contact func()
+	// Slept is told that the machine was suspended, after the core's time has gone on by as long.
+	Slept func(time.Duration)
 	// Held is given each request that is held back from now on, or isn't any more.
 	Held func(core.HeldChanged)
 }
@@ -77,7 +80,8 @@
 	metrics *telemetry.Metrics
 	events  chan told
 	ask     chan func(*core.Core)
-	began   time.Time
+	clock   *clock.Clock
+	began   time.Duration // by the clock
 	peers   *peer.Service
 
 	mu        sync.Mutex
@@ -115,7 +119,8 @@
 		metrics: metrics,
 		events:  make(chan told, queueSize),
 		ask:     make(chan func(*core.Core)),
-		began:   time.Now(),
+		clock:   clock.System,
+		began:   clock.System.Now(),
 		waiters: map[core.RequestID]chan Decision{},
 		ended:   make(chan struct{}),
 
@@ -195,8 +200,23 @@
 	s.Tell(core.Configure{Config: c.Core})
 }
 
-// now is the time since the service was made, by the monotonic clock.
-func (s *Service) now() model.Time { return time.Since(s.began) }
+// now is the time since the service was made, in which the machine may have slept.
+func (s *Service) now() model.Time { return s.clock.Since(s.began) }
+
+// noteSleep notes that the machine was suspended. By the core's time all that it believes is older by as long
+// already; the other services are told what becomes of theirs.
+func (s *Service) noteSleep() {
+	slept := s.clock.Look()
+	if slept == 0 {
+		return
+	}
+	s.log.Warn().Dur("slept_ms", slept).Msg("the machine was suspended")
+	s.eachObserver(func(o Observer) {
+		if o.Slept != nil {
+			o.Slept(slept)
+		}
+	})
+}
 
 func (s *Service) run(ctx context.Context) {
 	defer close(s.ended)
@@ -212,11 +232,13 @@
 		case <-ctx.Done():
 			return
 		case t := <-s.events:
+			s.noteSleep()
 			s.lag.note(s.now() - t.at)
 			s.step(c, t.event)
 		case look := <-s.ask:
 			look(c)
 		case <-timer.C:
+			s.noteSleep()
 			s.lag.note(s.now() - due)
 			s.step(c, core.Tick{})
 		}
