gateway, generation: nothing is sent for callers that left, and nothing is served by what is known to be old

Cause: a router whose processor callers take up sent requests on half a second after their callers had left, as the answer that lets it send again and the caller's end are there at once; and served by a configuration that it knew to be old for ten seconds, as it couldn't fetch the newer one. Right before the first byte, also after a connection was made and on each resend, the request's time and its caller's connection are looked at; and a router that has heard for a second of something newer than it has says 503 until it has it, or hears of it no more. Ruled out: the last router heard as the only one asked (a second one is asked after 0.4 s; both were slow here).

--- a/e2e/pause_test.go
+++ b/e2e/pause_test.go
@@ -51,3 +51,40 @@
 		w.is.Equal(len(w.runsOf(id)), 0)
 	}
 }
+
+// TestPlatformRequestsArentSentAgainForCallersThatLeft stops a router while backend servers work on
+// requests that may be repeated. Their callers leave, and the servers fail, before it goes on: both
+// are there to be read at once, and nothing may be sent for callers that have left.
+func TestPlatformRequestsArentSentAgainForCallersThatLeft(t *testing.T) {
+	w := newWorld(t, 1)
+	r := w.routers[0]
+	w.behave(w.services, users.Behaviour{Gap: 500 * time.Millisecond, Status: 500})
+	var callers []*users.Caller
+	var sent []string
+	for range 16 {
+		c, err := users.Dial(r.callers)
+		w.is.NoErr(err)
+		req := w.request("POST", "/look/1")
+		w.is.NoErr(c.Send(req))
+		callers, sent = append(callers, c), append(sent, req.ID)
+	}
+	await(t, "all are sent", func() bool {
+		for _, id := range sent {
+			if len(w.runsOf(id)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	w.is.NoErr(r.cmd.Process.Signal(syscall.SIGSTOP))
+	for _, c := range callers {
+		c.Close()
+	}
+	time.Sleep(time.Second)
+	w.is.NoErr(r.cmd.Process.Signal(syscall.SIGCONT))
+	w.behave(w.services, users.Behaviour{})
+	await(t, "it serves again", func() bool { return callStatus(w, r) == 200 })
+	for _, id := range sent {
+		w.is.Equal(len(w.runsOf(id)), 1)
+	}
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -31,7 +31,7 @@
 	})
 	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
 		Patient: a.patience(), Undelimited: true, Stable: true,
-		Skip: a.isSurplus,
+		Skip: a.isSurplus, Wanted: a.isWanted,
 	})
 	if exchange.NotSent(err) {
 		return a.unreached(d)
@@ -68,6 +68,21 @@
 	return min(left+afterDeadline, max(silentFor*through.Objective, minPatience))
 }
 
+// promptly is how soon after its arrival a request is sent without another look at its caller.
+const promptly = 20 * time.Millisecond
+
+// isWanted tells whether the request's time isn't over and its caller hasn't left. A router that comes late
+// finds an answer that lets it send a request again beside the news that its caller has left, and which of
+// the two it takes up first is chance: one that had 0.192 of a processor and the callers of an account that asks
+// six times its usual sent five requests on over half a second after that.
+func (a *attempt) isWanted() bool {
+	if a.left() <= 0 {
+		return false
+	}
+	soon := a.sends == 0 && a.service.clock.Since(a.began) < promptly
+	return soon || !a.conn.hasLeft()
+}
+
 // isSurplus tells whether an answer names another request than this one.
 func (a *attempt) isSurplus(h *fasthttp.ResponseHeader) bool {
 	id := a.service.settings.Dialect.Answer(h).ID
@@ -100,6 +115,11 @@
 		a.end(tooLate)
 		return true
 	}
+	if !a.isWanted() {
+		a.keep = false
+		a.giveUp(tooLate)
+		return true
+	}
 	if a.misses < maxUnreached {
 		return false
 	}
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -36,6 +36,7 @@
 		if out.Document != nil {
 			s.install(out.Document, 0)
 		}
+		s.noteTaken()
 		return nil
 	})
 }
@@ -107,6 +108,7 @@
 func (s *Service) generationSeen(seen core.GenerationSeen) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteSeen(seen.Versions)
 	if !seen.Versions.Exceed(s.heldVersions()) || s.run.Err() != nil {
 		return
 	}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -32,6 +32,7 @@
 	"github.com/tamarindstep/tamarindstep/config/check/checks"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/finding"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/pause"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/peer"
@@ -150,7 +151,9 @@
 	halls     halls
 
 	watch   chan bool
-	reached atomic.Bool // the store, when it was asked last
+	reached atomic.Bool   // the store, when it was asked last
+	seen    core.Versions // the newest that another router has, but for the catalog
+	stale   stale
 	waits   waits
 	cancel  context.CancelFunc
 	run     context.Context
@@ -215,8 +218,11 @@
 // InForce returns the configuration in force, or nil.
 func (s *Service) InForce() *config.InForce { return s.inForce.Load() }
 
-// Ready tells whether the configuration in force is known to be recent.
-func (s *Service) Ready() bool { return s.ready.Load() && s.InForce() != nil }
+// Ready tells whether the configuration in force is known to be recent. A router that knows that it isn't must
+// not serve by it: it would refuse keys and routes that are there, and run what may not be run any more.
+func (s *Service) Ready() bool {
+	return s.ready.Load() && s.InForce() != nil && !s.stale.isStale(clock.System.Now())
+}
 
 // Document returns the document in force, or nil.
 func (s *Service) Document() *wire.Document {
@@ -315,6 +321,7 @@
 	})
 	c.Core.Edition = s.catalog.edition
 	s.inForce.Store(c)
+	s.noteWhetherStale()
 	s.decisions.Configure(c)
 	return c
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -120,8 +120,14 @@
 	// Skip tells of an answer's head whether it is a surplus one, to an earlier
 	// request, that is to be passed over. nil passes over none.
 	Skip func(*fasthttp.ResponseHeader) bool
+	// Wanted tells, right before the first byte is written, whether the request is still to be sent. A
+	// connection may have taken a while to make. nil stands for yes.
+	Wanted func() bool
 }
 
+// errUnwanted is the error for a request that wasn't to be sent any more.
+var errUnwanted = errors.New("the request isn't wanted any more")
+
 // maxSkipped is how many surplus answers are passed over in one exchange.
 const maxSkipped = 1
 
@@ -132,6 +138,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if options.Wanted != nil && !options.Wanted() {
+		c.keep(conn)
+		return nil, &Error{Err: errUnwanted}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer := &Answer{Response: fasthttp.AcquireResponse(), client: c, conn: conn, options: options, stop: stop}
 	if err := answer.exchange(req); err != nil {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -46,7 +46,8 @@
 		return Ended
 	}
 	state := Ended
-	err = control.Read(func(fd uintptr) bool {
+	// Not by Read, which would wait for another goroutine that reads.
+	err = control.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -55,7 +56,6 @@
 		case peekErr == nil && n > 0:
 			state = Talking
 		}
-		return true
 	})
 	if err != nil {
 		return Ended
