gateway: connections are turned away within a rate

Cause: a router of 0.192 of a processor turned away some 8,000 connections a second in bursts, at about 80 microseconds each, and had no time left for the requests it served, nor for what routers tell each other. Accepting those that are turned away is paced at 4,000 a second for a whole core; the others wait in the system's queue. Ruled out: pausing all accepts (requests that can be served would wait as well).

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -44,6 +44,11 @@
 	callersPart = 0.45
 )
 
+// turnAwaysPerCore is how many connections a second a whole core may turn away: at some 80 microseconds each
+// (BenchmarkPlatformRefusal) a third of it, so that the rest is left for requests that are served, and
+// for what the routers tell each other.
+const turnAwaysPerCore = 4000
+
 // retryWindow is the span over which the retry budget is counted.
 const retryWindow = 10 * time.Second
 
@@ -130,7 +135,8 @@
 		key:     key,
 		callers: gateway.New(gateway.Settings{
 			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
-			MaxConns: int((s.Files - filesKept) * callersPart), Fingerprints: fingerprint.NewMaker([]byte(key)),
+			MaxConns: int((s.Files - filesKept) * callersPart), TurnAways: s.Processor * turnAwaysPerCore,
+			Fingerprints: fingerprint.NewMaker([]byte(key)),
 		}, log, metrics),
 		leave: routers.Leave,
 	}, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// From half of it on, connections end with their answers: callers keep those that rest
 	// for many seconds, and those of an account that is refused often would take up all.
 	MaxConns int
+	// TurnAways is how many connections a second are turned away at the most, 0 for any number. More
+	// wait in the system's queue until it is their turn, and what is to be done for others goes on.
+	TurnAways float64
 	// Fingerprints makes those of requests, alike at all routers.
 	Fingerprints fingerprint.Maker
 }
@@ -136,6 +139,7 @@
 
 func (s *Service) accept() {
 	defer s.ended.Done()
+	turnedAway := newPacer(s.settings.TurnAways)
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
@@ -143,6 +147,7 @@
 		}
 		if s.overloaded() || s.connected.Load() >= int64(s.settings.MaxConns) {
 			s.turnAway(c)
+			turnedAway.pause()
 			continue
 		}
 		s.connected.Add(1)
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -48,6 +50,27 @@
 	}
 }
 
+// TestTurnedAwayCallersLeaveTimeForOthers lets callers come faster than they may be turned away: the others
+// wait in the system's queue until it is their turn, and get their answer then.
+func TestTurnedAwayCallersLeaveTimeForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPacer(100)
+		began := time.Now()
+		for range 300 {
+			p.pause()
+		}
+		took := time.Since(began)
+		is.True(took > 2900*time.Millisecond && took < 3100*time.Millisecond)
+		time.Sleep(10 * time.Second) // what wasn't used isn't saved up
+		began = time.Now()
+		for range 100 {
+			p.pause()
+		}
+		is.True(time.Since(began) > 900*time.Millisecond)
+	})
+}
+
 // TestCrowdedAccountIsRefusedByHeader lets an account have as many requests pending as
 // it may: its next large one is refused whole though its body never comes.
 func TestCrowdedAccountIsRefusedByHeader(t *testing.T) {
