--- a/admin/admin.go
+++ b/admin/admin.go
@@ -26,6 +26,7 @@
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy/policies"
 	"github.com/tamarindstep/tamarindstep/status"
 	"github.com/tamarindstep/tamarindstep/store"
@@ -159,6 +160,7 @@
 	r.GET("/admin/v1/status", s.guard(s.showStatus))
 	r.GET("/admin/v1/policies", s.guard(s.policies))
 	r.POST("/admin/v1/drain/{router}", s.guard(s.drain))
+	r.POST("/admin/v1/release/{request}", s.guard(s.release))
 	return r
 }
 
@@ -339,6 +341,18 @@
 	return out
 }
 
+// release clears a request of what is held against it.
+func (s *Service) release(ctx *fasthttp.RequestCtx) {
+	text, _ := ctx.UserValue("request").(string)
+	f, err := model.ParseFingerprint(text)
+	if err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, Error{Code: CodeBadRequest, Message: err.Error()})
+		return
+	}
+	s.status.Release(f)
+	ctx.SetStatusCode(fasthttp.StatusAccepted)
+}
+
 func (s *Service) drain(ctx *fasthttp.RequestCtx) {
 	name, _ := ctx.UserValue("router").(string)
 	if err := s.status.DrainRouter(context.Background(), name); err != nil {
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -207,7 +207,7 @@
 	if e == nil || !b.isHeld(f) {
 		return Verdict{}
 	}
-	out := Verdict{Held: true, Ends: len(e.counting()), RetryAfter: b.calm(b.due(e)) - now}
+	out := Verdict{Held: true, Ends: len(e.counting()), RetryAfter: b.Due(f) - now}
 	if out.RetryAfter > 0 {
 		return out
 	}
@@ -251,6 +251,15 @@
 	}
 }
 
+// Due returns when a request that is held back is tried here.
+func (b *Book) Due(f model.Fingerprint) model.Time {
+	e := b.entries[f]
+	if e == nil {
+		return Never
+	}
+	return b.calm(b.due(e))
+}
+
 // Held returns what is held against each request that is held back, in order.
 func (b *Book) Held() []Suspicion {
 	b.judge()
--- a/core/view.go
+++ b/core/view.go
@@ -24,6 +24,20 @@
 	}
 	c.viewBackends(out)
 	c.viewAccounts(out)
+	c.viewHeld(out)
+}
+
+func (c *Core) viewHeld(out *wire.StatusResponse) {
+	for _, h := range c.suspicions.book.Held() {
+		first := c.now
+		for _, end := range h.Ends {
+			first = min(first, end.At)
+		}
+		out.Held = append(out.Held, &wire.HeldStatus{
+			Fingerprint: uint64(h.Fingerprint), Account: c.config.Accounts[h.Account].Name, Ends: uint32(len(h.Ends)),
+			SinceMs: milliseconds(c.now - first), TryMs: milliseconds(c.suspicions.book.Due(h.Fingerprint) - c.now),
+		})
+	}
 }
 
 func (c *Core) others() []*member.Member {
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -93,7 +93,7 @@
 	f.String("router", "", "IP and port of a router's administration API (TAMARINDSTEP_ROUTER)")
 	f.String("operator-token-file", "", "file with the operators' token (TAMARINDSTEP_OPERATOR_TOKEN_FILE)")
 	f.StringVarP(&o.output, "output", "o", "text", "text or json")
-	c.AddCommand(o.validate(), o.diff(), o.apply(), o.get(), o.status(), o.evacuate(), o.drain(), o.policies(), o.hashKey(), o.explain())
+	c.AddCommand(o.validate(), o.diff(), o.apply(), o.get(), o.status(), o.evacuate(), o.drain(), o.release(), o.policies(), o.hashKey(), o.explain())
 	return c
 }
 
@@ -305,15 +305,24 @@
 	}
 }
 
+func (o *options) release() *cobra.Command {
+	return o.order("release REQUEST", "Let a request through that is held back, by its fingerprint", "/admin/v1/release/")
+}
+
 func (o *options) drain() *cobra.Command {
+	return o.order("drain ROUTER", "Let a router finish its requests and stop", "/admin/v1/drain/")
+}
+
+// order returns a command that gives an order about what its one argument names.
+func (o *options) order(use, short, path string) *cobra.Command {
 	return &cobra.Command{
-		Use: "drain ROUTER", Short: "Let a router finish its requests and stop", Args: cobra.ExactArgs(1),
+		Use: use, Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := o.connect(cmd)
 			if err != nil {
 				return err
 			}
-			r, err := c.call("POST", "/admin/v1/drain/"+args[0], nil)
+			r, err := c.call("POST", path+args[0], nil)
 			if err != nil {
 				return err
 			}
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/admin"
 	"github.com/tamarindstep/tamarindstep/finding"
@@ -57,6 +58,11 @@
 	}
 }
 
+// seconds prints a time given in ms.
+func seconds(ms uint32) string {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
+}
+
 func printStatus(w io.Writer, f status.Fleet) {
 	rows := [][]any{{"ROUTER", "DATA HALL", "STATUS", "READY", "GENERATION", "POLICY", "ERROR"}}
 	for _, r := range f.Routers {
@@ -76,6 +82,14 @@
 	}
 	table(w, rows)
 	fmt.Fprintf(w, "\ngeneration %d, gap %d tokens\n", f.Generation, f.GapTokens)
+	if len(f.Held) > 0 {
+		fmt.Fprintln(w, "\nheld back, as backend servers ended under them:")
+		rows = [][]any{{"REQUEST", "ACCOUNT", "SERVERS ENDED", "SINCE", "TRIED IN", "ROUTERS"}}
+		for _, h := range f.Held {
+			rows = append(rows, []any{h.Fingerprint, h.Account, h.Ends, seconds(h.SinceMS), seconds(h.TryMS), h.Routers})
+		}
+		table(w, rows)
+	}
 	if len(f.Evacuated) > 0 {
 		fmt.Fprintln(w, "evacuated:", strings.Join(f.Evacuated, ", "))
 	}
--- a/model/model.go
+++ b/model/model.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,18 @@
 // String returns the form that logs and operators use.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// fingerprintDigits is how many hexadecimal digits a fingerprint is written with.
+const fingerprintDigits = 16
+
+// ParseFingerprint reads the form that logs and operators use.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != fingerprintDigits || f == 0 {
+		return 0, fmt.Errorf("%q isn't a fingerprint: one is %d hexadecimal digits", text, fingerprintDigits)
+	}
+	return Fingerprint(f), nil
+}
+
 // Class is the urgency of a request inside its account.
 type Class uint8
 
--- a/status/status.go
+++ b/status/status.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/tamarindstep/tamarindstep/fleet"
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/peer"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
@@ -133,6 +135,18 @@
 	Generation uint64    `json:"generation"` // the highest in force anywhere
 	// Evacuated names the data halls that are evacuated by what any router has in force.
 	Evacuated []string `json:"evacuated,omitempty"`
+	// Held are the requests that any router holds back.
+	Held []Held `json:"held,omitempty"`
+}
+
+// Held is a request that is held back, as backend servers have ended under it.
+type Held struct {
+	Fingerprint string `json:"fingerprint"`
+	Account     string `json:"account"` // "" for none
+	Ends        uint32 `json:"ends"`
+	SinceMS     uint32 `json:"since_ms"` // ago, the first of them
+	TryMS       uint32 `json:"try_ms"`   // until a router tries it
+	Routers     int    `json:"routers"`  // that hold it back
 }
 
 // Router is one router.
@@ -245,11 +259,37 @@
 	slices.Sort(f.Evacuated)
 	f.Evacuated = slices.Compact(f.Evacuated)
 	slices.SortFunc(f.Backends, func(a, b Backend) int { return cmp.Compare(a.Name+a.Owner, b.Name+b.Owner) })
+	f.Held = joinHeld(answers)
 	f.Accounts = sumAccounts(answers)
 	f.GapTokens = fillGaps(f.Accounts)
 	return f
 }
 
+// joinHeld puts together what the routers know of each request that is held back.
+func joinHeld(answers []*wire.StatusResponse) []Held {
+	joined := map[string]*Held{}
+	for _, a := range answers {
+		for _, h := range a.Held {
+			name := model.Fingerprint(h.Fingerprint).String()
+			if joined[name] == nil {
+				joined[name] = &Held{Fingerprint: name, Account: h.Account, TryMS: h.TryMs}
+			}
+			held := joined[name]
+			held.Ends, held.SinceMS = max(held.Ends, h.Ends), max(held.SinceMS, h.SinceMs)
+			held.TryMS = min(held.TryMS, h.TryMs)
+			held.Routers++
+		}
+	}
+	var out []Held
+	for _, name := range slices.Sorted(maps.Keys(joined)) {
+		out = append(out, *joined[name])
+	}
+	return out
+}
+
+// Release clears a request of what is held against it, at all routers.
+func (s *Service) Release(f model.Fingerprint) { s.scheduler.Tell(core.Answered{Fingerprint: f}) }
+
 // sumAccounts adds up each account's parts at the routers; what is known over
 // the fleet is taken from the router that has seen the most.
 func sumAccounts(answers []*wire.StatusResponse) []Account {
