core/suspect: an end that is told late is no other end

Cause, found by reading: servers that start again under their names made an end known by its time, and what is told of one may wait at a relay for seconds where bytes are few, so that one end could count as three. How long the request had run there is told in microseconds and identifies the end. Ruled out: identity by the server alone (the product's own keep their names).

--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -61,7 +61,7 @@
 	together = 250 * time.Millisecond
 	// sameEnd is how far apart two routers see the same end at the most. A backend server that starts again
 	// under its name needs longer.
-	sameEnd = time.Second
+	sameEnd = 1500 * time.Millisecond
 	// minRun is the shortest time from sending to an end that is held against a request: one that was
 	// written to a backend server which had ended already can't have ended it.
 	minRun = 5 * time.Millisecond
@@ -403,7 +403,7 @@
 	own := len(e.counting())
 	for f := range others {
 		other := b.entries[f]
-		if f == e.Fingerprint || !other.has(end.Backend, end.At) {
+		if other == nil || f == e.Fingerprint || !other.has(end.Backend, end.At) {
 			continue
 		}
 		if len(other.counting()) > own || end.Try && other.triedOn(end) {
@@ -468,7 +468,7 @@
 
 // add adds an end, and tells whether it is new.
 func (e *entry) add(end End) bool {
-	if e.has(end.Backend, end.At) || end.At <= e.Answered {
+	if e.knows(end) || end.At <= e.Answered {
 		return false
 	}
 	e.Ends = append(e.Ends, end)
@@ -479,6 +479,15 @@
 	return true
 }
 
+// knows tells whether an end is known. What is told of it may have waited at a relay, so that its time is off by
+// seconds; how long the request had run there then is the same, in microseconds.
+func (e *entry) knows(end End) bool {
+	return slices.ContainsFunc(e.Ends, func(known End) bool {
+		same := known.Ran.Microseconds() == end.Ran.Microseconds() || (known.At-end.At).Abs() <= sameEnd
+		return known.Backend == end.Backend && same
+	})
+}
+
 // has tells whether the request ran on a backend server as it ended at about some time.
 func (e *entry) has(backend model.BackendID, at model.Time) bool {
 	return slices.ContainsFunc(e.Ends, func(end End) bool {
--- a/core/suspicions.go
+++ b/core/suspicions.go
@@ -144,7 +144,7 @@
 		}
 		out.Backends = append(out.Backends, uint32(end.Backend))
 		out.EndedMs = append(out.EndedMs, milliseconds(now-end.At))
-		out.RanMs = append(out.RanMs, milliseconds(end.Ran))
+		out.RanUs = append(out.RanUs, uint32(min(max(end.Ran.Microseconds(), 0), longestRun.Microseconds())))
 		out.Marks = append(out.Marks, marks)
 	}
 	return out
@@ -153,7 +153,7 @@
 // decodeSuspicion reads a suspicion from a message; ok is false where it can't be one.
 func decodeSuspicion(now model.Time, in *wire.Suspicion) (out suspect.Suspicion, ok bool) {
 	n := len(in.Backends)
-	if in.Fingerprint == 0 || len(in.EndedMs) != n || len(in.RanMs) != n || len(in.Marks) != n {
+	if in.Fingerprint == 0 || len(in.EndedMs) != n || len(in.RanUs) != n || len(in.Marks) != n {
 		return out, false
 	}
 	out = suspect.Suspicion{
@@ -162,7 +162,7 @@
 	}
 	for i, backend := range in.Backends {
 		out.Ends = append(out.Ends, suspect.End{
-			Backend: model.BackendID(backend), At: now - ofMilliseconds(in.EndedMs[i]), Ran: ofMilliseconds(in.RanMs[i]),
+			Backend: model.BackendID(backend), At: now - ofMilliseconds(in.EndedMs[i]), Ran: time.Duration(in.RanUs[i]) * time.Microsecond,
 			Begun: in.Marks[i]&markBegun != 0, Try: in.Marks[i]&markTry != 0,
 		})
 	}
@@ -185,6 +185,9 @@
 	return now - ofMilliseconds(ms-1)
 }
 
+// longestRun is the longest time that a request is told to have run.
+const longestRun = time.Hour
+
 // longest is the longest time that is told, in ms: a day.
 const longest = 24 * 60 * 60 * 1000
 
--- a/heldstore/heldstore.go
+++ b/heldstore/heldstore.go
@@ -203,7 +203,7 @@
 func kept(in *wire.Suspicion) *wire.Suspicion {
 	return &wire.Suspicion{
 		Fingerprint: in.Fingerprint, Account: in.Account, Backends: in.Backends,
-		EndedMs: make([]uint32, len(in.Backends)), RanMs: in.RanMs, Marks: in.Marks,
+		EndedMs: make([]uint32, len(in.Backends)), RanUs: in.RanUs, Marks: in.Marks,
 	}
 }
 
