--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -41,7 +41,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -127,14 +126,6 @@
 	Ends       int           // that count
 }
 
-// entry is a suspicion, and how often it was told.
-type entry struct {
-	Suspicion
-	saw   bool // this router has seen one of the ends, or the last answer
-	tell  int  // how many times it is still to be told
-	tells model.Time
-}
-
 // Book is what one router knows of requests under which backend servers have ended.
 type Book struct {
 	salt    uint64 // differs between routers
@@ -314,130 +305,6 @@
 	return e
 }
 
-// due returns when a held-back request is to be tried.
-func (b *Book) due(e *entry) model.Time {
-	last := e.Answered
-	for _, end := range e.counting() {
-		last = max(last, end.At)
-	}
-	if e.Tried > last {
-		return e.Tried + tryPause + b.jitter(e.Fingerprint)
-	}
-	return last + b.wait(e) + b.jitter(e.Fingerprint)
-}
-
-// calm returns when a try that is due is made: once no backend server has ended for a while.
-func (b *Book) calm(due model.Time) model.Time {
-	last := Never
-	for _, at := range b.ended {
-		last = max(last, at)
-	}
-	return max(due, min(last+calmFor, due+postponed))
-}
-
-// wait returns how long a request is held back until it is tried.
-func (b *Book) wait(e *entry) time.Duration {
-	failed := 0
-	for _, end := range e.counting() {
-		if !end.Try {
-			continue
-		}
-		failed++
-		if b.points(e, end, b.held) == strongPoints {
-			return tryLast
-		}
-	}
-	if failed >= doubtfulTries {
-		return tryRare
-	}
-	return tryFirst
-}
-
-// jitter returns a part of tryJitter that differs between routers. Its square is spread evenly, so that
-// only few of the routers come early.
-func (b *Book) jitter(f model.Fingerprint) time.Duration {
-	mixed := (uint64(f) ^ b.salt) * 0x9E3779B97F4A7C15 // the golden ratio, as in Fibonacci hashing
-	return time.Duration(float64(tryJitter) * math.Sqrt(float64(mixed>>32)/(1<<32)))
-}
-
-// judge works out which requests are held back: first without what others explain, then with it.
-func (b *Book) judge() {
-	if !b.stale {
-		return
-	}
-	b.stale = false
-	first := b.judged(nil)
-	b.held = b.judged(first)
-	b.digest = b.digested()
-}
-
-// judged returns the requests with points enough, where some others explain ends.
-func (b *Book) judged(others map[model.Fingerprint]bool) map[model.Fingerprint]bool {
-	out := map[model.Fingerprint]bool{}
-	for f, e := range b.entries {
-		sum := 0
-		if !e.covered() {
-			continue // one end isn't enough
-		}
-		for _, end := range e.counting() {
-			sum += b.points(e, end, others)
-		}
-		if sum >= heldFrom {
-			out[f] = true
-		}
-	}
-	return out
-}
-
-// points returns what an end counts against a request.
-func (b *Book) points(e *entry, end End, others map[model.Fingerprint]bool) int {
-	if end.Begun || b.withOthers(e, end) || b.explained(e, end, others) {
-		return weakPoints
-	}
-	return strongPoints
-}
-
-// explained tells whether another held-back request ran on a backend server as it ended, which has more
-// ends or was being tried as well.
-func (b *Book) explained(e *entry, end End, others map[model.Fingerprint]bool) bool {
-	own := len(e.counting())
-	for f := range others {
-		other := b.entries[f]
-		if other == nil || f == e.Fingerprint || !other.has(end.Backend, end.At) {
-			continue
-		}
-		if len(other.counting()) > own || end.Try && other.triedOn(end) {
-			return true
-		}
-	}
-	return false
-}
-
-// withOthers tells whether a backend server ended together with one on which the request didn't run.
-func (b *Book) withOthers(e *entry, end End) bool {
-	for backend, at := range b.ended {
-		if (at-end.At).Abs() <= together && !e.has(backend, at) {
-			return true
-		}
-	}
-	return false
-}
-
-func (b *Book) digested() uint64 {
-	var out uint64
-	for f, e := range b.entries {
-		if !e.covered() {
-			continue
-		}
-		// Sums don't depend on the order of the map.
-		out += uint64(f) * uint64(len(e.counting())+1)
-		for _, end := range e.counting() {
-			out += uint64(f) ^ uint64(end.Backend)<<17
-		}
-	}
-	return out
-}
-
 // prune forgets what is old, and the oldest where there is too much. It goes over everything, so that it
 // is done now and then only.
 func (b *Book) prune(now model.Time) {
@@ -465,66 +332,3 @@
 	}
 	b.touch()
 }
-
-// add adds an end, and tells whether it is new.
-func (e *entry) add(end End) bool {
-	if e.knows(end) || end.At <= e.Answered {
-		return false
-	}
-	e.Ends = append(e.Ends, end)
-	if len(e.Ends) > maxEnds {
-		slices.SortFunc(e.Ends, func(x, y End) int { return cmp.Compare(x.At, y.At) })
-		e.Ends = slices.Delete(e.Ends, 0, 1)
-	}
-	return true
-}
-
-// knows tells whether an end is known. What is told of it may have waited at a relay, so that its time is off by
-// seconds; how long the request had run there then is the same, in microseconds.
-func (e *entry) knows(end End) bool {
-	return slices.ContainsFunc(e.Ends, func(known End) bool {
-		same := known.Ran.Microseconds() == end.Ran.Microseconds() || (known.At-end.At).Abs() <= sameEnd
-		return known.Backend == end.Backend && same
-	})
-}
-
-// has tells whether the request ran on a backend server as it ended at about some time.
-func (e *entry) has(backend model.BackendID, at model.Time) bool {
-	return slices.ContainsFunc(e.Ends, func(end End) bool {
-		return end.Backend == backend && (end.At-at).Abs() <= sameEnd
-	})
-}
-
-// triedOn tells whether the request was being tried on a backend server as it ended.
-func (e *entry) triedOn(at End) bool {
-	return slices.ContainsFunc(e.Ends, func(end End) bool {
-		return end.Try && end.Backend == at.Backend && (end.At-at.At).Abs() <= sameEnd
-	})
-}
-
-// counting returns the ends since the last whole answer.
-func (e *entry) counting() []End {
-	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return end.At <= e.Answered })
-	return e.Ends
-}
-
-// blamed tells whether anything is held against the request.
-func (e *entry) blamed() bool { return len(e.counting()) > 0 }
-
-// covered tells whether the digest covers the entry.
-func (e *entry) covered() bool { return len(e.counting()) >= 2 }
-
-// last returns when anything last happened.
-func (e *entry) last() model.Time {
-	out := max(e.Answered, e.Tried)
-	for _, end := range e.Ends {
-		out = max(out, end.At)
-	}
-	return out
-}
-
-func (e *entry) copied() Suspicion {
-	out := e.Suspicion
-	out.Ends = slices.Clone(e.counting())
-	return out
-}
