gateway, platform: what a backend server says of itself is read and on the log

Sight before the mend: the logs could not tell whether a router had been told that a server leaves or wants rest, nor which server had turned a request away. Read once in the dialect (the word of leaving; Retry-After beside a 503, as a number of seconds above zero, at the most ten minutes); an answer of another server (421) or to another request says nothing. Nothing is decided by it yet. Lines 'backend server says of itself' and, where it can't be read, why; the line of a request that was turned away names server and status; a counter. Ruled out: taking the word where the answer names no request, as it may be a late one's.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -134,8 +134,9 @@
 	if meta.ID == "" && answer.StatusCode() < fasthttp.StatusBadRequest {
 		return a.failed(d, errNameless)
 	}
+	a.hear(d, meta)
 	if meta.NotRun {
-		return a.notRun()
+		return a.notRun(d, answer.StatusCode())
 	}
 	if promises[answer.StatusCode()] {
 		return a.failed(d, errFalsePromise)
@@ -157,9 +158,14 @@
 	return a.failed(d, err)
 }
 
+// nameOf returns the name of the backend server that was decided on, "" for one that is gone since.
+func (a *attempt) nameOf(d scheduler.Decision) string {
+	return a.service.generation.InForce().Core.Backends[d.Backend].Name
+}
+
 // notRun handles an answer that says that the request wasn't run.
-func (a *attempt) notRun() bool {
-	a.log("rejected").Int("send", a.sends).Msg("backend server didn't run the request")
+func (a *attempt) notRun(d scheduler.Decision, status int) bool {
+	a.log("rejected").Str("backend", a.nameOf(d)).Int("status", status).Int("send", a.sends).Msg("backend server didn't run the request")
 	a.finish(core.Rejected, 0)
 	if a.mayRetry() {
 		return false
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -33,6 +33,7 @@
 	Wait     *prometheus.HistogramVec // seconds, by account, class, policy
 	First    *prometheus.HistogramVec // seconds to the first byte, by route
 	Ended    prometheus.Counter
+	Notices  *prometheus.CounterVec // by what they say
 	Open     prometheus.Gauge
 }
 
@@ -80,6 +81,7 @@
 			Wait:     f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
 			First:    f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
 			Ended:    f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
+			Notices:  f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
 			Open:     f.gauge("requests_open", "Requests being served."),
 		},
 		Share: &Share{
