e2e: a server that leaves or rests is sent to on and on: failing, listed

Seen: with the store silent, 573 requests reached a server later than three seconds after it had said that it leaves (329 in the two seconds before its word). Asked for three seconds of rest, three routers sent 213 requests to one of four servers, and 448 to 651 to each where all four rest (6 are allowed); callers are asked back after 0.3 s where two seconds are left.

--- /dev/null
+++ b/e2e/notice_test.go
@@ -0,0 +1,165 @@
+package e2e
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+// What was seen: on the league's nine routers, requests reached an engine over two seconds after its
+// answers had told the routers that it leaves; and engines that had turned a router's requests away and asked
+// it for three seconds of rest got up to seven further ones of it in that time.
+//
+// How it came about: the store was silent as the engine began to leave, so its entry there said "ready" for
+// twelve seconds more. The resting engines were three of a pool of four, and callers went on coming.
+//
+// Cause: routers passed answers on and heard nothing of what stood in their heads. Leaving was known from
+// the store alone, and a server that turned a request away was left out for 50 ms, however long it asked for.
+//
+// Proof: the tests below count what reaches a server after it has spoken. With what answers say on the log,
+// the routers wrote down each word and went on sending first sends that waited for nothing.
+
+const (
+	// leaveWithin is how long after a router has passed the word on requests may still reach a server that leaves.
+	leaveWithin = 2 * time.Second
+	// restBegins is how long after the word requests may still reach a server that rests, and restAllows how
+	// many of each router may after that.
+	restBegins = 500 * time.Millisecond
+	restAllows = 2
+	// heardBy is when all routers of these tests have surely had an answer of each server: each has some
+	// hundred requests a second.
+	heardBy = time.Second
+	// rest is how long a server asks to be left alone.
+	rest = 3 * time.Second
+)
+
+// newPool starts a pool of four plain services, and routers that use them; the services that every world has are gone.
+func newPool(t *testing.T, routers int) (*world, []*users.Backend) {
+	w := newWorld(t, routers)
+	for _, b := range w.services {
+		w.store.Remove("servers/" + b.Name)
+	}
+	var pool []*users.Backend
+	for i := range 4 {
+		pool = append(pool, w.backend(fmt.Sprintf("pool-run-%d", i), "entries"))
+	}
+	w.behave(pool, users.Behaviour{Gap: 25 * time.Millisecond})
+	await(t, "every server of the pool is used", func() bool {
+		users.Call(w.routers[w.last%routers].callers, w.request("GET", "/look/first"))
+		for _, b := range pool {
+			if len(b.Runs()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return w, pool
+}
+
+// crowd returns callers that come all the time.
+func crowd(n int) []caller {
+	var out []caller
+	for i := range n {
+		method, path := "GET", fmt.Sprintf("/look/crowd-%d", i)
+		if i%2 == 1 {
+			method, path = "POST", fmt.Sprintf("/claim/crowd-%d", i)
+		}
+		out = append(out, caller{method, path, "the body", 5 * time.Millisecond})
+	}
+	return out
+}
+
+// begin lets callers come for some time, and returns what gives their answers once they have ended.
+func (w *world) begin(long time.Duration, callers []caller) func() map[string][]users.Answer {
+	done := make(chan map[string][]users.Answer, 1)
+	go func() { done <- w.callFor(long, callers) }()
+	return func() map[string][]users.Answer { return <-done }
+}
+
+func statuses(answers map[string][]users.Answer) map[int]int {
+	out := map[int]int{}
+	for _, all := range answers {
+		for _, got := range all {
+			out[got.Status]++
+		}
+	}
+	return out
+}
+
+func TestPlatformServersThatSayTheyLeaveGetNothing(t *testing.T) {
+	w, pool := newPool(t, 3)
+	for _, door := range w.doors {
+		door.Shut()
+	}
+	answers := w.begin(9*time.Second, crowd(24))
+	time.Sleep(2 * time.Second)
+	leaving := pool[1]
+	spoke := time.Now()
+	leaving.Behave(users.Behaviour{Gap: 25 * time.Millisecond, Leaving: true})
+	time.Sleep(6 * time.Second)
+	before := leaving.Arrivals(spoke.Add(-2*time.Second), spoke)
+	after := leaving.Arrivals(spoke.Add(heardBy+leaveWithin), time.Now())
+	t.Logf("%d requests in the two seconds before it spoke, %d from three seconds after it", before, after)
+	w.is.True(before > 50)
+	if after > 0 {
+		t.Errorf("%d requests reached a server from three seconds on after it had said that it leaves", after)
+	}
+	if got := statuses(answers()); got[200] == 0 || len(got) != 1 {
+		t.Errorf("callers got, by status: %v", got)
+	}
+}
+
+// refusedUntil checks that a request is refused at once, and its caller asked back about when the servers
+// have rested.
+func (w *world) refusedUntil(over time.Time) {
+	w.t.Helper()
+	for _, r := range w.routers {
+		left := time.Until(over).Seconds()
+		got := users.Call(r.callers, w.request("POST", "/claim/refused"))
+		after, err := strconv.ParseFloat(got.RetryAfter, 64)
+		if got.Status != 503 || err != nil || after < left-1 || after > left+1 {
+			w.t.Errorf("a caller whose servers rest for another %.1f s gets %d and is asked back after %q s", left, got.Status, got.RetryAfter)
+		}
+	}
+}
+
+func TestPlatformServersThatAskForRestAreLeftAlone(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		resting int
+	}{{"one of four", 1}, {"all four", 4}} {
+		t.Run(c.name, func(t *testing.T) {
+			w, pool := newPool(t, 3)
+			answers := w.begin(2*rest+2*time.Second, crowd(24))
+			time.Sleep(time.Second)
+			tired := pool[:c.resting]
+			spoke := time.Now()
+			over := spoke.Add(rest)
+			w.behave(tired, users.Behaviour{Rest: strconv.Itoa(int(rest.Seconds()))})
+			time.Sleep(heardBy)
+			if c.resting == len(pool) {
+				w.refusedUntil(over)
+			}
+			// They are well a little before the time that they have asked for is over.
+			time.Sleep(time.Until(over.Add(-restBegins)))
+			w.behave(tired, users.Behaviour{Gap: 25 * time.Millisecond})
+			time.Sleep(time.Until(over))
+			for _, b := range tired {
+				got := b.Arrivals(spoke.Add(restBegins), over)
+				t.Logf("%s got %d requests while it rested", b.Name, got)
+				if got > restAllows*len(w.routers) {
+					t.Errorf("%s had asked for rest and got %d requests", b.Name, got)
+				}
+			}
+			t.Logf("callers got, by status: %v", statuses(answers()))
+			for _, b := range tired {
+				if n := b.Arrivals(over.Add(time.Second), over.Add(rest)); n < 50 {
+					t.Errorf("%s has rested and gets %d requests", b.Name, n)
+				}
+			}
+		})
+	}
+}
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -28,6 +28,8 @@
 	Nameless  bool          // the answer doesn't say whose it is
 	EndsUnder string        // the body of requests under which the server ends, "" for none
 	EndsAfter time.Duration // how long such a request has run by then
+	Leaving   bool          // all its answers say that it leaves
+	Rest      string        // every request is turned away and this rest is asked for, in seconds; "" for none
 }
 
 // Run is one request that a backend server has run.
@@ -53,6 +55,7 @@
 	behaviour Behaviour
 	runs      []Run
 	turned    int // requests turned away
+	arrivals  []time.Time
 	conns     map[net.Conn]bool
 }
 
@@ -163,7 +166,7 @@
 	x := b.behaviour
 	b.mu.Unlock()
 	if x.Early {
-		b.reject(c, req)
+		b.reject(c, req, x)
 	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
@@ -174,11 +177,12 @@
 	}
 	if want := req.Header.Get("Tamarindstep-Expected-Instance"); want != b.Name {
 		b.turn()
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nTamarindstep-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.Name)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nTamarindstep-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", b.Name, x.notice())
 		return err == nil
 	}
-	if x.Reject {
-		return b.reject(c, req)
+	b.arrive()
+	if x.Reject || x.Rest != "" {
+		return b.reject(c, req, x)
 	}
 	run := b.note(req, body)
 	if x.EndsUnder != "" && x.EndsUnder == string(body) {
@@ -202,19 +206,50 @@
 	return b.plain(c, x, id)
 }
 
+// Arrivals returns how many requests that were meant for it have come from one moment until another.
+func (b *Backend) Arrivals(from, until time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, at := range b.arrivals {
+		if !at.Before(from) && at.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Backend) arrive() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, time.Now())
+}
+
 func (b *Backend) turn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.turned++
 }
 
-func (b *Backend) reject(c net.Conn, req *http.Request) bool {
+func (b *Backend) reject(c net.Conn, req *http.Request, x Behaviour) bool {
 	b.turn()
 	id := req.Header.Get("Tamarindstep-Request-Id")
-	_, err := io.WriteString(c, head(503, id, "")+"Tamarindstep-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	after := ""
+	if x.Rest != "" {
+		after = "Retry-After: " + x.Rest + "\r\n"
+	}
+	_, err := io.WriteString(c, head(503, id, "")+x.notice()+after+"Tamarindstep-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	return err == nil
 }
 
+// notice returns the header by which it says that it leaves, "" where it doesn't.
+func (x Behaviour) notice() string {
+	if !x.Leaving {
+		return ""
+	}
+	return "Server-Leaving: 1\r\n"
+}
+
 func (b *Backend) note(req *http.Request, body []byte) int {
 	h := req.Header
 	left, _ := strconv.Atoi(h.Get("Tamarindstep-Request-Deadline-Ms"))
@@ -249,7 +284,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	out := head(status, id, "seal-"+b.Name)
+	out := head(status, id, "seal-"+b.Name) + x.notice()
 	if !x.Unframed {
 		_, err := io.WriteString(c, out+"Content-Length: "+strconv.Itoa(len(plainBody))+"\r\n\r\n"+plainBody)
 		return err == nil
@@ -276,7 +311,7 @@
 	b.mu.Lock()
 	from, _ := strconv.Atoi(b.runs[run].LastEvent)
 	b.mu.Unlock()
-	out := head(200, id, "seal-"+b.Name) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	out := head(200, id, "seal-"+b.Name) + x.notice() + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	if _, err := io.WriteString(c, out); err != nil {
 		return b.left(run)
 	}
