gateway, core: what a backend server says of itself is heeded

Cause: an answer's head was passed on and heard by nobody; leaving was known from the store alone, and a server that turned a request away was left out for 50 ms however long it asked for. Class: what somebody says of himself is heard only at second hand, from whoever keeps a list, which may be silent or old. Ruled out by the new log lines: a word that comes too late or is lost again. Now core/notice keeps what was said, by life of a server, for this router; both choose by it (decisions) and look once more right before the first byte (notices). Where all rest, requests are refused at once, and callers asked back when the first has rested, no faster than half of what the servers can do. The same for the product's own interface (503 with Retry-After), where an owner grants nobody a slot of a server that rests.

--- a/back/back.go
+++ b/back/back.go
@@ -49,10 +49,10 @@
 	return nil
 }
 
-// Send sends a request to the backend server at an IP and port.
+// Send sends a request to the backend server at an IP and port, if it is still wanted once there is a connection.
 // exchange.NotSent tells of its error whether any byte was written.
-func (s *Service) Send(ctx context.Context, address string, req *fasthttp.Request) (*exchange.Answer, error) {
-	return s.clients.Of(address).Do(ctx, req, exchange.Options{Patient: patience})
+func (s *Service) Send(ctx context.Context, address string, req *fasthttp.Request, wanted func() bool) (*exchange.Answer, error) {
+	return s.clients.Of(address).Do(ctx, req, exchange.Options{Patient: patience, Wanted: wanted})
 }
 
 // Exchange is Send with options of the caller's.
--- a/core/core.go
+++ b/core/core.go
@@ -48,6 +48,7 @@
 	"github.com/tamarindstep/tamarindstep/core/estimate"
 	"github.com/tamarindstep/tamarindstep/core/ledger"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/notice"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/core/retry"
 	"github.com/tamarindstep/tamarindstep/model"
@@ -95,6 +96,7 @@
 	grants    uint64
 
 	suspicions suspicions
+	notices    *notice.Book
 
 	placement placement
 	watched   []model.BackendID // as in the last Watch
@@ -131,7 +133,9 @@
 		lastGrant:  map[model.Key]uint64{},
 		watch:      watch{reached: now},
 	}
+	c.notices = notice.New()
 	c.prompt = prompt.New(now, random)
+	c.prompt.Heed(c.notices)
 	c.retries = retry.New(retry.Limits{})
 	c.suspicions = newSuspicions(self.Boot)
 	c.ledger = ledger.New(self.Name, now, random.Uint64, c.lookAheadOf)
@@ -205,6 +209,8 @@
 		c.load(e)
 	case Leaving:
 		c.leaving(e.Backends)
+	case Noticed:
+		c.noticed(e)
 	case ServerEnded:
 		c.serverEnded(e)
 	case Answered:
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/core/notice"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -123,6 +124,12 @@
 // Leaving lists the backend servers that the VM list shows as leaving or gone.
 type Leaving struct{ Backends []model.BackendID }
 
+// Noticed is what a backend server has said of itself to this router.
+type Noticed struct {
+	Backend model.BackendID
+	Notice  notice.Notice
+}
+
 // StoreContacted tells whether the store has answered a ContactStore.
 type StoreContacted struct{ Reached bool }
 
@@ -142,6 +149,7 @@
 func (StoreContacted) event() {}
 func (Load) event()           {}
 func (Leaving) event()        {}
+func (Noticed) event()        {}
 func (Drain) event()          {}
 func (ServerEnded) event()    {}
 func (Answered) event()       {}
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -290,6 +290,9 @@
 	if b := c.config.Backends[id]; b.Leaving || b.Evacuated {
 		return true
 	}
+	if !c.notices.Takes(c.now, id) {
+		return true
+	}
 	f := c.refused[id]
 	return f != nil && (f.leaving || c.now < f.until)
 }
--- a/core/owner.go
+++ b/core/owner.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if h.Refused {
-		b.suspended = c.now + suspension
+		b.suspended = max(b.suspended, c.now+suspension)
 	}
 	c.dirty[b.pool] = true
 }
--- a/core/prompt/coldstart.go
+++ b/core/prompt/coldstart.go
@@ -106,7 +106,7 @@
 	var out []model.BackendID
 	for _, id := range m.fleet.mine[pool] {
 		s := m.servers[id]
-		if len(out) < maxOwnCold && s.cold.is(m.now) && s.takes(m.now) {
+		if len(out) < maxOwnCold && s.cold.is(m.now) && m.takes(s) {
 			out = append(out, id)
 		}
 	}
--- a/core/prompt/home.go
+++ b/core/prompt/home.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	for _, id := range r.candidates {
-		if s := m.servers[id]; s != nil && s.engine && s.serves() && !s.health.out(m.now) && !s.cold.is(m.now) {
+		if s := m.servers[id]; s != nil && s.engine && s.serves() && m.notices.Takes(m.now, id) && !s.health.out(m.now) && !s.cold.is(m.now) {
 			return s
 		}
 	}
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -49,6 +49,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tamarindstep/tamarindstep/core/notice"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -116,6 +117,8 @@
 	unheard    unheard
 	fleet      fleet
 	usable     float64 // part of the engines that aren't evacuated
+	notices    *notice.Book
+	returns    map[model.PoolID]model.Time // when the last caller was asked back that found all resting
 }
 
 // request is a request that waits or runs.
@@ -147,6 +150,8 @@
 		works:    map[model.PoolID]*mean{},
 		fleet:    fleet{began: now},
 		usable:   1,
+		notices:  notice.New(),
+		returns:  map[model.PoolID]model.Time{},
 	}
 }
 
@@ -221,6 +226,9 @@
 	}
 }
 
+// Heed lets the machine heed what backend servers say of themselves, as a book holds it.
+func (m *Machine) Heed(notices *notice.Book) { m.notices = notices }
+
 // SetRouters tells how many routers are live, this one included.
 func (m *Machine) SetRouters(n int) { m.routers = max(n, 1) }
 
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -116,6 +116,9 @@
 		m.dispatch(r, p, l)
 		return
 	}
+	if !ok && m.refuseResting(r, l) {
+		return
+	}
 	if stands == within && waited < m.mayWait(r, ok) {
 		return
 	}
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -69,6 +69,7 @@
 	OverShare Reason = "over-share" // its account has had its share, and others wait
 	QueueFull Reason = "queue-full" // too many wait here, or too many of its account
 	TooLate   Reason = "too-late"   // its time is over
+	Resting   Reason = "resting"    // all that could serve it have asked for rest
 )
 
 // Refuse refuses a request of which nothing was sent.
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -66,9 +66,9 @@
 	return &server{id: id, at: now, kept: newKept(), pace: newPace()}
 }
 
-// takes tells whether anything new may be sent there at present.
-func (s *server) takes(now model.Time) bool {
-	return s.serves() && !s.health.out(now) && s.cold.takes(now)
+// takes tells whether anything new may be sent to a backend server at present.
+func (m *Machine) takes(s *server) bool {
+	return s.serves() && m.notices.Takes(m.now, s.id) && !s.health.out(m.now) && s.cold.takes(m.now)
 }
 
 // serves tells whether it is there to be sent to, whatever its state at present.
--- a/core/prompt/service.go
+++ b/core/prompt/service.go
@@ -29,7 +29,7 @@
 	sum := 0.0
 	for _, id := range m.byPool[r.Pool] {
 		s := m.servers[id]
-		if !s.takes(m.now) || slices.Contains(r.Except, id) {
+		if !m.takes(s) || slices.Contains(r.Except, id) {
 			continue
 		}
 		p := m.placeAtService(s)
--- a/core/slots.go
+++ b/core/slots.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// noticed takes what a backend server says of itself. Where this router grants its slots, nobody gets one while
+// it rests: a grant that its receiver may not use is a slot that idles.
+func (c *Core) noticed(e Noticed) {
+	c.notices.Take(c.now, e.Backend, e.Notice)
+	if b := c.backends[e.Backend]; b != nil {
+		b.suspended = max(b.suspended, c.notices.RestsUntil(c.now, e.Backend))
+	}
+}
+
 // notePeak keeps the most slots known to be taken while the load may have been
 // measured, so that a late report doesn't pass for foreign work.
 func (c *Core) notePeak(b *backend, occupied int) {
--- a/front/front.go
+++ b/front/front.go
@@ -21,8 +21,10 @@
 	"github.com/tamarindstep/tamarindstep/claim"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/notices"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 )
@@ -52,6 +54,7 @@
 	back       *back.Service
 	traces     *telemetry.Traces
 	witness    blame.Witness
+	notices    *notices.Board
 
 	pace     pace
 	server   *fasthttp.Server
@@ -112,6 +115,7 @@
 	s.witness = blame.Witness{
 		Decisions: s.scheduler, Servers: s.back, Fingerprints: s.fingerprints, Ended: s.metrics.Front.Ended,
 	}
+	s.notices = notices.New(s.scheduler, clock.System, s.metrics.Front.Notices)
 	s.traces, failures[4] = kernel.Lookup[*telemetry.Traces](k, telemetry.TracesName)
 	return errors.Join(failures[:]...)
 }
--- /dev/null
+++ b/front/notice.go
@@ -0,0 +1,29 @@
+package front
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/core/notice"
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/internal/retryafter"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+)
+
+// hear takes how long a backend server wants nothing that is too busy. That it leaves is told by its health.
+func (a *attempt) hear(d scheduler.Decision, answer *exchange.Answer) {
+	after := answer.Header.Peek(fasthttp.HeaderRetryAfter)
+	if answer.StatusCode() != fasthttp.StatusServiceUnavailable || len(after) == 0 {
+		return
+	}
+	s := a.service
+	log := s.log.Info().Str("request", a.call.id).Str("backend", s.generation.InForce().Core.Backends[d.Backend].Name)
+	rest, err := retryafter.Parse(string(after))
+	if err != nil {
+		s.notices.Unreadable()
+		log.Err(err).Msg("what a backend server says of itself can't be read")
+		return
+	}
+	if s.notices.Hear(d.Backend, notice.Notice{Rest: rest}) {
+		log.Dur("rest_ms", rest).Msg("backend server wants nothing new")
+	}
+}
--- a/front/serve.go
+++ b/front/serve.go
@@ -204,7 +204,8 @@
 	}
 	a.sent = time.Now()
 	a.sentTo = blame.Send{Backend: d.Backend, Address: c.AddressOf(d.Backend), At: a.sent}
-	answer, err := s.back.Send(context.WithoutCancel(ctx), c.AddressOf(d.Backend), req)
+	takes := func() bool { return s.notices.Takes(d.Backend) }
+	answer, err := s.back.Send(context.WithoutCancel(ctx), c.AddressOf(d.Backend), req, takes)
 	stop()
 	if exchange.NotSent(err) {
 		span.SetStatus(codes.Error, err.Error())
@@ -217,6 +218,7 @@
 		span.SetStatus(codes.Error, err.Error())
 		return a.brokeOff(err)
 	}
+	a.hear(d, answer)
 	return a.relay(answer)
 }
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/core/notice"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -47,15 +48,8 @@
 	ID string // of the request that it answers
 	// NotRun tells that the request was not run.
 	NotRun bool
-	Notice Notice
-	// Problem is why something that it says of itself can't be read, nil where it can or there is nothing.
+	// Notice is what it says of itself.
+	Notice notice.Notice
+	// Problem is why some of that can't be read, nil where it can or there is nothing.
 	Problem error
 }
-
-// Notice is what a backend server says of itself, beside an answer.
-type Notice struct {
-	// Leaving tells that it is about to end and wants nothing more.
-	Leaving bool
-	// Rest is for how long it wants nothing from this router, 0 where it doesn't ask for any.
-	Rest time.Duration
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/kernel"
+	"github.com/tamarindstep/tamarindstep/notices"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 )
@@ -71,6 +72,7 @@
 	generation *generation.Service
 	back       *back.Service
 	witness    blame.Witness
+	notices    *notices.Board
 	clock      *clock.Clock
 	sleepers   sleepers
 
@@ -113,6 +115,7 @@
 	s.witness = blame.Witness{
 		Decisions: s.scheduler, Servers: s.back, Fingerprints: s.settings.Fingerprints, Ended: s.metrics.Front.Ended,
 	}
+	s.notices = notices.New(s.scheduler, s.clock, s.metrics.Front.Notices)
 	s.scheduler.Observe(scheduler.Observer{Slept: func(time.Duration) { s.sleepers.wake() }})
 	// A caller that is gone is found by the time its request has, and its idle time.
 	listen := net.ListenConfig{KeepAlive: -1}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -31,7 +31,8 @@
 	})
 	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
 		Patient: a.patience(), Undelimited: true, Stable: true,
-		Skip: a.isSurplus, Wanted: a.isWanted,
+		Skip:   a.isSurplus,
+		Wanted: func() bool { return a.isWanted() && s.notices.Takes(d.Backend) },
 	})
 	if exchange.NotSent(err) {
 		return a.unreached(d)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -31,6 +31,8 @@
 	Reset string `json:"reset"`
 	// Leaving makes a backend server report that it is leaving.
 	Leaving bool `json:"leaving"`
+	// Rest makes a backend server turn requests away and ask for so many seconds of rest, "" for not.
+	Rest string `json:"rest"`
 }
 
 // faulty is the part that all stand-ins share.
@@ -88,6 +90,14 @@
 	faulty
 	runsMu sync.Mutex
 	runs   map[string]int
+	turned int
+}
+
+// Turned returns how many requests were turned away.
+func (b *backend) Turned() int {
+	b.runsMu.Lock()
+	defer b.runsMu.Unlock()
+	return b.turned
 }
 
 // Runs returns how often each request was run, by its X-Request-Id.
@@ -126,12 +136,24 @@
 		if faults.Leaving {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
-	default:
+	case "/metrics":
 		return false
+	default:
+		return faults.Rest != "" && b.turnAway(ctx, faults.Rest)
 	}
 	return true
 }
 
+// turnAway refuses a request that isn't run, and asks for rest.
+func (b *backend) turnAway(ctx *fasthttp.RequestCtx, rest string) bool {
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, rest)
+	b.runsMu.Lock()
+	defer b.runsMu.Unlock()
+	b.turned++
+	return true
+}
+
 func slow(f Faults) {
 	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
 }
