scheduler, kernel: the core begins once all that observe it are there

What it says in its first step (watch the store, ask the store) is said once, and was lost on a service that started after it on a busy machine. The kernel now lets services begin that wait for all to be started. Class: a signal that is sent once, to whoever is there.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -25,6 +25,14 @@
 	Stop(ctx context.Context) error
 }
 
+// Beginner is a service that begins its work only once all services have been started. What it told others before would
+// be lost on those that start after it.
+type Beginner interface {
+	Service
+	// Begin returns at once. It is called at most once.
+	Begin()
+}
+
 // The errors of the kernel.
 var (
 	namespace = errorx.NewNamespace("kernel")
@@ -70,8 +78,8 @@
 	return t, nil
 }
 
-// Start starts all services, each after those it needs. Where one fails, those
-// already started are stopped and every failure is returned.
+// Start starts all services, each after those it needs, and then lets those begin that wait for all. Where one
+// fails, those already started are stopped and every failure is returned.
 func (k *Kernel) Start(ctx context.Context) error {
 	order, err := k.order()
 	if err != nil {
@@ -84,6 +92,11 @@
 		}
 		k.started = append(k.started, s)
 	}
+	for _, s := range order {
+		if b, ok := s.(Beginner); ok {
+			b.Begin()
+		}
+	}
 	return nil
 }
 
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -45,6 +45,34 @@
 	is.Equal(strings.Join(events, ", "), "start log, start back, start front, stop front, stop back, stop log")
 }
 
+// waiting is a service that begins once all are started.
+type waiting struct{ fake }
+
+func (w *waiting) Begin() { *w.events = append(*w.events, "begin "+w.name) }
+
+func TestBeginnersWaitForAll(t *testing.T) {
+	is := is.New(t)
+	var events []string
+	k, err := New(
+		&waiting{fake{name: "core", events: &events}},
+		&fake{name: "front", needs: []string{"core"}, events: &events},
+	)
+	is.NoErr(err)
+	is.NoErr(k.Start(context.Background()))
+	is.NoErr(k.Stop(context.Background()))
+	is.Equal(strings.Join(events, ", "), "start core, start front, begin core, stop front, stop core")
+
+	events = nil
+	broken := errors.New("broken")
+	k, err = New(
+		&waiting{fake{name: "core", events: &events}},
+		&fake{name: "front", needs: []string{"core"}, start: broken, events: &events},
+	)
+	is.NoErr(err)
+	is.True(errors.Is(k.Start(context.Background()), broken))
+	is.Equal(strings.Join(events, ", "), "start core, start front, stop core")
+}
+
 func TestFailuresAreReportedTogether(t *testing.T) {
 	is := is.New(t)
 	var events []string
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -96,7 +96,9 @@
 	loadsBytes float64
 	lag        lag
 
+	until  context.Context
 	cancel context.CancelFunc
+	begun  bool
 	ended  chan struct{}
 }
 
@@ -142,21 +144,32 @@
 		return err
 	}
 	s.peers = peers
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s.cancel = cancel
-	go s.run(run)
+	s.until, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	peers.OnDatagram(func(d *wire.Datagram) { s.Tell(core.Receive{Datagram: d}) })
 	return nil
 }
 
+// Begin implements kernel.Beginner. The core takes its first step once all that observe it are there: what it says then, as
+// that this router watches the store, it says once. A router that was started beside busy processes now and then
+// followed the store no more, and heard of no evacuation for a minute and longer.
+func (s *Service) Begin() {
+	s.begun = true
+	go s.run(s.until)
+}
+
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.peers.OnDatagram(nil)
 	s.cancel()
+	if !s.begun {
+		close(s.ended)
+	}
 	<-s.ended
 	return nil
 }
 
+var _ kernel.Beginner = (*Service)(nil)
+
 // Observe adds an observer; it must be done before events come.
 func (s *Service) Observe(o Observer) {
 	s.mu.Lock()
