e2e: backend servers fail when they are told to, not by a clock

TestPlatformRequestsArentSentAgainForCallersThatLeft failed once (never: all are sent). Traced: its two servers failed 500 ms after each request came; where the 16 requests take longer than that to be sent, as beside other test runs, the first failures leave both servers out and the last requests are refused, so that they are never sent. The servers now fail once the router is stopped.

--- a/e2e/pause_test.go
+++ b/e2e/pause_test.go
@@ -54,11 +54,13 @@
 
 // TestPlatformRequestsArentSentAgainForCallersThatLeft stops a router while backend servers work on
 // requests that may be repeated. Their callers leave, and the servers fail, before it goes on: both
-// are there to be read at once, and nothing may be sent for callers that have left.
+// are there to be read at once, and nothing may be sent for callers that have left. The servers fail when they are
+// told to: by a clock, on a busy machine, they failed before all requests had come, and got the last ones no more.
 func TestPlatformRequestsArentSentAgainForCallersThatLeft(t *testing.T) {
 	w := newWorld(t, 1)
 	r := w.routers[0]
-	w.behave(w.services, users.Behaviour{Gap: 500 * time.Millisecond, Status: 500})
+	fail := make(chan struct{})
+	w.behave(w.services, users.Behaviour{Held: fail, Status: 500})
 	var callers []*users.Caller
 	var sent []string
 	for range 16 {
@@ -80,6 +82,7 @@
 	for _, c := range callers {
 		c.Close()
 	}
+	close(fail)
 	time.Sleep(time.Second)
 	w.is.NoErr(r.cmd.Process.Signal(syscall.SIGCONT))
 	w.behave(w.services, users.Behaviour{})
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -16,6 +16,7 @@
 type Behaviour struct {
 	Events    int           // of a streamed answer; 0 for a plain one
 	Gap       time.Duration // between events, and before a plain answer
+	Held      chan struct{} // a plain answer comes once this is closed, nil for at once
 	CutAfter  int           // events after which the answer breaks off, 0 for never
 	CutInside bool          // it breaks off within the next event
 	Unframed  bool          // the answer has no length and ends with its connection
@@ -292,6 +293,12 @@
 
 func (b *Backend) plain(c net.Conn, x Behaviour, id string) bool {
 	b.pause(x.Gap)
+	if x.Held != nil {
+		select {
+		case <-x.Held:
+		case <-b.closed:
+		}
+	}
 	status := x.Status
 	if status == 0 {
 		status = http.StatusOK
