--- a/internal/standin/users/door.go
+++ b/internal/standin/users/door.go
@@ -47,6 +47,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	d.store.tellEra(w)
 	d.store.handler.ServeHTTP(w, r)
 }
 
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -34,6 +34,7 @@
 	lose     int   // answers to writes that will be lost
 	calls    map[string]int
 	old      map[string]entry // what stale reads see, nil for what is there
+	era      int              // rises when the store comes back from a copy
 }
 
 type entry struct {
@@ -264,12 +265,13 @@
 		changed := s.changed
 		down, gone := s.down, since < s.forgot
 		events, at := s.since(q.Get("path_prefix"), since)
+		w.Header().Set(eraHeader, strconv.Itoa(s.era))
 		s.mu.Unlock()
 		switch {
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
-		case gone:
+		case gone || since > at:
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
