platform, generation, peerkey: a store that comes back older

Cause: a revision was taken for a moment in the life of the store, and the key that routers share was made once and then only read. Now a version is an era and a revision, ordered as a number (model.Version), tagged in the adapter with each answer's Store-Era, so that catalog, halls, watches, swaps, leases and what routers tell each other go by it with no new field on the wire; an era that is lower, or can't be read, is refused and counted. What differs from the copy holds on for five seconds unless it is written again; a router that starts doesn't speak for the era; each router looks once an era whether the shared key is there, and writes or takes it. Found on the way: a read of the evacuations that waits for its answer could undo what was watched meanwhile.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -22,6 +22,7 @@
 	"github.com/tamarindstep/tamarindstep/heldstore"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/peer"
+	"github.com/tamarindstep/tamarindstep/peerkey"
 	"github.com/tamarindstep/tamarindstep/platform"
 	"github.com/tamarindstep/tamarindstep/policy/policies"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -103,6 +104,8 @@
 	key     string
 	callers callers
 	leave   func(context.Context) error
+	// keep returns the services that keep what lies in the store, nil for none.
+	keep func(*peer.Service, *generation.Service) kernel.Service
 }
 
 func own(s Settings, log zerolog.Logger, metrics *telemetry.Metrics) surroundings {
@@ -122,6 +125,7 @@
 		return surroundings{}, err
 	}
 	log.Info().Msg("peer key read from the store")
+	maker := fingerprint.NewMaker(key.Data)
 	routers := &platform.Routers{Store: kept, Self: vmlist.VM{
 		Name: s.Name, Address: s.PeerListen, DataHall: s.DataHall, Role: vmlist.RoleRouter, State: vmlist.StateLive,
 		Processor: s.Processor,
@@ -132,13 +136,23 @@
 			Operators: platform.Operators{Store: kept}, Discovery: platform.Backends{Store: kept},
 		},
 		routers: routers,
-		key:     key,
+		key:     string(key.Data),
 		callers: gateway.New(gateway.Settings{
 			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
 			MaxConns: int((s.Files - filesKept) * callersPart), TurnAways: s.Processor * turnAwaysPerCore,
-			Fingerprints: fingerprint.NewMaker([]byte(key)),
+			Fingerprints: maker,
 		}, log, metrics),
 		leave: routers.Leave,
+		keep: func(peers *peer.Service, gens *generation.Service) kernel.Service {
+			keeper := peerkey.New(peerkey.Settings{
+				Store: kept, Key: platform.PeerKeyKey, Held: key,
+				Take: func(key []byte) { peers.Rekey(key); maker.Rekey(key) },
+			}, log)
+			peers.OnForged(keeper.Stranger)
+			metrics.Platform.Era.Set(float64(kept.Era()))
+			kept.FollowEras(&eras{log: log, metrics: metrics.Platform, keeper: keeper, gens: gens})
+			return keeper
+		},
 	}, nil
 }
 
@@ -165,11 +179,12 @@
 	if s.Profiles {
 		administration.ServeProfiles()
 	}
+	peers := peer.New(peer.Settings{
+		Name: s.Name, Boot: self.Boot, Listen: s.PeerListen, Key: []byte(around.key), EventLoop: s.EventLoop,
+	}, metrics.Peer)
 	services := []kernel.Service{
 		telemetry.NewTraces(s.Name, s.TraceEndpoint),
-		peer.New(peer.Settings{
-			Name: s.Name, Boot: self.Boot, Listen: s.PeerListen, Key: []byte(around.key), EventLoop: s.EventLoop,
-		}, metrics.Peer),
+		peers,
 		r.scheduler,
 		fleet.New(s.Name, around.routers, log),
 		gens,
@@ -180,6 +195,9 @@
 		administration,
 		r.callers,
 	}
+	if around.keep != nil {
+		services = append(services, around.keep(peers, gens))
+	}
 	if s.Interface == interfaceOwn {
 		services = append(services, fleet.NewLoads(gens.InForce))
 	}
--- a/e2e/restore_test.go
+++ b/e2e/restore_test.go
@@ -75,77 +75,82 @@
 // peerKey is where the platform keeps the key that all routers share.
 const peerKey = "tamarindstep/peer-key"
 
+// areMembers tells whether each router takes so many for live.
+func (w *world) areMembers(n string) bool {
+	for _, r := range w.routers {
+		if r.members() != n {
+			return false
+		}
+	}
+	return true
+}
+
+// announceAll lets the usual backend servers write their entries again.
+func (w *world) announceAll() {
+	for _, b := range append(w.engines, w.services...) {
+		b.Announce("ready")
+	}
+}
+
 func TestPlatformRoutersAreOneFleetAfterAReturn(t *testing.T) {
 	for _, c := range []struct{ name, other string }{
 		{"the key is gone", ""}, {"another key is there", "ANOTHERKEYTHATAROUTERMADE"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, 3)
-			whole := func(n string) func() bool {
-				return func() bool {
-					for _, r := range w.routers {
-						if r.members() != n {
-							return false
-						}
-					}
-					return true
-				}
-			}
-			await(t, "three routers are one fleet", whole("3"))
+			await(t, "three routers are one fleet", func() bool { return w.areMembers("3") })
 			time.Sleep(2 * time.Second) // until they watch the store
 			w.store.Restore(w.store.RevisionOf(peerKey) - 1)
-			for _, b := range append(w.engines, w.services...) {
-				b.Announce("ready")
-			}
+			w.announceAll()
 			if c.other != "" {
 				w.store.Put(peerKey, []byte(c.other))
 			}
 			w.routers = append(w.routers, w.start(3))
 			w.awaitReady(w.routers[3])
-			await(t, "four routers are one fleet", whole("4"))
+			await(t, "four routers are one fleet", func() bool { return w.areMembers("4") })
 			await(t, "all four are listed", func() bool { return len(w.store.Keys("tamarindstep/routers/")) == 4 })
 		})
 	}
 }
 
 func TestPlatformEvacuationsOutliveAReturn(t *testing.T) {
-	for _, evacuated := range []bool{true, false} {
-		t.Run(fmt.Sprint("evacuated: ", evacuated), func(t *testing.T) {
-			w := newWorld(t, 3)
-			w.secondHall()
-			change, undo := func() { w.store.Evacuate(hallA, "{}") }, func() { w.store.TakeBack(hallA) }
-			if !evacuated {
-				change, undo = undo, change
-				undo()
-			}
-			time.Sleep(2 * time.Second) // until they watch the store
-			copied := w.store.Revision()
-			w.write(60)
-			change()
-			inForce := func(r *router) func() bool { return func() bool { return (w.lookNear(r) == 0) == evacuated } }
-			for _, r := range w.routers {
-				await(t, "the change is in force at "+r.name, inForce(r))
-			}
-			w.store.Restore(copied)
-			for _, b := range append(w.engines, w.services...) {
-				b.Announce("ready")
-			}
-			for end := time.Now().Add(returnedFor); time.Now().Before(end); {
-				for _, r := range w.routers {
-					if !inForce(r)() {
-						t.Fatalf("%s goes back to what the copy says", r.name)
-					}
-				}
-			}
-			change() // the operators write it again
-			time.Sleep(returnedFor)
-			for _, r := range w.routers {
-				w.is.True(inForce(r)())
-			}
-			undo()
-			for _, r := range w.routers {
-				await(t, "a change after the return is in force at "+r.name, func() bool { return !inForce(r)() })
+	t.Run("evacuated since the copy", func(t *testing.T) {
+		evacuationOutlivesAReturn(t, true, func(w *world) { w.store.Evacuate(hallA, "{}") }, func(w *world) { w.store.TakeBack(hallA) })
+	})
+	t.Run("taken back since the copy", func(t *testing.T) {
+		evacuationOutlivesAReturn(t, false, func(w *world) { w.store.TakeBack(hallA) }, func(w *world) { w.store.Evacuate(hallA, "{}") })
+	})
+}
+
+// evacuationOutlivesAReturn makes a change of the evacuations, lets the store come back without it, and undoes it later.
+func evacuationOutlivesAReturn(t *testing.T, evacuated bool, change, undo func(*world)) {
+	w := newWorld(t, 3)
+	w.secondHall()
+	undo(w)
+	time.Sleep(2 * time.Second) // until they watch the store
+	copied := w.store.Revision()
+	w.write(60)
+	change(w)
+	isInForce := func(r *router) bool { return (w.lookNear(r) == 0) == evacuated }
+	for _, r := range w.routers {
+		await(t, "the change is in force at "+r.name, func() bool { return isInForce(r) })
+	}
+	w.store.Restore(copied)
+	w.announceAll()
+	for end := time.Now().Add(returnedFor); time.Now().Before(end); {
+		for _, r := range w.routers {
+			if !isInForce(r) {
+				t.Fatalf("%s goes back to what the copy says", r.name)
 			}
-		})
+		}
+	}
+	change(w) // the operators write it again
+	time.Sleep(returnedFor)
+	for _, r := range w.routers {
+		w.is.True(isInForce(r))
+	}
+	undo(w)
+	for _, r := range w.routers {
+		await(t, "a change after the return is in force at "+r.name, func() bool { return !isInForce(r) })
 	}
 }
--- a/fingerprint/fingerprint.go
+++ b/fingerprint/fingerprint.go
@@ -14,6 +14,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
+	"sync/atomic"
 
 	"github.com/tamarindstep/tamarindstep/model"
 )
@@ -31,19 +32,27 @@
 }
 
 // Maker makes fingerprints with the key of a fleet.
-type Maker struct{ key []byte }
+type Maker struct{ key *atomic.Pointer[[]byte] }
 
 // NewMaker returns a maker; the key is the one that all routers share.
 func NewMaker(key []byte) Maker {
+	m := Maker{key: &atomic.Pointer[[]byte]{}}
+	m.Rekey(key)
+	return m
+}
+
+// Rekey makes another key the fleet's. Fingerprints that were made before are of no use any more.
+func (m Maker) Rekey(key []byte) {
 	derived := hmac.New(sha256.New, key)
 	_, _ = derived.Write([]byte(purpose))
-	return Maker{key: derived.Sum(nil)}
+	sum := derived.Sum(nil)
+	m.key.Store(&sum)
 }
 
 // Of returns a request's fingerprint. With a body of 10 kB it takes about 8 microseconds (BenchmarkOf), and is
 // made only of requests whose account has one that ended a backend server, or that broke off.
 func (m Maker) Of(r Request) model.Fingerprint {
-	h := hmac.New(sha256.New, m.key)
+	h := hmac.New(sha256.New, *m.key.Load())
 	for _, field := range [][]byte{[]byte(r.Account), r.Host, r.Method, r.Path, r.Body} {
 		// With its length before it, no field can be taken for a part of the next one.
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -46,6 +44,9 @@
 	lapsed    lapsed
 	history   history
 	edition   uint64 // raised when what is kept beside the catalog changes by itself
+	era       uint32 // of what is in force
+	settling  settling
+	departed  map[string]time.Time // when those went that are gone
 }
 
 // readCatalog lists the announcements, and tells whether that was possible.
@@ -70,6 +71,12 @@
 	before := s.catalog.entries
 	s.catalog.entries = map[string]*wire.CatalogEntry{}
 	s.catalog.at = at
+	if stale {
+		s.catalog.era = max(s.catalog.era, eraOf(at))
+		at = startRevision(at)
+	} else {
+		s.settleCatalog(all, at)
+	}
 	s.takeAnnouncements(all, at, before)
 	return nil
 }
@@ -119,6 +126,7 @@
 	last := uint64(0)
 	for _, change := range changes {
 		last = max(last, change.Revision)
+		s.noteWritten(change)
 	}
 	s.takeAnnouncements(changes, last, s.catalog.entries)
 	return nil
@@ -138,8 +146,26 @@
 			delete(s.catalog.entries, change.Key)
 		}
 	}
-	next := &wire.Catalog{Revision: revision, Entries: slices.SortedFunc(maps.Values(s.catalog.entries), byName)}
-	s.replaceCatalog(next)
+	s.catalog.settling.last = max(s.catalog.settling.last, revision)
+	s.publishCatalog()
+}
+
+// publishCatalog brings into force what was listed and watched here. The caller holds the lock.
+func (s *Service) publishCatalog() {
+	settling := &s.catalog.settling
+	s.replaceCatalog(&wire.Catalog{
+		Revision: told(settling.last, len(settling.kept) == 0), Entries: settling.over(s.catalog.entries),
+	})
+}
+
+// noteWritten notes that an announcement was written after the store's return, or taken back. The caller holds the lock.
+func (s *Service) noteWritten(change Announcement) {
+	if change.Backend != nil {
+		s.catalog.settling.written(change.Backend.Name)
+	}
+	if named := s.catalog.entries[change.Key]; named != nil {
+		s.catalog.settling.written(named.Name)
+	}
 }
 
 // takeUnreadable takes an announcement that can't be read. The backend server that its key named
@@ -165,6 +191,14 @@
 func (s *Service) installCatalog(next *wire.Catalog) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.installNewer(next)
+}
+
+// installNewer takes another router's catalog where it is newer. The caller holds the lock.
+func (s *Service) installNewer(next *wire.Catalog) {
+	if next.Revision > s.catalog.held.GetRevision() {
+		s.catalog.era = eraOf(next.Revision)
+	}
 	s.replaceCatalog(next)
 }
 
@@ -180,6 +214,7 @@
 		return
 	}
 	s.noteLapse(held, next)
+	s.noteDeparted(held, next)
 	s.catalog.history.add(held, next)
 	s.catalog.held = next
 	s.log.Info().Uint64("catalog", next.Revision).Int("backends", len(next.Entries)).
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -90,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if in.Catalog != nil {
-		s.replaceCatalog(in.Catalog)
+		s.installNewer(in.Catalog)
 	}
 	if in.Change == nil {
 		return
@@ -101,7 +101,7 @@
 			Msg("changes of the catalog are of another revision, and left out")
 		return
 	}
-	s.replaceCatalog(next)
+	s.installNewer(next)
 }
 
 // generationSeen fetches what is newer from a router that has it.
--- a/generation/halls.go
+++ b/generation/halls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -51,6 +50,10 @@
 	operators Operators
 	held      *wire.Halls     // in force, from here or from another router
 	own       map[string]bool // evacuated by what was read and watched here
+	last      uint64          // revision of that
+	era       uint32          // of what is in force
+	kept      map[string]bool // evacuated or not until it is written again, as the store's copy differs
+	until     time.Time
 }
 
 // readOperators reads all that the operators have written, and returns the revision from
@@ -65,17 +68,41 @@
 		return 0, err
 	}
 	s.mu.Lock()
-	s.halls.own = map[string]bool{}
-	revision := newestOf(written.Evacuations)
-	if !stale {
-		revision = at // that none is there is news as well
-	}
-	s.takeEvacuations(written.Evacuations, revision)
+	s.readEvacuations(written.Evacuations, at, stale)
 	s.mu.Unlock()
 	s.installValue(written.Configuration)
 	return at, nil
 }
 
+// readEvacuations takes all evacuations, as they were read. What was watched since is newer: a read that waits for its answer
+// beside a watch, as after a sleep, must not undo it. The caller holds the lock.
+func (s *Service) readEvacuations(all []Evacuation, at uint64, stale bool) {
+	h := &s.halls
+	if at < h.last {
+		return
+	}
+	own := map[string]bool{}
+	for _, e := range all {
+		own[e.Hall] = true
+	}
+	h.own = own
+	if stale {
+		h.last = newestOf(all)
+		h.era = max(h.era, eraOf(at))
+		s.replaceHalls(&wire.Halls{Revision: startRevision(h.last), Evacuated: h.evacuated()})
+		return
+	}
+	h.last = at // that none is there is news as well
+	s.settleHalls(own, at)
+	s.publishHalls()
+}
+
+// publishHalls brings into force what was read and watched here. The caller holds the lock.
+func (s *Service) publishHalls() {
+	h := &s.halls
+	s.replaceHalls(&wire.Halls{Revision: told(h.last, len(h.kept) == 0), Evacuated: h.evacuated()})
+}
+
 // watchOperators follows what the operators write, while this router is one of those that
 // watch the store. It begins with a read that isn't stale, as the changes since a stale one
 // aren't known where its pages were of different ages.
@@ -109,7 +136,7 @@
 		return since, nil
 	}
 	s.mu.Lock()
-	s.takeEvacuations(written.Evacuations, newestOf(written.Evacuations))
+	s.takeEvacuations(written.Evacuations)
 	s.mu.Unlock()
 	s.installValue(written.Configuration)
 	rest(ctx, p.afterChange(time.Since(began)))
@@ -125,23 +152,30 @@
 	return out
 }
 
-// takeEvacuations takes what was read or watched of the data halls, which then are of the
-// given revision. The caller holds the lock.
-func (s *Service) takeEvacuations(changes []Evacuation, revision uint64) {
+// takeEvacuations takes what was watched of the data halls. The caller holds the lock.
+func (s *Service) takeEvacuations(changes []Evacuation) {
+	h := &s.halls
 	for _, e := range changes {
+		h.last = max(h.last, e.Revision)
+		delete(h.kept, e.Hall)
 		if e.Ended {
-			delete(s.halls.own, e.Hall)
+			delete(h.own, e.Hall)
 			continue
 		}
-		s.halls.own[e.Hall] = true
+		h.own[e.Hall] = true
+	}
+	if len(changes) > 0 {
+		s.publishHalls()
 	}
-	s.replaceHalls(&wire.Halls{Revision: revision, Evacuated: slices.Sorted(maps.Keys(s.halls.own))})
 }
 
 // installHalls takes another router's evacuations, nil for none that are newer.
 func (s *Service) installHalls(next *wire.Halls) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if next.GetRevision() > s.halls.held.GetRevision() {
+		s.halls.era = eraOf(next.GetRevision())
+	}
 	s.replaceHalls(next)
 }
 
--- a/generation/halls_test.go
+++ b/generation/halls_test.go
@@ -77,13 +77,7 @@
 	s := r.routers[i]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.halls.own = map[string]bool{}
-	all := r.model.list(revision)
-	at := newestOf(all)
-	if !stale {
-		at = revision
-	}
-	s.takeEvacuations(all, at)
+	s.readEvacuations(r.model.list(revision), revision, stale)
 	r.watched[i] = revision
 }
 
@@ -98,7 +92,7 @@
 	s := r.routers[i]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.takeEvacuations(news, newestOf(news))
+	s.takeEvacuations(news)
 	r.watched[i] = r.model.revision
 }
 
@@ -166,3 +160,15 @@
 	s.installHalls(&wire.Halls{Revision: 12})
 	is.Equal(len(s.halls.held.Evacuated), 0)
 }
+
+// TestReadsDontUndoWhatWasWatched lets a read's answer come after a change that was watched meanwhile, as where one is made
+// after a sleep.
+func TestReadsDontUndoWhatWasWatched(t *testing.T) {
+	is := is.New(t)
+	s := newTestService()
+	s.readEvacuations(nil, 4, false)
+	s.takeEvacuations([]Evacuation{{Hall: "a", Revision: 6}})
+	s.readEvacuations(nil, 5, false) // as it was before
+	s.takeEvacuations([]Evacuation{{Hall: "b", Revision: 7}})
+	is.Equal(s.halls.held.Evacuated, []string{"a", "b"})
+}
--- /dev/null
+++ b/generation/settle_test.go
@@ -0,0 +1,218 @@
+package generation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// storeModel is the plain model of a store that comes back from copies: what is there, what is of which version, and what a watch
+// that began somewhere sees.
+type storeModel struct {
+	era      uint32
+	revision int64
+	servers  map[string]bool   // by name: whether it leaves
+	states   []map[string]bool // by revision, of this era and what was copied
+	news     []Announcement    // since the last look
+}
+
+func newStoreModel() *storeModel {
+	return &storeModel{servers: map[string]bool{}, states: []map[string]bool{{}}}
+}
+
+func (m *storeModel) version() uint64 { return uint64(model.VersionOf(m.era, m.revision)) }
+
+func cloneOf(in map[string]bool) map[string]bool {
+	out := map[string]bool{}
+	for name, leaving := range in {
+		out[name] = leaving
+	}
+	return out
+}
+
+func announcement(name string, leaving bool, version uint64) Announcement {
+	return Announcement{Key: "key of " + name, Revision: version, Backend: &config.Discovered{Name: name, Pool: "pool", Leaving: leaving}}
+}
+
+// write writes an entry, or takes it back.
+func (m *storeModel) write(name string, there, leaving bool) {
+	_, was := m.servers[name]
+	if !there && !was {
+		return
+	}
+	m.revision++
+	m.servers = cloneOf(m.servers)
+	if !there {
+		delete(m.servers, name)
+		m.news = append(m.news, Announcement{Key: "key of " + name, Revision: m.version()})
+	} else {
+		m.servers[name] = leaving
+		m.news = append(m.news, announcement(name, leaving, m.version()))
+	}
+	m.states = append(m.states, m.servers)
+}
+
+// comeBack lets the store come back from the copy of a revision.
+func (m *storeModel) comeBack(revision int64) {
+	m.era++
+	m.revision = revision
+	m.states = m.states[:revision+1]
+	m.servers = m.states[revision]
+	m.news = nil
+}
+
+func (m *storeModel) list() []Announcement {
+	var out []Announcement
+	for name, leaving := range m.servers {
+		out = append(out, announcement(name, leaving, m.version()))
+	}
+	slices.SortFunc(out, func(a, b Announcement) int { return byName(entryOf(a.Backend), entryOf(b.Backend)) })
+	return out
+}
+
+// settleRun is a router that lists and watches such a store.
+type settleRun struct {
+	store   *storeModel
+	router  *Service
+	before  map[string]bool // what held before the last return
+	written map[string]bool // names that were written since
+	highest uint64          // version that was told
+}
+
+func (r *settleRun) list() {
+	r.router.mu.Lock()
+	defer r.router.mu.Unlock()
+	all := r.store.list()
+	before := r.router.catalog.entries
+	r.router.catalog.entries = map[string]*wire.CatalogEntry{}
+	r.router.settleCatalog(all, r.store.version())
+	r.router.takeAnnouncements(all, r.store.version(), before)
+	r.store.news = nil
+}
+
+func (r *settleRun) watch() {
+	r.router.mu.Lock()
+	defer r.router.mu.Unlock()
+	for _, change := range r.store.news {
+		r.router.noteWritten(change)
+		r.router.takeAnnouncements([]Announcement{change}, change.Revision, r.router.catalog.entries)
+	}
+	r.store.news = nil
+}
+
+func (r *settleRun) held() map[string]bool {
+	out := map[string]bool{}
+	for _, e := range r.router.catalog.held.GetEntries() {
+		out[e.Name] = e.Leaving
+	}
+	return out
+}
+
+// check fails where a server that hasn't been written since the return isn't as it was, where one that has isn't as
+// it was written, or where the version that is told has gone back.
+func (r *settleRun) check(t *rapid.T) {
+	held := r.held()
+	version := r.router.catalog.held.GetRevision()
+	if version < r.highest {
+		t.Fatalf("version %v is told after %v", model.Version(version), model.Version(r.highest))
+	}
+	r.highest = version
+	for _, name := range serverNames {
+		was, had := r.before[name]
+		leaving, has := held[name]
+		truth, there := r.store.servers[name]
+		switch {
+		case r.written[name] && (has != there || leaving != truth):
+			t.Fatalf("%s was written: there %v, leaving %v; held: %v, %v", name, there, truth, has, leaving)
+		case !r.written[name] && had && (!has || was && !leaving):
+			t.Fatalf("%s was there, leaving %v, and isn't written yet; held: %v, %v", name, was, has, leaving)
+		}
+	}
+}
+
+var serverNames = []string{"a", "b", "c", "d"}
+
+// TestServersSettleAfterReturns lets a store come back from copies again and again, while its servers write their entries: what
+// a router holds of a server is what held before until the server has written its entry again, and what it has written from then on.
+func TestServersSettleAfterReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &settleRun{store: newStoreModel(), router: newTestService(), written: map[string]bool{}}
+		name := func() string { return rapid.SampledFrom(serverNames).Draw(t, "server") }
+		for range rapid.IntRange(1, 12).Draw(t, "first") {
+			r.store.write(name(), rapid.IntRange(0, 3).Draw(t, "there") > 0, rapid.Bool().Draw(t, "leaving"))
+		}
+		r.list()
+		for range rapid.IntRange(1, 4).Draw(t, "returns") {
+			for range rapid.IntRange(0, 6).Draw(t, "changes") {
+				r.store.write(name(), rapid.IntRange(0, 3).Draw(t, "there") > 0, rapid.Bool().Draw(t, "leaving"))
+				r.watch()
+			}
+			r.before, r.written = r.held(), map[string]bool{}
+			r.store.comeBack(int64(rapid.IntRange(0, int(r.store.revision)).Draw(t, "copy")))
+			r.list()
+			r.check(t)
+			for range rapid.IntRange(0, 6).Draw(t, "rewritten") {
+				n := name()
+				before := r.store.revision
+				r.store.write(n, rapid.IntRange(0, 3).Draw(t, "there") > 0, rapid.Bool().Draw(t, "leaving"))
+				r.written[n] = r.written[n] || r.store.revision > before
+				r.watch()
+				r.check(t)
+			}
+			if rapid.Bool().Draw(t, "settles") {
+				r.router.catalog.settling.until = time.Now()
+				r.router.endSettling()
+				if got := r.held(); fmt.Sprint(got) != fmt.Sprint(r.store.servers) {
+					t.Fatalf("settled: %v, the store has %v", got, r.store.servers)
+				}
+			}
+		}
+	})
+}
+
+// TestServersThatHadGoneStayGone lets a server go, and the store come back with it.
+func TestServersThatHadGoneStayGone(t *testing.T) {
+	is := is.New(t)
+	r := &settleRun{store: newStoreModel(), router: newTestService()}
+	r.store.write("a", true, false)
+	r.store.write("b", true, false)
+	r.list()
+	r.store.write("a", false, false)
+	r.watch()
+	r.store.comeBack(2)
+	r.list()
+	is.Equal(r.held(), map[string]bool{"b": false})
+	r.store.write("a", true, false) // it is there after all
+	r.watch()
+	is.Equal(r.held(), map[string]bool{"a": false, "b": false})
+}
+
+// TestStartsDontSpeakForAnEra lets a router start right after a return, with what the copy says: the others don't take it
+// for newer, and it takes theirs.
+func TestStartsDontSpeakForAnEra(t *testing.T) {
+	is := is.New(t)
+	old, fresh := newTestService(), newTestService()
+	old.installCatalog(&wire.Catalog{Revision: 70, Entries: []*wire.CatalogEntry{{Name: "a", Leaving: true}}})
+	old.installHalls(&wire.Halls{Revision: 71, Evacuated: []string{"hall"}})
+	at := uint64(model.VersionOf(1, 30))
+	fresh.catalog.entries = map[string]*wire.CatalogEntry{}
+	fresh.takeAnnouncements([]Announcement{announcement("a", false, at)}, startRevision(at), nil)
+	fresh.readEvacuations(nil, at, true)
+	is.True(!fresh.versions().Exceed(old.versions()))
+	fresh.installCatalog(old.catalog.held)
+	fresh.installHalls(old.halls.held)
+	is.True(proto.Equal(fresh.catalog.held, old.catalog.held))
+	is.True(proto.Equal(fresh.halls.held, old.halls.held))
+	// As it begins to watch, it keeps them as the others do.
+	fresh.readEvacuations(nil, at, false)
+	is.Equal(fresh.halls.held.Evacuated, []string{"hall"})
+}
--- a/generation/watch.go
+++ b/generation/watch.go
@@ -55,6 +55,13 @@
 	w.back, w.end = context.WithCancel(s.run)
 }
 
+// StoreReturned ends all waits for the store that are under way, as it has come back from a copy: a watch of before tells nothing.
+func (s *Service) StoreReturned() {
+	if s.run != nil {
+		s.storeReturned()
+	}
+}
+
 // unlessBack returns a context that also ends when the store is back.
 func (s *Service) unlessBack(ctx context.Context) (context.Context, context.CancelFunc) {
 	out, cancel := context.WithCancel(ctx)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -39,6 +40,7 @@
 	mu      sync.Mutex
 	session *session
 	receive func(*wire.Datagram)
+	forged  func()            // nil for none
 	known   map[string]string // address by name, as last sent to
 
 	in      receiver
@@ -79,6 +81,26 @@
 	s.receive = receive
 }
 
+// OnForged sets what is told of each datagram that isn't made with the peer key. It must not block.
+func (s *Service) OnForged(forged func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forged = forged
+}
+
+// Rekey makes another key the peer key.
+func (s *Service) Rekey(key []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.session.key = key
+}
+
+func (s *Service) key() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.session.key
+}
+
 // HandleCalls sets what answers the other routers' calls. It must be set
 // before any call can come, and callers wait until it is.
 func (s *Service) HandleCalls(handler wire.DRPCPeerServer) {
@@ -125,12 +147,15 @@
 	s.metrics.ReceivedBytes.Add(float64(len(b)))
 	s.mu.Lock()
 	in, err := s.session.open(b)
-	receive := s.receive
+	receive, forged := s.receive, s.forged
 	address := s.known[in.from]
 	s.mu.Unlock()
 	if err != nil {
 		s.metrics.Refused.Inc()
 	}
+	if forged != nil && errorx.IsOfType(err, Forged) {
+		forged()
+	}
 	if address == "" {
 		address = in.address
 	}
@@ -206,7 +231,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	defer func() { _ = c.Close() }()
-	if err := shakeHands(c, s.settings.Key, roleAcceptor, roleDialer); err != nil {
+	if err := shakeHands(c, s.key(), roleAcceptor, roleDialer); err != nil {
 		s.metrics.Refused.Inc()
 		return
 	}
@@ -234,7 +259,7 @@
 	if err != nil {
 		return Unreached.Wrap(err, "no connection to %s", address)
 	}
-	if err := shakeHands(raw, s.settings.Key, roleDialer, roleAcceptor); err != nil {
+	if err := shakeHands(raw, s.key(), roleDialer, roleAcceptor); err != nil {
 		_ = raw.Close()
 		return Unreached.Wrap(err, "no handshake with %s", address)
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -56,6 +56,8 @@
 	Generation    prometheus.Gauge
 	Evacuated     prometheus.Gauge
 	Unreadable    prometheus.Counter
+	Era           prometheus.Gauge
+	EraRefused    prometheus.Counter
 }
 
 // waitBuckets reach from a millisecond to some minutes, in seconds.
@@ -99,6 +101,8 @@
 			Claims:        f.counters("claims_total", "Claims of idempotency keys, by result.", "result"),
 			Generation:    f.gauge("generation", "Generation of the configuration in force."),
 			Evacuated:     f.gauge("evacuated_halls", "Data halls that are evacuated, but for those of the operators' file."),
+			Era:           f.gauge("store_era", "Era of the store: how often it has come back from a copy."),
+			EraRefused:    f.counter("store_era_refused_total", "Answers of the store whose era is over or can't be read."),
 			Unreadable:    f.counter("unreadable_announcements_total", "Announcements of backend servers that couldn't be read."),
 		},
 	}
