--- a/core/watch.go
+++ b/core/watch.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// StoreReached returns when a router that watches the store has last reached it, as far as this one knows.
+func (c *Core) StoreReached() model.Time { return c.watch.reached }
+
 // watchPatience returns how long ago the store may have been reached for all this router
 // knows.
 func (c *Core) watchPatience() time.Duration {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -127,12 +127,12 @@
 	path := a.req.Header.RequestURI()
 	a.route = inForce.HostRoute(string(a.req.Header.Host()), pathOf(path))
 	if a.route == nil {
-		return unknownRoute
+		return a.denied(unknownRoute)
 	}
 	if !a.route.Through.Public {
 		var known bool
 		if a.account, known = inForce.AccountOf(meta.Key); !known {
-			return unknownKey
+			return a.denied(unknownKey)
 		}
 		a.name = inForce.Core.Accounts[a.account].Name
 	}
@@ -140,6 +140,22 @@
 	return nil
 }
 
+// confirmedFor is how long what the operators had written when a router last reached the store counts as what holds now.
+// Users want a change in force in two seconds, of which half of one goes into watching and telling.
+const confirmedFor = 1500 * time.Millisecond
+
+// denied returns the refusal of a request that the configuration doesn't allow. A router that hasn't heard of the store for a
+// while can't know that it isn't allowed: it says so at its own cost, and its caller comes again, where others know. One
+// small router with a crowd before it answered 404 for three seconds after a route was in force everywhere else, as
+// neither datagrams nor calls of the store came through.
+func (a *attempt) denied(r *refusal) *refusal {
+	if a.service.scheduler.StoreUnheard() > confirmedFor {
+		a.keep = false // the next one may reach another router
+		return unconfirmed
+	}
+	return r
+}
+
 // pathOf returns the path of a request's target.
 func pathOf(target []byte) string {
 	for i, b := range target {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -26,6 +26,7 @@
 	bodyTooLarge   = &refusal{fasthttp.StatusRequestEntityTooLarge, "body-too-large", true}
 	headerTooLarge = &refusal{fasthttp.StatusRequestHeaderFieldsTooLarge, "header-too-large", true}
 	noConfig       = &refusal{fasthttp.StatusServiceUnavailable, "no-configuration", false}
+	unconfirmed    = &refusal{fasthttp.StatusServiceUnavailable, "configuration-unconfirmed", false}
 	tooMany        = &refusal{fasthttp.StatusServiceUnavailable, "too-many-requests", false}
 	crowded        = &refusal{fasthttp.StatusServiceUnavailable, "queue-full", false}
 	stopping       = &refusal{fasthttp.StatusServiceUnavailable, "stopping", false}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,6 +89,7 @@
 	waiters   map[core.RequestID]chan Decision
 	observers []Observer
 
+	reached   atomic.Int64 // when the store was last reached by a router that watches it, as a model.Time
 	suspected atomic.Pointer[map[model.AccountID]bool]
 
 	retries    retry.Limits
@@ -197,6 +198,10 @@
 // behindFrom is how many events wait when the process counts as behind.
 const behindFrom = 200
 
+// StoreUnheard returns how long ago a router that watches the store has reached it, as far as this router knows: what the
+// operators have written since may not be known here.
+func (s *Service) StoreUnheard() time.Duration { return s.now() - model.Time(s.reached.Load()) }
+
 // Look runs a function on the core, between two events, and waits for it. The
 // function must only read.
 func (s *Service) Look(look func(*core.Core)) {
@@ -265,6 +270,7 @@
 	actions := c.Step(s.now(), e)
 	s.metrics.Share.StepTime.Add(time.Since(began).Seconds())
 	s.metrics.Share.Steps.Inc()
+	s.reached.Store(int64(c.StoreReached()))
 	for _, a := range actions {
 		if _, changed := a.(core.MemberChanged); changed {
 			s.metrics.Share.Members.Set(float64(c.Live()))
