core/member: whoever is late judges nobody

A router that comes late to what is due counts no missed answer of a probe, buries nobody and leaves no relay until it has kept up for two periods.

--- a/core/core.go
+++ b/core/core.go
@@ -173,6 +173,9 @@
 	return c.actions
 }
 
+// Late tells that this router comes late to what is due, so that it can't tell others' silence from its own.
+func (c *Core) Late(now model.Time) { c.members.Late(max(c.now, now)) }
+
 func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Tick:
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -39,6 +39,9 @@
 	rumoursAtOnce = 6
 	// deadEvery is how many periods pass between pings of a dead member.
 	deadEvery = 4
+	// judgeAfter is how long a router must have kept up to judge others: a period, in which what it missed has been
+	// answered, and the one before.
+	judgeAfter = 2 * Period
 )
 
 // Member is what a router holds of another, or of itself.
@@ -105,7 +108,9 @@
 	periods  int
 	changes  []Change
 	version  uint64
-	suspects int // members that are suspect
+	suspects int        // members that are suspect
+	late     model.Time // when this router was late last
+	wasLate  bool
 }
 
 // New returns the list of a router that knows of nobody else yet.
@@ -118,6 +123,12 @@
 	}
 }
 
+// Late notes that this router comes late to what is due.
+func (l *List) Late(now model.Time) { l.late, l.wasLate = now, true }
+
+// MayJudge tells whether this router has kept up for long enough to tell others' silence from its own lateness.
+func (l *List) MayJudge(now model.Time) bool { return !l.wasLate || now >= l.late+judgeAfter }
+
 // Self returns the router's own entry.
 func (l *List) Self() Member { return l.self }
 
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,47 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// probeSilent lets a router probe others that never answer, for so long, and tells whether it then holds any for dead or suspect.
+func probeSilent(l *List, from, until model.Time, late func(model.Time) bool) bool {
+	for now := from; now < until; now += 10 * time.Millisecond {
+		if late(now) {
+			l.Late(now)
+		}
+		l.Tick(now)
+	}
+	for _, name := range l.Names() {
+		if l.Get(name).Status != wire.Status_STATUS_ALIVE {
+			return true
+		}
+	}
+	return false
+}
+
+// TestWhoeverIsLateJudgesNobody lets a router come late to everything for ten seconds: it holds nobody for suspect or dead by its own
+// probes, and does soon after it keeps up again.
+func TestWhoeverIsLateJudgesNobody(t *testing.T) {
+	is := is.New(t)
+	l := New(Member{Name: "self", Boot: 1}, rand.New(rand.NewPCG(1, 2)))
+	l.SetListed(0, []Listed{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}, {Name: "c", Address: "c"}})
+	is.True(!probeSilent(l, 0, 10*time.Second, func(model.Time) bool { return true }))
+	is.True(probeSilent(l, 10*time.Second, 12*time.Second, func(model.Time) bool { return false }))
+
+	// Once late, as after a pause, it waits for what it missed.
+	l = New(Member{Name: "self", Boot: 1}, rand.New(rand.NewPCG(1, 2)))
+	l.SetListed(0, []Listed{{Name: "a", Address: "a"}})
+	l.Tick(0) // a probe
+	l.Late(3 * time.Second)
+	l.Tick(3 * time.Second)
+	is.Equal(l.Get("a").Status, wire.Status_STATUS_ALIVE)
+	is.True(probeSilent(l, 3*time.Second, 6*time.Second, func(model.Time) bool { return false }))
+}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -133,7 +133,7 @@
 func (l *List) endProbe(now model.Time) {
 	p := l.probe
 	l.probe = nil
-	if p == nil || p.answered {
+	if p == nil || p.answered || !l.MayJudge(now) {
 		return
 	}
 	m := l.members[p.target]
@@ -149,7 +149,7 @@
 }
 
 func (l *List) buryDead(now model.Time) {
-	if l.suspects == 0 {
+	if l.suspects == 0 || !l.MayJudge(now) {
 		return
 	}
 	for _, name := range l.names {
--- a/core/relaylink.go
+++ b/core/relaylink.go
@@ -86,6 +86,10 @@
 	if c.now < link.overdue() {
 		return
 	}
+	if !c.members.MayJudge(c.now) {
+		link.since = c.now // what it has passed on may wait to be read here
+		return
+	}
 	link.silent[link.relay] = c.now + silentFor
 	link.since = c.now
 	c.chooseRelay()
--- a/peerkey/peerkey_test.go
+++ b/peerkey/peerkey_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -56,34 +55,39 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(200) {
-				is := is.New(t)
-				random := rand.New(rand.NewPCG(seed, 1))
-				kept := &memory{era: 3, revision: 8}
-				if c.there != "" {
-					kept.data = []byte(c.there)
-				}
-				var all []*Service
-				for _, key := range c.groups {
-					era := uint32(2)
-					if key == c.there {
-						era = kept.era
-					}
-					held := store.Value{Data: []byte(key), Revision: int64(model.VersionOf(era, 5))}
-					s := New(Settings{Store: kept, Held: held, Take: func([]byte) {}}, zerolog.Nop())
-					s.EraBegan(kept.era)
-					all = append(all, s)
-				}
-				for range 40 * len(all) {
-					is.NoErr(all[random.IntN(len(all))].settle(context.Background()))
-				}
-				left := map[string]bool{string(kept.data): true}
-				for _, s := range all {
-					left[string(s.settings.Held.Data)] = true
-				}
+				left := settleAll(t, rand.New(rand.NewPCG(seed, 1)), c.groups, c.there)
 				if len(left) != 1 || c.want != "" && !left[c.want] {
-					t.Fatalf("seed %d: %v", seed, fmt.Sprint(left))
+					t.Fatalf("seed %d: %v", seed, left)
 				}
 			}
 		})
 	}
 }
+
+// settleAll lets routers with these keys look at a store that has one of them, and returns the keys that are left.
+func settleAll(t *testing.T, random *rand.Rand, groups []string, there string) map[string]bool {
+	is := is.New(t)
+	kept := &memory{era: 3, revision: 8}
+	if there != "" {
+		kept.data = []byte(there)
+	}
+	var all []*Service
+	for _, key := range groups {
+		era := kept.era - 1
+		if key == there {
+			era = kept.era
+		}
+		held := store.Value{Data: []byte(key), Revision: int64(model.VersionOf(era, 5))}
+		s := New(Settings{Store: kept, Held: held, Take: func([]byte) {}}, zerolog.Nop())
+		s.EraBegan(kept.era)
+		all = append(all, s)
+	}
+	for range 40 * len(all) {
+		is.NoErr(all[random.IntN(len(all))].settle(context.Background()))
+	}
+	left := map[string]bool{string(kept.data): true}
+	for _, s := range all {
+		left[string(s.settings.Held.Data)] = true
+	}
+	return left
+}
--- a/scheduler/lag.go
+++ b/scheduler/lag.go
@@ -12,6 +12,9 @@
 	// maxLag is the most that one time counts for: a process that was paused was
 	// late once, which doesn't tell that it can't keep up.
 	maxLag = 4 * lagFrom
+	// lateFrom is how late it may come to one thing before it can't judge by others' silence: two thirds of the time in
+	// which the probes of package member are answered.
+	lateFrom = 100 * time.Millisecond
 	// lagWeight is the part, one in so many, of the newest time in the mean.
 	lagWeight = 16
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -251,13 +251,13 @@
 			return
 		case t := <-s.events:
 			s.noteSleep()
-			s.lag.note(s.now() - t.at)
+			s.noteLag(c, s.now()-t.at)
 			s.step(c, t.event)
 		case look := <-s.ask:
 			look(c)
 		case <-timer.C:
 			s.noteSleep()
-			s.lag.note(s.now() - due)
+			s.noteLag(c, s.now()-due)
 			s.step(c, core.Tick{})
 		}
 		due = max(c.Wake(), s.now())
@@ -265,6 +265,14 @@
 	}
 }
 
+// noteLag takes how late this process came to something, and tells the core where it is late.
+func (s *Service) noteLag(c *core.Core, late time.Duration) {
+	s.lag.note(late)
+	if late > lateFrom || s.lag.behind() {
+		c.Late(s.now())
+	}
+}
+
 func (s *Service) step(c *core.Core, e core.Event) {
 	began := time.Now()
 	actions := c.Step(s.now(), e)
