--- /dev/null
+++ b/core/datagram.go
@@ -0,0 +1,95 @@
+package core
+
+import (
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// receive takes a datagram's parts in an order in which the later ones can
+// rely on the earlier ones.
+func (c *Core) receive(d *wire.Datagram) {
+	if d.To != c.members.Self().Name || d.From == d.To {
+		return
+	}
+	c.members.Heard(c.now, d.From, d.Boot)
+	for _, r := range d.Rumours {
+		c.members.Learn(c.now, r)
+	}
+	c.noteMemberChanges()
+	if c.members.Get(d.From) == nil {
+		return
+	}
+	c.askDead(d.From)
+	c.hearStoreAge(d.StoreAgeMs)
+	c.takeSuspicions(d.Suspicions)
+	c.compareSuspicions(d)
+	if d.Probe != nil {
+		for _, s := range c.members.Receive(c.now, d.From, d.Probe) {
+			c.sendProbe(s)
+		}
+	}
+	for _, f := range d.Free {
+		c.hint(d.From, model.PoolID(f.Pool), int(f.Slots))
+	}
+	if len(d.Loads) > 0 {
+		c.takeLoads(d)
+	}
+	if d.Report != nil {
+		c.takeReport(d.From, d.Report)
+	}
+	c.takeGrants(d.From, d.Boot, d.Grants)
+	if d.Up != nil {
+		for _, s := range c.ledger.ReceiveUp(c.now, d.From, d.Up) {
+			c.sendLedger(s)
+		}
+	}
+	if d.Down != nil {
+		c.ledger.ReceiveDown(c.now, d.From, d.Down)
+		c.dirtyAll()
+	}
+	theirs := Versions{Generation: d.Generation, Catalog: d.Catalog, Halls: d.Halls}
+	if theirs.Exceed(c.config.Versions()) {
+		from := c.members.Get(d.From)
+		near := from.DataHall == c.members.Self().DataHall
+		c.do(GenerationSeen{From: d.From, Address: from.Address, Near: near, Versions: theirs})
+	}
+}
+
+// askDead lets a router contradict its death that has just been heard.
+func (c *Core) askDead(name string) {
+	for _, s := range c.members.AskDead(c.now, name) {
+		c.sendProbe(s)
+	}
+}
+
+// to returns the datagram being put together for a router in this step.
+func (c *Core) to(name string) *wire.Datagram {
+	d := c.outbox[name]
+	if d == nil {
+		d = &wire.Datagram{To: name}
+		c.outbox[name] = d
+	}
+	return d
+}
+
+func (c *Core) flushOutbox() {
+	for _, name := range sortedKeys(c.outbox) {
+		d := c.outbox[name]
+		delete(c.outbox, name)
+		m := c.members.Get(name)
+		if m == nil {
+			continue
+		}
+		d.From = c.members.Self().Name
+		d.Boot = c.members.Self().Boot
+		d.Generation = c.config.Generation
+		d.Catalog = c.config.Catalog
+		d.Halls = c.config.Halls
+		d.StoreAgeMs = c.storeAge()
+		d.SuspicionsDigest = c.suspicions.book.Digest()
+		if d.Probe != nil || len(d.Grants) > 0 {
+			d.Free = c.freeSlots()
+		}
+		c.do(Send{To: name, Address: m.Address, Datagram: d})
+	}
+}
