--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -27,6 +27,9 @@
 	random *rand.Rand
 	paused map[int]bool
 	spare  int // number of the next backend server
+	// returns lets the store come back from copies as well, no older than the floor, and backend servers speak of themselves.
+	returns bool
+	floor   int64
 
 	mu   sync.Mutex
 	seen []seen
@@ -47,16 +50,26 @@
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, false) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
-	s := &soak{world: newWorld(t, 3), random: rand.New(rand.NewPCG(seed, 1)), paused: map[int]bool{}}
+// TestSoakReturns draws more: a store that comes back from copies of some seconds ago, in series and while it is out, while
+// routers start and are paused, and backend servers that leave or want rest by their own word. In the end the routers are one fleet.
+func TestSoakReturns(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, true) })
+	}
+}
+
+func runSoak(t *testing.T, seed uint64, returns bool) {
+	s := &soak{world: newWorld(t, 3), random: rand.New(rand.NewPCG(seed, 1)), paused: map[int]bool{}, returns: returns}
 	s.engines = append(s.engines, s.backendIn("engine-run-b", "engines", hallB))
 	s.services = append(s.services, s.backendIn("service-run-b", "entries", hallB))
 	s.behave(s.engines, users.Behaviour{Events: 20, Gap: 2 * time.Millisecond})
 	s.behave(s.services, users.Behaviour{Gap: time.Millisecond})
+	s.floor = s.store.RevisionOf(peerKey) - 1
 	until := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
 	var callers sync.WaitGroup
 	for n := range soakCallers {
@@ -69,6 +82,12 @@
 	s.heal() // first, as callers of a paused router wait for it
 	callers.Wait()
 	s.check()
+	if returns {
+		for _, door := range s.doors {
+			door.Open() // a router that has started meanwhile waits for the key
+		}
+		await(t, "the routers are one fleet", func() bool { return s.areMembers("3") })
+	}
 }
 
 // call sends requests until the time is over.
@@ -94,6 +113,10 @@
 
 // fault draws a fault and lets it come.
 func (s *soak) fault() {
+	if s.returns && s.random.IntN(3) == 0 {
+		s.comeBack()
+		return
+	}
 	i := s.random.IntN(len(s.routers))
 	switch s.random.IntN(12) {
 	case 0:
@@ -123,6 +146,23 @@
 	}
 }
 
+// comeBack lets the store come back from a copy, and the backend servers write their entries again, all or some of them.
+func (s *soak) comeBack() {
+	copied := s.floor // older than the key that the routers share
+	if s.random.IntN(4) > 0 {
+		copied = max(s.store.Revision()-int64(s.random.IntN(60)), s.floor)
+	}
+	s.store.Restore(copied)
+	if s.random.IntN(3) == 0 {
+		s.misbehave(s.services)
+	}
+	for _, b := range append(append([]*users.Backend{}, s.engines...), s.services...) {
+		if s.random.IntN(4) > 0 {
+			b.Announce("ready")
+		}
+	}
+}
+
 func (s *soak) drawHall() string { return []string{hallA, hallB}[s.random.IntN(2)] }
 
 // chill lets one of the engines become cold, or end it.
@@ -164,6 +204,9 @@
 		{}, {Drop: true}, {Reject: true}, {Surplus: true}, {Early: true}, {Unframed: true},
 		{Unframed: true, Reset: true}, {CutAfter: 7, CutInside: true}, {Status: 500}, {Nameless: true},
 	}
+	if s.returns {
+		ways = append(ways, users.Behaviour{Leaving: true}, users.Behaviour{Rest: "0.4"}, users.Behaviour{Rest: "soon"}, users.Behaviour{Surplus: true, Misled: true})
+	}
 	x := ways[s.random.IntN(len(ways))]
 	x.Gap = 2 * time.Millisecond
 	if backends[0].Pool == "engines" {
