--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -32,10 +32,10 @@
 	// minutes; the identity of one that has ended may be that of another some day, as it is 32 bits of a hash.
 	kept = time.Hour
 	// most is how many words of leaving are kept, the newest ones: more than the backend servers of the largest
-	// fleet that is aimed for, in less than a megabyte.
+	// fleet that is aimed for.
 	most = 8192
-	// left is how many are left of them once there are more, so that they are gone over seldom: at each word it took
-	// 2.5 ms.
+	// left is how many are left of them once there are more, so that they are gone over seldom: done at each word,
+	// 8,192 words beyond most took 41 s, 5 ms each (TestBookIsBounded, which takes 0.02 s now).
 	left = most * 3 / 4
 )
 
