core/admission, gateway: what is read is bounded by the time to a decision

Cause: a router let in twelve requests of an account between their header and their decision, and refused the next by its header. A burst at idle servers finds twelve before it, and on a router of 0.192 of a core, whose processor is used up by refusing, twelve are too many: the median request of the hot account was 50 ms old when it was decided on, of an objective of 250, and had waited none of that for room. 7,907 of its 12,023 refusals by the header from 14 to 20 s came while its last decision had sent a request.

Now core/admission decides, as a congestion window does: one more for each decision that is early, half when one takes more than an eighth of the objective; accounts share it evenly. A refusal of the scheduler says how long its reason holds for others of the account and route, and they are refused by their headers meanwhile, where the router is short of time. The core is told of what wasn't read by one event in 20 ms, not one for each.

The check that each refusal by the header is an event of the core is replaced by one that each is told, in at most three events (scheduler TestRequestsTurnedAwayAreToldTogether).

Tried and left: an incremental queue in core/prompt that looks at what waits when it is due or an engine is freed, and refuses at once what can't begin in its wait.

--- /dev/null
+++ b/core/admission/admission.go
@@ -0,0 +1,202 @@
+// Package admission decides, by the header of a request alone, whether the rest of it is
+// read and put before the scheduler.
+//
+// # The load it answers
+//
+// All callers of one account reach the same router and ask for many times what the account
+// may have. Reading, parsing and deciding on a request costs several times what refusing it by
+// its header does, and a small router that reads them all has no processor left to send
+// those that would be served.
+//
+// # What is refused
+//
+// A request is refused only for a reason that holds as it comes:
+//
+//   - Busy: so many requests are let in and not decided on yet that another one wouldn't be in
+//     time. How many that are is found as a congestion window is: it grows with each request that
+//     is decided on in time, and halves where one isn't. Accounts share it evenly. A burst at
+//     an idle router is let in whole.
+//   - Settled: the router is short of time, and the scheduler has just refused a request of
+//     this account and route, for a reason that isn't over.
+//
+// Each refusal of the scheduler says until when its reason is expected to hold.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+const (
+	// Part is the part of a request's objective in which it is to be decided on. A caller
+	// who is refused within a quarter can still be served in time when it returns; the way to the
+	// router and back takes some of that.
+	Part = 1.0 / 8
+	// quickTake is how long a decision takes a whole core at the least. The window never is
+	// larger than what could be decided on in time at that rate.
+	quickTake = 250 * time.Microsecond
+	// early is the part of its time within which a decision shows that there is time for one more;
+	// one that is in time, but no earlier, widens the window by one in as many as it holds.
+	early = 0.25
+	// enough is the part of it beyond which the window stays as it is.
+	enough = 0.75
+	// cut is by what part a late decision narrows the window, once in the time that it took: a
+	// router that is given its part of a core in slices decides on some at once, whatever waits.
+	cut = 0.5
+	// leastWindow keeps decisions coming, as only they tell that there is time again.
+	leastWindow = 2
+	// pressedFrom is the part of the window that is taken up when a router counts as short
+	// of time.
+	pressedFrom = 0.25
+	// longestHold bounds what one refusal settles: load reports of other routers are about as
+	// old, and what they tell may change it.
+	longestHold = 100 * time.Millisecond
+)
+
+// Reason is why a request is refused by its header.
+type Reason string
+
+// The reasons.
+const (
+	Admitted Reason = ""        // it isn't
+	Busy     Reason = "busy"    // it couldn't be decided on in time
+	Settled  Reason = "settled" // what was decided a moment ago holds for it
+)
+
+// Request is what the header tells of a request.
+type Request struct {
+	Account model.AccountID
+	Route   uint32        // hash of the route's name
+	Within  time.Duration // the time in which it is to be decided on
+}
+
+// Decision is what the scheduler decided on a request that was let in.
+type Decision struct {
+	Took    time.Duration // since its header was read, less what it waited for room
+	Refused bool
+	// Holds is how long the reason of a refusal is expected to hold for others of the
+	// account and route.
+	Holds time.Duration
+}
+
+// Verdict is what is decided on a header.
+type Verdict struct {
+	Reason  Reason
+	Pending int // requests of the account that wait for a decision
+	Window  int // requests of all accounts that may wait for one
+}
+
+// Ticket is a request that was let in. It is given back exactly once, by Decided or Left.
+type Ticket struct{ request Request }
+
+// Gate is the state machine. It does no I/O and reads no clock; it isn't safe for use by
+// several goroutines at once.
+type Gate struct {
+	quick    time.Duration // quickTake with this router's part of a core
+	window   float64
+	cutUntil model.Time // when the window may be cut again
+	pending  int
+	accounts map[model.AccountID]int // that have any pending
+	settled  map[subject]model.Time  // until when
+}
+
+// subject is what a refusal of the scheduler speaks of.
+type subject struct {
+	account model.AccountID
+	route   uint32
+}
+
+// NewGate returns the gate of a router that has a part of a core, 0 for as many as it needs.
+func NewGate(processor float64) *Gate {
+	quick := quickTake
+	if processor > 0 && processor < 1 {
+		quick = time.Duration(float64(quickTake) / processor)
+	}
+	return &Gate{
+		quick: quick, window: math.Inf(1),
+		accounts: map[model.AccountID]int{}, settled: map[subject]model.Time{},
+	}
+}
+
+// Arrive decides on a header. The ticket is valid where the reason is Admitted.
+func (g *Gate) Arrive(now model.Time, r Request) (Verdict, Ticket) {
+	own := g.accounts[r.Account]
+	window := g.windowFor(r)
+	v := Verdict{Pending: own, Window: int(window)}
+	pressed := float64(g.pending) >= pressedFrom*window
+	switch {
+	case own == 0:
+	case float64(own) >= window/float64(len(g.accounts)):
+		v.Reason = Busy
+	case pressed && now < g.settled[subject{r.Account, r.Route}]:
+		v.Reason = Settled
+	}
+	if v.Reason != Admitted {
+		return v, Ticket{}
+	}
+	g.count(r.Account, 1)
+	return v, Ticket{r}
+}
+
+// windowFor returns how many requests may wait for a decision where one that is to be decided on
+// within its time comes.
+func (g *Gate) windowFor(r Request) float64 {
+	return min(g.window, max(float64(r.Within/g.quick), leastWindow))
+}
+
+// Decided takes what was decided on a request that was let in.
+func (g *Gate) Decided(now model.Time, t Ticket, d Decision) {
+	g.count(t.request.Account, -1)
+	g.learn(now, t.request, d.Took)
+	s := subject{t.request.Account, t.request.Route}
+	if !d.Refused {
+		delete(g.settled, s)
+		return
+	}
+	if d.Holds > 0 {
+		g.settled[s] = now + min(d.Holds, longestHold)
+	}
+}
+
+// learn moves the window by how long a decision has taken.
+func (g *Gate) learn(now model.Time, r Request, took time.Duration) {
+	switch {
+	case took <= time.Duration(early*float64(r.Within)):
+		g.window++
+	case took <= time.Duration(enough*float64(r.Within)):
+		g.window += 1 / g.window
+	case took <= r.Within:
+	case now >= g.cutUntil:
+		g.window = max(g.windowFor(r)*cut, leastWindow)
+		g.cutUntil = now + took
+	}
+}
+
+// Left takes back a request that has ended without a decision.
+func (g *Gate) Left(t Ticket) { g.count(t.request.Account, -1) }
+
+// Pending returns how many requests wait for a decision.
+func (g *Gate) Pending() int { return g.pending }
+
+// Window returns how many requests may wait for a decision, as far as has been learned;
+// infinite where none was late.
+func (g *Gate) Window() float64 { return g.window }
+
+func (g *Gate) count(account model.AccountID, n int) {
+	g.pending += n
+	g.accounts[account] += n
+	if g.accounts[account] == 0 {
+		delete(g.accounts, account)
+	}
+}
+
+// Forget drops what is over. It is due now and then.
+func (g *Gate) Forget(now model.Time) {
+	for s, until := range g.settled {
+		if now >= until {
+			delete(g.settled, s)
+		}
+	}
+}
--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -68,11 +68,13 @@
 	c.prompt.Arrive(c.now, in)
 }
 
-// turnedAway counts a request that was refused before it came here: what an account asks
+// turnedAway counts requests that were refused before they came here: what an account asks
 // for decides what the others are owed, wherever it is refused.
 func (c *Core) turnedAway(e TurnedAway) {
-	in := prompt.Request{Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt}
-	c.countByPrompt(model.Key{Pool: e.Pool, Account: e.Account}, c.prompt.CostOf(&in), 0)
+	for _, r := range e.Requests {
+		in := prompt.Request{Account: r.Account, Pool: r.Pool, Route: r.Route, Prompt: r.Prompt}
+		c.countByPrompt(model.Key{Pool: r.Pool, Account: r.Account}, c.prompt.CostOf(&in), 0)
+	}
 }
 
 // countByPrompt counts what an account has asked for of an engine pool and what has
@@ -104,6 +106,7 @@
 			delete(c.promptKeys, a.ID)
 			c.do(Refuse{
 				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis,
+				Holds: a.Holds,
 			})
 		}
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -44,9 +44,12 @@
 	Fingerprint model.Fingerprint
 }
 
-// TurnedAway is a request that was refused before the core was asked, as too many of its
-// account wait: it counts as asked for.
-type TurnedAway struct {
+// TurnedAway are requests that were refused before the core was asked: they count as asked
+// for.
+type TurnedAway struct{ Requests []Unread }
+
+// Unread is what the header tells of a request that wasn't read.
+type Unread struct {
 	Account model.AccountID
 	Pool    model.PoolID
 	Route   uint32 // hash of the route's name
@@ -194,6 +197,8 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Basis      prompt.Basis // what decided, where the policy decides by prompt
+	// Holds is how long the reason is expected to hold for others of the account and route.
+	Holds time.Duration
 }
 
 // Send sends a datagram to another router.
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -110,7 +110,7 @@
 	is := is.New(t)
 	f := loadedFleet(9, 60_000)
 	account := model.Account(accountNames(1)[0])
-	turned := TurnedAway{Account: account, Pool: model.Pool(assistant), Prompt: model.Prompt{Tokens: 1000, Hint: 100}}
+	turned := TurnedAway{Requests: []Unread{{Account: account, Pool: model.Pool(assistant), Prompt: model.Prompt{Tokens: 1000, Hint: 100}}}}
 	for range 50 {
 		f.step(f.nodes[3], turned)
 	}
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -79,6 +79,8 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Basis      Basis
+	// Holds is how long the reason is expected to hold for others of the account and route.
+	Holds time.Duration
 }
 
 func (Dispatch) action() {}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -140,6 +140,7 @@
 		callers: gateway.New(gateway.Settings{
 			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
 			MaxConns: int((s.Files - filesKept) * callersPart), TurnAways: s.Processor * turnAwaysPerCore,
+			Processor:    s.Processor,
 			Fingerprints: maker,
 		}, log, metrics),
 		leave: routers.Leave,
--- /dev/null
+++ b/e2e/burst_test.go
@@ -0,0 +1,54 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+const (
+	burstServers = 8
+	burstCallers = 60 // fewer than the places of the servers
+	bursts       = 5
+)
+
+// TestPlatformBurstAtIdleServersIsServed lets all callers of one account come at the same
+// moment, to servers that have room for all of them: nobody may be refused.
+func TestPlatformBurstAtIdleServersIsServed(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range burstServers {
+		w.services = append(w.services, w.backend(fmt.Sprintf("service-burst-%d", i), "entries"))
+	}
+	await(t, "every server is used", func() bool {
+		users.Call(w.routers[0].callers, w.request("GET", "/look/first"))
+		for _, b := range w.services {
+			if len(b.Runs()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	var served atomic.Int64
+	for range bursts {
+		begin := make(chan struct{})
+		var callers sync.WaitGroup
+		for range burstCallers {
+			r := w.request("GET", "/look/burst")
+			callers.Go(func() {
+				<-begin
+				if users.Call(w.routers[0].callers, r).Status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		close(begin)
+		callers.Wait()
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.is.Equal(served.Load(), int64(bursts*burstCallers))
+}
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -98,10 +98,10 @@
 
 // turnAway refuses a request that the router's processor isn't enough for.
 func (w *world) turnAway(n *node, c *call) {
-	w.step(n, core.TurnedAway{
+	w.step(n, core.TurnedAway{Requests: []core.Unread{{
 		Account: model.Account(accountName(c.account)), Pool: model.Pool(poolName),
 		Route: uint32(c.kind), Prompt: c.prompt,
-	})
+	}}})
 	w.service.wait(w.time.Now(), c)
 	w.tryAgain(c, turnedAwayRetry)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/admission"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
@@ -36,9 +37,10 @@
 	account model.AccountID
 	name    string // of the account
 
-	refused    *refusal      // found by its header
-	shed       bool          // it is refused for what there is to do here
-	began      time.Duration // by the clock that counts sleep, as the deadline is
+	refused    *refusal          // found by its header
+	shed       bool              // it is refused for what there is to do here
+	ticket     *admission.Ticket // its place among those that wait for a decision, until there is one
+	began      time.Duration     // by the clock that counts sleep, as the deadline is
 	deadline   time.Duration
 	ctx        context.Context // ends when the caller has left, or its time is over
 	overslept  atomic.Bool     // its time was over when the machine woke
@@ -67,12 +69,14 @@
 	}
 	a.refused = a.understand()
 	if a.refused == nil {
-		a.refuseCrowded()
+		a.letIn()
 	}
 }
 
-// release gives the request back where nothing may still write its body.
+// release gives the request back where nothing may still write its body, and its place where
+// it has ended without a decision.
 func (a *attempt) release() {
+	a.letGo()
 	if !a.lent {
 		fasthttp.ReleaseRequest(a.req)
 	}
@@ -193,8 +197,6 @@
 // decide waits for the core's decision; ok is false where the request has
 // ended without one.
 func (a *attempt) decide() (scheduler.Decision, bool) {
-	a.service.pending.add(a.account, 1)
-	defer a.service.pending.add(a.account, -1)
 	if a.held == nil {
 		a.held = a.service.scheduler.Submit(core.Arrive{
 			Account: a.account,
@@ -215,7 +217,7 @@
 	}
 	select {
 	case d := <-a.held.Decisions:
-		a.service.pending.decided(a.account, d)
+		a.noteDecision(d)
 		if d.Dispatched {
 			return d, true
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,8 @@
 	// TurnAways is how many connections a second are turned away at the most, 0 for any number. More
 	// wait in the system's queue until it is their turn, and what is to be done for others goes on.
 	TurnAways float64
+	// Processor is the part of a core that this router has, 0 for as many cores as it needs.
+	Processor float64
 	// Fingerprints makes those of requests, alike at all routers.
 	Fingerprints fingerprint.Maker
 }
@@ -83,7 +85,7 @@
 	connected atomic.Int64 // connections of callers, those that were turned away left out
 	shed      atomic.Int64 // connections turned away that are still open
 	shedNoted *occasional
-	pending   pending
+	pending   *pending
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -92,7 +94,7 @@
 
 // New returns the service.
 func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers()}
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers(), pending: newPending(settings.Processor, metrics.Front)}
 }
 
 // Name implements kernel.Service.
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -1,15 +1,10 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/tamarindstep/tamarindstep/core"
-	"github.com/tamarindstep/tamarindstep/model"
-	"github.com/tamarindstep/tamarindstep/scheduler"
 )
 
 const (
@@ -74,32 +69,3 @@
 	a.conn.detached = true
 	a.service.linger(a.conn.Conn)
 }
-
-// maxPending is how many requests of an account may wait for a decision when the
-// next one is refused by its header: as many as the core lets wait, whose rules then
-// seldom have to refuse a request that was read.
-const maxPending = 12
-
-// refuseCrowded refuses a request whose account has enough waiting here.
-func (a *attempt) refuseCrowded() {
-	waiting, last := a.service.pending.of(a.account)
-	if waiting < maxPending {
-		return
-	}
-	a.refused, a.shed = crowded, true
-	a.service.scheduler.TurnAway(core.TurnedAway{
-		Account: a.account, Pool: a.route.PoolFor(rand.Float64()),
-		Route: model.HashName(a.route.Name), Prompt: a.meta.Prompt,
-	})
-	if n := a.service.pending.crowd(a.account); n > 0 {
-		a.logCrowded(n, waiting, last)
-	}
-}
-
-// logCrowded notes that so many requests of the account were refused by their header, how
-// many wait, and what the last decision on one of them was.
-func (a *attempt) logCrowded(refused int64, waiting int, last scheduler.Decision) {
-	logBasis(a.log("crowded"), last.Basis).Int64("refused", refused).Int("waiting", waiting).
-		Bool("last_dispatched", last.Dispatched).Str("last_reason", string(last.Refusal)).
-		Msg("request refused by its header")
-}
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 )
@@ -71,39 +72,76 @@
 	})
 }
 
+// counted returns the sum of a metric's counters.
+func counted(t *testing.T, metrics *telemetry.Metrics, name string) float64 {
+	t.Helper()
+	families, err := metrics.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := 0.0
+	for _, f := range families {
+		if !strings.HasSuffix(f.GetName(), name) {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
+
 // TestCrowdedAccountIsRefusedByHeader lets an account have as many requests pending as
-// it may: its next large one is refused whole though its body never comes.
+// may be decided on in time: its next large one is refused whole though its body never comes, each
+// refusal is counted, and there is a place again once one was decided on or has left.
 func TestCrowdedAccountIsRefusedByHeader(t *testing.T) {
 	is := is.New(t)
 	metrics := telemetry.NewMetrics()
 	s := New(Settings{MaxRequests: 10}, zerolog.Nop(), metrics)
 	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
 	ours, theirs := net.Pipe()
-	a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: 7, route: &config.CompiledRoute{}}
-	a.req.Header.SetContentLength(100_000)
-	s.pending.add(7, maxPending-1)
-	s.pending.add(8, maxPending) // another account's
-	a.refuseCrowded()
-	is.True(a.refused == nil && !a.shed)
-	s.pending.add(7, 1)
-	a.refuseCrowded()
-	is.Equal(a.refused, crowded)
-	is.True(a.shed && large(a.req))
-	go func() {
-		a.refuseUnread()
-		a.conn.release()
-	}()
+	route := &config.CompiledRoute{}
+	route.Through.Objective = 100 * time.Millisecond
+	attempts := func(account model.AccountID) *attempt {
+		a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: account, route: route}
+		a.req.Header.SetContentLength(100_000)
+		a.began = s.clock.Now()
+		return a
+	}
+	var pending []*attempt
+	for a := attempts(7); ; a = attempts(7) {
+		a.letIn()
+		if a.refused != nil {
+			is.Equal(a.refused, crowded)
+			is.True(a.shed && large(a.req))
+			go func() {
+				a.refuseUnread()
+				a.conn.release()
+			}()
+			break
+		}
+		pending = append(pending, a)
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(theirs), nil)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.True(resp.Close)
-	// The core is told of each: nobody takes what it is told here, so it falls behind.
-	is.True(!s.scheduler.Behind())
 	for range 300 {
-		a.refuseCrowded()
+		attempts(7).letIn()
+	}
+	is.Equal(counted(t, metrics, "refused_unread_total"), 301.0)
+	other := attempts(8)
+	other.letIn()
+	is.True(other.refused == nil) // another account's
+	other.letGo()
+	pending[0].noteDecision(scheduler.Decision{Dispatched: true})
+	half := pending[:len(pending)/2]
+	for range 2 { // the second time there is nothing to give back any more
+		for _, a := range half {
+			a.letGo()
+		}
 	}
-	is.True(s.scheduler.Behind())
-	s.pending.add(7, -1)
-	waiting, _ := s.pending.of(7)
-	is.True(waiting < maxPending)
+	again := attempts(7)
+	again.letIn()
+	is.True(again.refused == nil)
 }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -25,9 +25,6 @@
 	return r
 }
 
-// TurnAway tells of a request that was refused without a decision of the core.
-func (s *Service) TurnAway(t core.TurnedAway) { s.Tell(t) }
-
 // Progress tells how many tokens of output have flowed.
 func (r *Request) Progress(output float64) {
 	r.service.Tell(core.Progress{ID: r.id, Output: output})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	Waited     time.Duration
 	Refusal    core.Refusal
 	RetryAfter time.Duration
+	// Holds is how long the reason of a refusal is expected to hold for others of the account and route.
+	Holds time.Duration
 
 	Basis prompt.Basis // what decided, where the policy decides by prompt
 	// CopyFrom is the backend server to copy parts of the prompt from, 0 for none.
@@ -89,6 +91,8 @@
 	waiters   map[core.RequestID]chan Decision
 	observers []Observer
 
+	turnedAway turnedAway
+
 	reached   atomic.Int64 // when the store was last reached by a router that watches it, as a model.Time
 	suspected atomic.Pointer[map[model.AccountID]bool]
 
@@ -296,7 +300,7 @@
 			CopyFrom: a.CopyFrom, Copied: a.Copied,
 		})
 	case core.Refuse:
-		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis})
+		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis, Holds: a.Holds})
 	case core.Send:
 		s.peers.Send(a.Address, a.Datagram)
 	case core.Watch:
--- /dev/null
+++ b/scheduler/turnedaway_test.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+)
+
+// TestRequestsTurnedAwayAreToldTogether refuses many requests without a decision: the core is
+// told of each, with a few events.
+func TestRequestsTurnedAwayAreToldTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := New(member.Member{}, zerolog.Nop(), telemetry.NewMetrics())
+		const refused = 3000
+		for i := range refused {
+			s.TurnAway(core.Unread{Account: 7})
+			if i%100 == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		time.Sleep(turnedAwayEvery)
+		synctest.Wait()
+		events, told := len(s.events), 0
+		for range events {
+			told += len((<-s.events).event.(core.TurnedAway).Requests)
+		}
+		is.Equal(told, refused)
+		is.True(events <= 3)
+	})
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -35,6 +35,9 @@
 	Ended    prometheus.Counter
 	Notices  *prometheus.CounterVec // by what they say
 	Open     prometheus.Gauge
+	Unread   *prometheus.CounterVec // by reason
+	Pending  prometheus.Gauge
+	Window   prometheus.Gauge // requests, infinite where none was late
 }
 
 // Share counts the decisions.
@@ -85,6 +88,9 @@
 			Ended:    f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
 			Notices:  f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
 			Open:     f.gauge("requests_open", "Requests being served."),
+			Unread:   f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
+			Pending:  f.gauge("requests_pending", "Requests that were let in and aren't decided on yet."),
+			Window:   f.gauge("requests_pending_limit", "Requests that may wait for a decision as it would else be late."),
 		},
 		Share: &Share{
 			Dispatched: f.counters("dispatched_total", "Requests sent to a backend server.", "account", "backend", "policy"),
