core/admission, gateway: a window under pressure only; refused callers keep connections

Now there is no window until a decision is late and after two seconds without one; between, it is at most twelve. Beyond the share nothing is settled, unless others can't follow. The body of a refused request is read over after the answer, so that its connection carries the next one: a refused request with a body of 9 kB ended its connection before.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -13,9 +13,9 @@
 // A request is refused only for a reason that holds as it comes:
 //
 //   - Busy: so many requests are let in and not decided on yet that another one wouldn't be in
-//     time. How many that are is found as a congestion window is: it grows with each request that
-//     is decided on in time, and halves where one isn't. Accounts share it evenly. A burst at
-//     an idle router is let in whole.
+//     time. A burst at a router that has time is let in whole. From the first decision that is late
+//     on, a window holds, as for congestion of a network: it grows by one where as many as it
+//     holds are decided on in time, and halves where one isn't. Accounts share it evenly.
 //   - Settled: the router is short of time, and the scheduler has just refused a request of
 //     this account and route, for a reason that isn't over.
 //
@@ -37,14 +37,17 @@
 	// quickTake is how long a decision takes a whole core at the least. The window never is
 	// larger than what could be decided on in time at that rate.
 	quickTake = 250 * time.Microsecond
-	// early is the part of its time within which a decision shows that there is time for one more;
-	// one that is in time, but no earlier, widens the window by one in as many as it holds.
-	early = 0.25
-	// enough is the part of it beyond which the window stays as it is.
+	// enough is the part of its time within which a decision shows that there is time for more;
+	// one in so many as the window holds widens it by one.
 	enough = 0.75
 	// cut is by what part a late decision narrows the window, once in the time that it took: a
 	// router that is given its part of a core in slices decides on some at once, whatever waits.
 	cut = 0.5
+	// firstWindow is the widest that a window is after a late decision: one account's requests
+	// and a router's other work.
+	firstWindow = 12
+	// openAfter is how long no decision must be late for there to be no window any more.
+	openAfter = 2 * time.Second
 	// leastWindow keeps decisions coming, as only they tell that there is time again.
 	leastWindow = 2
 	// pressedFrom is the part of the window that is taken up when a router counts as short
@@ -97,6 +100,7 @@
 	quick    time.Duration // quickTake with this router's part of a core
 	window   float64
 	cutUntil model.Time // when the window may be cut again
+	late     model.Time // when the last decision was late
 	pending  int
 	accounts map[model.AccountID]int // that have any pending
 	settled  map[subject]model.Time  // until when
@@ -163,14 +167,17 @@
 // learn moves the window by how long a decision has taken.
 func (g *Gate) learn(now model.Time, r Request, took time.Duration) {
 	switch {
-	case took <= time.Duration(early*float64(r.Within)):
-		g.window++
+	case took > r.Within:
+		g.late = now
+		if now >= g.cutUntil {
+			g.window = max(min(g.windowFor(r), firstWindow/cut)*cut, leastWindow)
+			g.cutUntil = now + took
+		}
+	case math.IsInf(g.window, 1):
+	case now > g.late+openAfter:
+		g.window = math.Inf(1)
 	case took <= time.Duration(enough*float64(r.Within)):
-		g.window += 1 / g.window
-	case took <= r.Within:
-	case now >= g.cutUntil:
-		g.window = max(g.windowFor(r)*cut, leastWindow)
-		g.cutUntil = now + took
+		g.window = min(g.window+1/g.window, firstWindow)
 	}
 }
 
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -214,24 +214,26 @@
 	p, _ := m.best(r)
 	m.actions = append(m.actions, Refuse{
 		ID: r.ID, Reason: reason, RetryAfter: retryAfter, Waited: m.now - r.arrived, Basis: m.basis(r, p, l),
-		Holds: m.holds(r, reason, retryAfter, p),
+		Holds: m.holds(r, reason, retryAfter, p, l),
 	})
 }
 
 // holds returns how long the reason of a refusal is expected to hold for others of the
-// account and route: until the soonest backend server that was looked at has room. Places that
-// wait, and backend servers that come, may be there at any moment.
-func (m *Machine) holds(r *request, reason Reason, retryAfter time.Duration, p place) time.Duration {
+// account and route: until the soonest backend server that was looked at has room, or the amounts
+// are sampled anew by which the account is beyond reach. Beyond its share another prompt may be
+// kept where room idles, and a place in the queue or a backend server may be there at any moment.
+func (m *Machine) holds(r *request, reason Reason, retryAfter time.Duration, p place, l levels) time.Duration {
 	switch reason {
 	case Resting:
 		return retryAfter
 	case NoRoom:
 		return p.soonest - time.Duration(m.config.Tuning.Begin*float64(r.Objective))
 	case OverShare:
-		return p.soonest - p.server.pace.base
-	default:
-		return 0
+		if m.standingOf(r.Account, l) == beyondReach {
+			return m.shares.sampled + sampleEvery - m.now
+		}
 	}
+	return 0
 }
 
 func (m *Machine) dispatch(r *request, p place, l levels) {
--- a/explain/tables.go
+++ b/explain/tables.go
@@ -34,8 +34,8 @@
 	DelayMS  Quantiles // expected at the best backend server, in milliseconds
 }
 
-// byHeader is the reason of requests that were refused by their header.
-const byHeader = "queue-full, by header"
+// byHeader stands behind the reason of requests that were refused by their header.
+const byHeader = ", by header"
 
 // Refusals counts the refusals by route, account, reason and standing, the most first.
 func (l *Log) Refusals() []Refusals {
@@ -50,7 +50,7 @@
 		switch line.Outcome {
 		case refused:
 		case crowded:
-			key.Reason, count = byHeader, max(line.Refused, 1)
+			key.Reason, count = line.Reason+byHeader, max(line.Refused, 1)
 		default:
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,9 +192,8 @@
 	refused, err := c.readHeader(a.req, limits)
 	if err == nil && refused == nil {
 		a.admit()
-		if a.shed && large(a.req) {
-			a.refuseUnread()
-			return false
+		if a.shed {
+			return a.refuseUnread()
 		}
 		refused, err = c.readBody(a.req, limits)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -95,6 +95,15 @@
 	return nil, err
 }
 
+// discard reads a body over.
+func (c *callerConn) discard(length int) error {
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+	_, err := c.reader.Discard(length)
+	return err
+}
+
 // bodyTimeout is how long a body may take to come.
 const bodyTimeout = 30 * time.Second
 
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -52,20 +52,40 @@
 	})
 }
 
-// largeBody is the size, in bytes, of the smallest body that costs more to read than
-// a new connection does to accept.
-const largeBody = 4 << 10
-
-// large tells whether a request's body is large, or its size isn't known.
-func large(req *fasthttp.Request) bool {
-	n := req.Header.ContentLength()
-	return n == -1 || n >= largeBody
-}
+const (
+	// maxDiscarded is the size, in bytes, of the largest body that is read over so that its
+	// connection may carry another request: up to there a few reads cost less than a new
+	// connection does to accept and to close.
+	maxDiscarded = 32 << 10
+	// discardTimeout is how long the rest of such a body may take to come.
+	discardTimeout = time.Second
+)
 
-// refuseUnread refuses a request of which only the header was read.
-func (a *attempt) refuseUnread() {
-	a.keep = false
+// refuseUnread refuses a request of which only the header was read, and tells whether the
+// connection may carry another.
+func (a *attempt) refuseUnread() bool {
+	length, known := bodyLength(&a.req.Header)
+	brief := known && length <= maxDiscarded && !a.req.MayContinue()
+	a.keep = a.keep && brief
 	a.refuse(a.refused, startRetryAfter)
+	if a.keep {
+		return a.conn.discard(length) == nil
+	}
 	a.conn.detached = true
 	a.service.linger(a.conn.Conn)
+	return false
+}
+
+// bodyLength returns how long the body is that follows a header; known is false where the
+// header doesn't tell.
+func bodyLength(h *fasthttp.RequestHeader) (length int, known bool) {
+	const chunked, none = -1, -2 // by fasthttp
+	switch n := h.ContentLength(); n {
+	case chunked:
+		return 0, false
+	case none:
+		return 0, true
+	default:
+		return n, true
+	}
 }
