core/prompt, telemetry: homes of shared parts in each hall, as a setting; bytes by kind

--prompt-homes hall gives each hall a home of its own; fleet, as before, is the default and what the users' platform runs. Counters tell bytes between halls by kind, and tokens copied.

Conclusion: the ordering is kept as a setting, the measure of a hall's fullness is missing.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -23,6 +23,7 @@
 		Backends:        map[model.BackendID]prompt.Backend{},
 		Accounts:        map[model.AccountID]int{},
 		TokensPerSecond: c.config.TokensPerSecond,
+		HallHomes:       c.hallHomes,
 		Tuning:          *c.config.Policy.ByPrompt,
 	}
 	hall := c.members.Self().DataHall
--- a/core/core.go
+++ b/core/core.go
@@ -73,6 +73,7 @@
 	promptKeys map[RequestID]model.Key
 	loads      loadExchange
 	coldLimits cold.Limits
+	hallHomes  bool
 
 	// As ingress router.
 	requests  map[RequestID]*request
@@ -149,6 +150,10 @@
 // its start; without, its rate is the limit.
 func (c *Core) LimitCold(limits cold.Limits) { c.coldLimits = limits }
 
+// HomesInHalls lets prompts that share parts have a home in each data hall, and not one in the
+// fleet; it must be said before a configuration is in force.
+func (c *Core) HomesInHalls() { c.hallHomes = true }
+
 // LimitLoads sets how many bytes a second this router tells each of those that it tells: of
 // what it has on the backend servers, and of what it passes on as a relay.
 func (c *Core) LimitLoads(bytesPerSecond float64) { c.loads = newLoadExchange(bytesPerSecond) }
--- a/core/datagram.go
+++ b/core/datagram.go
@@ -90,6 +90,7 @@
 		if d.Probe != nil || len(d.Grants) > 0 {
 			d.Free = c.freeSlots()
 		}
-		c.do(Send{To: name, Address: m.Address, Datagram: d})
+		far := m.DataHall != c.members.Self().DataHall
+		c.do(Send{To: name, Address: m.Address, Far: far, Datagram: d})
 	}
 }
--- a/core/event.go
+++ b/core/event.go
@@ -205,6 +205,7 @@
 type Send struct {
 	To       string
 	Address  string
+	Far      bool // to another data hall
 	Datagram *wire.Datagram
 }
 
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -150,7 +150,10 @@
 		return all
 	}
 	out := slices.Clone(all[:ranked])
-	if ok {
+	switch {
+	case ok && m.config.HallHomes:
+		out = m.byHallAndHolders(order, partKey(shared))
+	case ok:
 		out = m.rankedAndHolders(order, partKey(shared))
 	}
 	out = append(out, m.ownCold(r.Pool)...)
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -27,6 +27,9 @@
 // so it learns from its own requests how often the first choice, their home, has
 // kept what this router never sent there, and expects as much of it from then on.
 //
+// In a large fleet each data hall can have a home of its own for each shared part: what is
+// shared by many is then read once in each, and most requests needn't leave their data hall.
+//
 // # Accounts
 //
 // Over a window of some seconds each account may begin its max-min share of what
@@ -60,7 +63,10 @@
 	Accounts map[model.AccountID]int // the priority of each
 	// TokensPerSecond is what all engines make together, 0 where unknown.
 	TokensPerSecond float64
-	Tuning          Tuning
+	// HallHomes lets prompts that share parts have a home in each data hall, and not one in the
+	// fleet.
+	HallHomes bool
+	Tuning    Tuning
 }
 
 // Pool is a set of backend servers that can stand in for one another.
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -138,7 +138,7 @@
 		routers: routers,
 		key:     string(key.Data),
 		callers: gateway.New(gateway.Settings{
-			Listen: s.CallerListen, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
+			Listen: s.CallerListen, DataHall: s.DataHall, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
 			MaxConns: int((s.Files - filesKept) * callersPart), TurnAways: s.Processor * turnAwaysPerCore,
 			Processor:    s.Processor,
 			Fingerprints: maker,
@@ -175,6 +175,9 @@
 	r.scheduler.LimitRetries(retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: retryWindow})
 	r.scheduler.LimitCold(cold.Limits{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack})
 	r.scheduler.LimitLoads(s.LoadsBytes)
+	if s.HallHomes {
+		r.scheduler.HomesInHalls()
+	}
 	gens := generation.New(around.source, log, metrics.Platform)
 	administration := admin.New(s.AdminListen, s.OperatorToken, metrics.Registry, r.isDraining)
 	if s.Profiles {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -37,7 +37,7 @@
 	is.NoErr(f.Parse([]string{
 		"--interface", "platform", "--name", "a", "--data-hall", "a", "--caller-listen", "127.0.0.1:1",
 		"--admin-listen", "127.0.0.1:2", "--peer-listen", "127.0.0.1:3", "--store", "127.0.0.1:4",
-		"--store-writes", "none", "--peer-receiver", "pigeon", "--loads-bytes", "few",
+		"--store-writes", "none", "--peer-receiver", "pigeon", "--loads-bytes", "few", "--prompt-homes", "rack",
 	}))
 	_, err := read(f)
 	var findings finding.List
@@ -46,5 +46,5 @@
 	for _, x := range findings {
 		got = append(got, x.Code+" "+x.Position.File)
 	}
-	is.Equal(strings.Join(got, ", "), "TS3005 --loads-bytes, TS3003 --peer-receiver, TS3005 --store-writes")
+	is.Equal(strings.Join(got, ", "), "TS3005 --loads-bytes, TS3003 --peer-receiver, TS3003 --prompt-homes, TS3005 --store-writes")
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -23,6 +23,12 @@
 	wordOff = "off"
 )
 
+// The values of the setting prompt-homes.
+const (
+	homesFleet = "fleet"
+	homesHall  = "hall"
+)
+
 // The values of the setting peer-receiver.
 const (
 	receiverAuto      = "auto"
@@ -50,6 +56,7 @@
 	RetrySlack    float64
 	ColdOvershoot float64
 	ColdSlack     float64
+	HallHomes     bool    // prompts that share parts have a home in each data hall
 	LoadsBytes    float64 // a second, that each router is told of the others' requests
 	MemoryMB      float64
 	Files         float64 // descriptors
@@ -80,6 +87,8 @@
 	f.String("retry-slack", "50", "second sends beyond that in ten seconds, over the fleet")
 	f.String("cold-overshoot", "1", "how many times its cold-rate a backend server may get that is slow from its start, over the fleet")
 	f.String("cold-slack", "0", "requests a second beyond that, over the fleet")
+	f.String("prompt-homes", homesFleet, "where prompts that share parts go first: hall: to a backend server of each data hall, "+
+		"so that few requests leave theirs; fleet: to one of all, so that each part is read once")
 	f.String("loads-bytes", strconv.Itoa(core.DefaultLoadsBytes), "bytes a second that each router is told of the "+
 		"others' requests; what is told gets older where there are fewer")
 	f.String("memory-mb", "512", "memory that the process may use, in MB; it takes fewer requests at once where there is less")
@@ -112,6 +121,7 @@
 		RetrySlack:    r.Number("retry-slack", 0),
 		ColdOvershoot: r.Number("cold-overshoot", 0),
 		ColdSlack:     r.Number("cold-slack", 0),
+		HallHomes:     r.Word("prompt-homes", homesFleet, homesHall) == homesHall,
 		LoadsBytes:    r.Number("loads-bytes", 1000),
 		MemoryMB:      r.Number("memory-mb", 32),
 		Files:         r.Number("files", 512),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,8 +47,9 @@
 
 // Settings are what the service is made with.
 type Settings struct {
-	Listen  string
-	Dialect Dialect
+	Listen   string
+	DataHall string // that this router is in
+	Dialect  Dialect
 	// MaxRequests is how many requests are served at once; more are refused.
 	MaxRequests int
 	// MaxConns is how many connections of callers are open at once; more are turned away.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,6 +26,7 @@
 	begun  bool // part of the answer has been written
 	events events
 	parts  int // of a stream that were handed on
+	bytes  int // of answers that were read, without their heads
 }
 
 // tokensPerEvent is what an event of a stream is taken to hold.
@@ -56,6 +57,7 @@
 // whole reads an answer to its end before it hands it on.
 func (r *relay) whole(a *attempt, answer *exchange.Answer) error {
 	body, err := io.ReadAll(io.LimitReader(answer, maxHeld+1))
+	r.bytes += len(body)
 	if err != nil {
 		return err
 	}
@@ -80,6 +82,7 @@
 		}
 		body = body[:cap(body)]
 		n, err := answer.Read(body)
+		r.bytes += n
 		body = body[:n]
 		if err == io.EOF {
 			if err := r.writeChunk(a, body); err != nil {
@@ -101,6 +104,7 @@
 	began := false
 	for {
 		n, err := answer.Read(buffer)
+		r.bytes += n
 		if n > 0 {
 			if !began {
 				began = true
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -11,6 +11,7 @@
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
 )
 
 // send sends the request to the backend server decided on. It returns false
@@ -39,6 +40,7 @@
 	}
 	a.sends++
 	a.tried = append(a.tried, d.Backend)
+	a.countSent(d)
 	if err != nil {
 		return a.failed(d, err)
 	}
@@ -148,7 +150,9 @@
 		a.finish(core.Failed, 0)
 		return false
 	}
+	before := a.relay.bytes
 	err := a.relay.run(a, answer)
+	a.countBytes(telemetry.HallAnswers, a.hallOf(d.Backend), a.relay.bytes-before)
 	if err == nil {
 		a.finish(core.Done, a.relay.output())
 		a.blame.Answered()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -186,17 +186,19 @@
 	s.write(address, b)
 }
 
-// Send sends a datagram to the router it names, at an IP and port.
-func (s *Service) Send(address string, d *wire.Datagram) {
+// Send sends a datagram to the router it names, at an IP and port, and returns how many bytes
+// it takes.
+func (s *Service) Send(address string, d *wire.Datagram) (bytes int) {
 	s.mu.Lock()
 	s.known[d.To] = address
 	b, err := s.session.seal(d)
 	s.mu.Unlock()
 	if err != nil {
 		s.metrics.Refused.Inc()
-		return
+		return 0
 	}
 	s.write(address, b)
+	return len(b)
 }
 
 func (s *Service) write(address string, b []byte) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,6 +99,7 @@
 	retries    retry.Limits
 	cold       cold.Limits
 	loadsBytes float64
+	hallHomes  bool
 	lag        lag
 
 	until  context.Context
@@ -114,6 +115,10 @@
 // its start; it must be done before the start.
 func (s *Service) LimitCold(limits cold.Limits) { s.cold = limits }
 
+// HomesInHalls lets prompts that share parts have a home in each data hall, and not one in the
+// fleet; it must be said before the start.
+func (s *Service) HomesInHalls() { s.hallHomes = true }
+
 // LimitLoads sets the bytes a second that each router is told of the others' requests; it
 // must be done before the start.
 func (s *Service) LimitLoads(bytesPerSecond float64) { s.loadsBytes = bytesPerSecond }
@@ -246,6 +251,9 @@
 	c.LimitRetries(s.retries)
 	c.LimitLoads(s.loadsBytes)
 	c.LimitCold(s.cold)
+	if s.hallHomes {
+		c.HomesInHalls()
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	due := s.now()
@@ -302,7 +310,7 @@
 	case core.Refuse:
 		s.decide(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis, Holds: a.Holds})
 	case core.Send:
-		s.peers.Send(a.Address, a.Datagram)
+		s.send(a)
 	case core.Watch:
 		s.metrics.Share.Owned.Set(float64(len(a.Backends)))
 		s.eachObserver(func(o Observer) {
@@ -346,6 +354,14 @@
 	}
 }
 
+// send sends a datagram, and counts it where it leaves the data hall.
+func (s *Service) send(a core.Send) {
+	bytes := s.peers.Send(a.Address, a.Datagram)
+	if a.Far {
+		s.metrics.Halls.Bytes.WithLabelValues(telemetry.HallControl).Add(float64(bytes))
+	}
+}
+
 // signal calls a function of each observer that has it.
 func (s *Service) signal(of func(Observer) func()) {
 	s.eachObserver(func(o Observer) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -12,6 +12,7 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 	Peer     *Peer
+	Halls    *Halls
 	Front    *Front
 	Share    *Share
 	Platform *Platform
@@ -26,6 +27,19 @@
 	SendFailures  prometheus.Counter
 }
 
+// Halls counts what leaves the data hall, or comes from another one.
+type Halls struct {
+	Bytes  *prometheus.CounterVec // by kind
+	Copied prometheus.Counter     // tokens
+}
+
+// The kinds of bytes between data halls.
+const (
+	HallRequests = "requests" // to backend servers
+	HallAnswers  = "answers"  // of backend servers
+	HallControl  = "control"  // datagrams to other routers
+)
+
 // Front counts the callers' requests.
 type Front struct {
 	Requests *prometheus.CounterVec   // by account, route, outcome
@@ -80,6 +94,10 @@
 			Refused:       f.counter("peer_refused_total", "Datagrams and connections that weren't taken."),
 			SendFailures:  f.counter("peer_send_failures_total", "Datagrams that couldn't be sent."),
 		},
+		Halls: &Halls{
+			Bytes:  f.counters("between_halls_bytes_total", "Bytes between this data hall and others, without heads and framing.", "kind"),
+			Copied: f.counter("between_halls_copied_tokens_total", "Tokens of prompts that backend servers were told to copy from another data hall."),
+		},
 		Front: &Front{
 			Requests: f.counters("requests_total", "Requests by their end.", "account", "route", "outcome"),
 			Refusals: f.counters("refusals_total", "Requests refused, by reason.", "code"),
