--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -30,6 +31,11 @@
 	// returns lets the store come back from copies as well, no older than the floor, and backend servers speak of themselves.
 	returns bool
 	floor   int64
+	// bursts lets crowds of one account come to one router at the same moment.
+	bursts bool
+
+	crowd  int // number of the last crowd
+	crowds sync.WaitGroup
 
 	mu   sync.Mutex
 	seen []seen
@@ -41,7 +47,10 @@
 	answer  users.Answer
 }
 
-const soakCallers = 10
+const (
+	soakCallers = 10
+	soakCrowd   = 60 // callers that come at the same moment
+)
 
 // TestSoak lets faults come from outside, in series and one over another, and
 // checks from what callers and backend servers saw that a request which may not be
@@ -50,7 +59,16 @@
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, false) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { (&soak{}).run(t, seed) })
+	}
+}
+
+// TestSoakBursts draws more: crowds of callers of one account that come to one router at the same moment, with requests
+// of many sizes, while faults come and go.
+func TestSoakBursts(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { (&soak{bursts: true}).run(t, seed) })
 	}
 }
 
@@ -59,12 +77,12 @@
 func TestSoakReturns(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, true) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { (&soak{returns: true}).run(t, seed) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, returns bool) {
-	s := &soak{world: newWorld(t, 3), random: rand.New(rand.NewPCG(seed, 1)), paused: map[int]bool{}, returns: returns}
+func (s *soak) run(t *testing.T, seed uint64) {
+	s.world, s.random, s.paused = newWorld(t, 3, s.flags()...), rand.New(rand.NewPCG(seed, 1)), map[int]bool{}
 	s.engines = append(s.engines, s.backendIn("engine-run-b", "engines", hallB))
 	s.services = append(s.services, s.backendIn("service-run-b", "entries", hallB))
 	s.behave(s.engines, users.Behaviour{Events: 20, Gap: 2 * time.Millisecond})
@@ -81,8 +99,9 @@
 	}
 	s.heal() // first, as callers of a paused router wait for it
 	callers.Wait()
+	s.crowds.Wait()
 	s.check()
-	if returns {
+	if s.returns {
 		for _, door := range s.doors {
 			door.Open() // a router that has started meanwhile waits for the key
 		}
@@ -90,6 +109,14 @@
 	}
 }
 
+// flags returns those of the routers, beside the usual ones: crowds press upon small ones.
+func (s *soak) flags() []string {
+	if s.bursts {
+		return []string{"--processor", "0.2"}
+	}
+	return nil
+}
+
 // call sends requests until the time is over.
 func (s *soak) call(n int, seed uint64, until time.Time) {
 	random := rand.New(rand.NewPCG(seed, uint64(n)+2))
@@ -103,10 +130,7 @@
 		s.mu.Lock()
 		to := s.routers[random.IntN(len(s.routers))].callers
 		s.mu.Unlock()
-		got := users.Call(to, r)
-		s.mu.Lock()
-		s.seen = append(s.seen, seen{r, got})
-		s.mu.Unlock()
+		s.ask(to, r)
 		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 	}
 }
@@ -118,6 +142,10 @@
 		return
 	}
 	i := s.random.IntN(len(s.routers))
+	if s.bursts && s.random.IntN(2) == 0 {
+		s.burst(i)
+		return
+	}
 	switch s.random.IntN(12) {
 	case 0:
 		s.replace(i, syscall.SIGKILL)
@@ -146,6 +174,28 @@
 	}
 }
 
+// burst lets a crowd come to a router, some of whom send a large body.
+func (s *soak) burst(i int) {
+	s.crowd++
+	to := s.routers[i].callers
+	for n := range soakCrowd {
+		path := []string{"/claim/1", "/look/1", "/chat/1"}[s.random.IntN(3)]
+		r := users.Request{
+			Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("crowd-%d-%d", s.crowd, n),
+			Body: strings.Repeat("x", s.random.IntN(60_000)), TimeLeft: 2 * time.Second,
+		}
+		s.crowds.Go(func() { s.ask(to, r) })
+	}
+}
+
+// ask sends a request to a router, and keeps what came of it.
+func (s *soak) ask(to string, r users.Request) {
+	got := users.Call(to, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, seen{r, got})
+}
+
 // comeBack lets the store come back from a copy, and the backend servers write their entries again, all or some of them.
 func (s *soak) comeBack() {
 	copied := s.floor // older than the key that the routers share
