core/prompt: an account that is behind isn't held back for one that is further behind

Cause: where an account is held up, nobody may begin more than lets it follow. The bound held for everybody. The routers differ in which account they take for held up, as an account must ask for as much as the best served one, and each router knows its own account's amounts 0.2 to 0.5 s before the others'.

Ruled out: old load reports at the busy router alone (0.3 to 0.6 s there and elsewhere); its processor alone (requests were 13 to 37 ms old when they were decided on).

TestWhoIsBehindIsntHeldBackForOthers was shown failing first.

--- a/core/prompt/levels.go
+++ b/core/prompt/levels.go
@@ -22,6 +22,9 @@
 	// bound is what an account may begin in the window at the most, whatever idles, for others that
 	// are held up to stay within reach; brief is the same of the time of a burst.
 	bound, brief float64
+	// ahead is what an account must have begun in the window for that bound to hold for it, and aheadLately
+	// in the time of a burst: one that is behind the best served one itself keeps nobody from following.
+	ahead, aheadLately float64
 	// spare tells that there is enough for all in the part of the window in which anything was asked
 	// for. At a cold start the whole window has enough for seconds, though engines can't make it yet.
 	spare bool
@@ -40,6 +43,7 @@
 	span := m.span()
 	var kept float64
 	kept, out.spare = maxMin(all.asked, capacity*span.Seconds()/window.Seconds())
+	out.ahead, out.aheadLately = t.BehindPart*all.best, t.BehindPart*lately.best
 	out.bound = max(t.KeepPart*kept, m.reach((*history).inWindow, all.best, span))
 	out.owed = max(out.owed+t.Slack*capacity, t.BestPart*all.best)
 	out.real, _ = maxMin(all.asked, max(all.begun*t.RealFactor, capacity))
@@ -157,7 +161,7 @@
 	}
 	begun, lately := h.inWindow().Begun, h.lately().Begun
 	switch {
-	case !l.spare && begun > l.bound, !l.plenty && lately > l.brief:
+	case !l.spare && begun > max(l.bound, l.ahead), !l.plenty && lately > max(l.brief, l.aheadLately):
 		return beyondReach
 	case !l.enough && begun > l.real:
 		return farOver
--- a/core/prompt/reach_test.go
+++ b/core/prompt/reach_test.go
@@ -103,3 +103,24 @@
 	is.Equal(m.standingOf(1, l), beyondReach)
 	is.True(m.standingOf(2, l) != beyondReach)
 }
+
+// TestWhoIsBehindIsntHeldBackForOthers lets a third account get far less still than the one that is held up: the
+// best served one is bounded by that, and the one that is behind it itself isn't.
+func TestWhoIsBehindIsntHeldBackForOthers(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(9)
+	m.Sample(0)
+	each := m.config.TokensPerSecond * sampleEvery.Seconds()
+	for range samples {
+		m.Count(1, 3*each, 1.2*each)
+		m.Count(2, 3*each, 0.6*each)
+		m.Count(3, 3*each, 0.2*each)
+		m.now += sampleEvery
+		m.Sample(m.now)
+	}
+	l := m.levels()
+	is.True(m.Usage(2).Begun > l.bound) // less than others could follow to
+	is.Equal(m.standingOf(1, l), beyondReach)
+	is.Equal(m.standingOf(2, l), within)
+	is.Equal(m.standingOf(3, l), within)
+}
