--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -4,9 +4,8 @@
 // # The load it answers
 //
 // All callers of one account reach the same router and ask for many times what the account
-// may have. Reading, parsing and deciding on a request costs several times what refusing it by
-// its header does, and a small router that reads them all has no processor left to send
-// those that would be served.
+// may have. Reading a request and deciding on it costs more than refusing it by its header, and
+// a small router that reads them all has no processor left to send those that would be served.
 //
 // # What is refused
 //
--- a/scheduler/turnedaway.go
+++ b/scheduler/turnedaway.go
@@ -8,8 +8,8 @@
 )
 
 // turnedAwayEvery is how often the core is told of requests that were refused without a
-// decision. One event for each would cost a flooded router about as much as refusing them does;
-// other routers hear of it no sooner.
+// decision. A flooded router's core has others to decide on, and other routers hear of it no
+// sooner.
 const turnedAwayEvery = 20 * time.Millisecond
 
 // turnedAway gathers what the core is to be told of requests that weren't read.
