gateway: the line of an answer that broke off tells what its connection took

The line of an answer that a caller took no more of had the error alone. A write that times out after its whole time, on a harmed link, looked like one that fails at once. It has the bytes that were read and taken now, how long the last write lasted, and how long the connection had rested. Nothing is decided by it.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -10,6 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 )
 
@@ -24,6 +27,38 @@
 	busy   atomic.Bool // a request is being read or served
 	// detached is set where the connection is closed elsewhere.
 	detached bool
+	writes   writes
+}
+
+// writes are what an answer's log line says of the writing of it.
+type writes struct {
+	taken    int           // bytes of the answer that the system has taken
+	last     time.Duration // how long the last write took
+	rested   time.Duration // how long the connection had rested before the request, 0 for a new one
+	answered time.Duration // when the last answer ended, 0 for never
+}
+
+// begin begins the count for a request that has just arrived.
+func (w *writes) begin(now time.Duration) {
+	w.taken, w.last, w.rested = 0, 0, 0
+	if w.answered > 0 {
+		w.rested = now - w.answered
+	}
+}
+
+// note adds the writing of an answer to a line.
+func (w *writes) note(line *zerolog.Event) *zerolog.Event {
+	return line.Int("taken_bytes", w.taken).Dur("write_ms", w.last).Dur("rested_ms", w.rested)
+}
+
+// Write implements io.Writer.
+func (c *callerConn) Write(b []byte) (int, error) {
+	began := clock.System.Now()
+	n, err := c.Conn.Write(b)
+	c.writes.taken += n
+	c.writes.answered = clock.System.Now()
+	c.writes.last = c.writes.answered - began
+	return n, err
 }
 
 // buffers are those of connections that have ended: a flooded router would spend
@@ -35,7 +70,7 @@
 
 func newCallerConn(c net.Conn, headerBytes int) *callerConn {
 	out := &callerConn{Conn: c, writer: writers.Get().(*bufio.Writer)}
-	out.writer.Reset(c)
+	out.writer.Reset(out)
 	if reader, ok := readers.Get().(*bufio.Reader); ok && reader.Size() == headerBytes {
 		reader.Reset(c)
 		out.reader = reader
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/internal/clock"
 )
 
 // The limits of callers that hold until a configuration says otherwise.
@@ -53,6 +54,7 @@
 		return nil, errIdle
 	}
 	c.busy.Store(true)
+	c.writes.begin(clock.System.Now())
 	if err := c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -205,7 +205,7 @@
 	a.ran = true
 	a.finish(core.Failed, 0)
 	ended := a.serverEnded(d, cause)
-	a.log("broke-off").Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).
+	a.conn.writes.note(a.log("broke-off")).Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).Int("answer_bytes", a.relay.bytes).
 		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
 	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
 		return false
