--- /dev/null
+++ b/e2e/resting_test.go
@@ -0,0 +1,51 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+const (
+	// longRest is longer than a router lets a caller take over a part of an answer, and shorter than
+	// the idle limit of the configuration.
+	longRest = 11 * time.Second
+	// largeAnswer is the size in bytes of an answer above the buffers of a connection.
+	largeAnswer = 6000
+)
+
+// TestPlatformLargeAnswerAfterARest guards against an answer that is written under the deadline of the
+// answer before it: connections that had rested for longer were reset, though the answer was there.
+func TestPlatformLargeAnswerAfterARest(t *testing.T) {
+	w := newWorld(t, 1)
+	var callers sync.WaitGroup
+	for _, size := range []int{0, 4096, largeAnswer, 300_000} {
+		first, second := w.request("POST", "/claim/first"), w.request("POST", fmt.Sprintf("/claim/second?bytes=%d", size))
+		c, err := users.Dial(w.routers[0].callers)
+		w.is.NoErr(err)
+		defer c.Close()
+		callers.Go(func() {
+			checkAnswer(t, c, first, 0)
+			time.Sleep(longRest)
+			checkAnswer(t, c, second, size)
+		})
+	}
+	callers.Wait()
+}
+
+// checkAnswer sends a request on a caller's connection, and checks that its answer is whole.
+func checkAnswer(t *testing.T, c *users.Caller, r users.Request, size int) {
+	t.Helper()
+	if err := c.Send(r); err != nil {
+		t.Errorf("%d bytes: %v", size, err)
+		return
+	}
+	got := c.Read()
+	if got.Err != nil || got.Status != http.StatusOK || got.Body != users.PlainBody(size) {
+		t.Errorf("%d bytes: status %d, %d bytes, %v", size, got.Status, len(got.Body), got.Err)
+	}
+}
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -216,7 +217,8 @@
 	if x.Events > 0 {
 		return b.stream(c, x, id, run)
 	}
-	return b.plain(c, x, id)
+	bytes, _ := strconv.Atoi(req.URL.Query().Get("bytes")) // 0 where it doesn't say
+	return b.plain(c, x, id, bytes)
 }
 
 // Arrivals returns how many requests that were meant for it have come from one moment until another.
@@ -291,7 +293,16 @@
 // plainBody is the body of a plain answer.
 const plainBody = "the whole answer"
 
-func (b *Backend) plain(c net.Conn, x Behaviour, id string) bool {
+// PlainBody returns the body of a plain answer to a request whose query asks for so many
+// bytes, as in ?bytes=6000; for 0 bytes, a short sentence.
+func PlainBody(bytes int) string {
+	if bytes == 0 {
+		return plainBody
+	}
+	return strings.Repeat("x", bytes)
+}
+
+func (b *Backend) plain(c net.Conn, x Behaviour, id string, bytes int) bool {
 	b.pause(x.Gap)
 	if x.Held != nil {
 		select {
@@ -304,11 +315,12 @@
 		status = http.StatusOK
 	}
 	out := head(status, id, "seal-"+b.Name) + x.notice()
+	body := PlainBody(bytes)
 	if !x.Unframed {
-		_, err := io.WriteString(c, out+"Content-Length: "+strconv.Itoa(len(plainBody))+"\r\n\r\n"+plainBody)
+		_, err := io.WriteString(c, out+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 		return err == nil
 	}
-	_, _ = io.WriteString(c, out+"\r\n"+plainBody)
+	_, _ = io.WriteString(c, out+"\r\n"+body)
 	if x.Reset {
 		reset(c)
 	}
