peer: calls are taken again after a failure to take one

Other routers got no call through, neither a fetch of a configuration nor a claim, once a router had been without a descriptor for a moment: the loop that takes calls ended at the first error of Accept, silently and until the process ended. The listeners of callers and operators outlast such failures by socket.Patient; this one had been left out.

Patient fails only once its listener is closed, as Stop does, so the loop still ends there.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/internal/stall"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/telemetry"
@@ -219,10 +220,11 @@
 // acceptCalls serves the other routers' calls.
 func (s *Service) acceptCalls(ctx context.Context) {
 	defer s.ended.Done()
+	calls := socket.Patient{Listener: s.calls}
 	for {
-		c, err := s.calls.Accept()
+		c, err := calls.Accept()
 		if err != nil {
-			return
+			return // it is closed
 		}
 		s.ended.Add(1)
 		go s.serveCalls(ctx, c)
