gateway: a server whose answer was read whole is free before its caller takes it

A backend server counted as busy with a request, and its connection was kept from others, until the caller had taken the answer. The core then learnt the whole time as the work of a plain server, and a caller that took no more counted as a failure of a server that had answered 200: two in a row rest a sound server.

An answer that is read whole ends its send at once. What is told afterwards of the same send, as the caller takes no more, counts no more. The request itself is still open until its answer is delivered, so a stopping router waits for it as before.

Tried and dropped: an end-to-end test in which a burst of requests follows slow callers.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -308,7 +308,11 @@
 	return a.sends < max(a.route.Through.Attempts, 1) && a.left() > 0
 }
 
+// finish tells how a send has ended for its backend server; only the first word on a send counts.
 func (a *attempt) finish(ending core.Ending, output float64) {
+	if a.held == nil {
+		return
+	}
 	a.held.Finish(output, ending)
 	a.held = nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 )
 
@@ -64,6 +65,8 @@
 	if len(body) > maxHeld {
 		return r.long(a, answer, body)
 	}
+	answer.Close()
+	a.finish(core.Done, r.output()) // the server isn't held to its caller's pace
 	r.begun = true
 	r.writeHead(a, answer, len(body))
 	if !a.req.Header.IsHead() {
