gateway: callers that take no more of a long answer or a stream fail no server

A backend server counted as failing where its caller took no more of an answer: the core was told Failed for whatever an answer broke off for, unless the end of the caller's connection had been read before the write to it failed.

Where the caller is the cause the core is told Broken now, as for a caller whose leaving was noticed. Whole answers have ended their sends before they are written.

The test fails with Failed for all causes, as it was, and passes now; all tests of the package pass with -race. Left as it is: a long answer that isn't a stream has never "begun" for the core, so that Broken after twice the objective still counts as a server that was silent.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -51,3 +51,11 @@
 	is.True(<-ended != nil)
 	a.finish(core.Failed, 0) // the server hasn't failed: nothing more is told
 }
+
+// TestCallersDoNotFailServers guards against a backend server that counts as failing since callers took no more of its answers.
+func TestCallersDoNotFailServers(t *testing.T) {
+	is := is.New(t)
+	is.Equal(endingOf(callerError(io.ErrClosedPipe)), core.Broken)
+	is.Equal(endingOf(io.ErrUnexpectedEOF), core.Failed)
+	is.Equal(endingOf(errNameless), core.Failed)
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -203,7 +203,7 @@
 		return true
 	}
 	a.ran = true
-	a.finish(core.Failed, 0)
+	a.finish(endingOf(cause), 0)
 	ended := a.serverEnded(d, cause)
 	a.conn.writes.note(a.log("broke-off")).Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).Int("answer_bytes", a.relay.bytes).
 		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
@@ -222,6 +222,14 @@
 	return true
 }
 
+// endingOf returns what a cause for which an answer broke off says of its backend server.
+func endingOf(cause error) core.Ending {
+	if errors.Is(cause, errCaller) {
+		return core.Broken
+	}
+	return core.Failed
+}
+
 // serverEnded tells whether the backend server of a send whose answer broke off has ended, which is
 // held against the request then.
 func (a *attempt) serverEnded(d scheduler.Decision, cause error) bool {
