admin: connections of operators that send nothing end

A connection to an operators' port that sent nothing, or half a request, stayed open for as long as its other side kept it: the idle time of the server holds only between requests, and there was no time for reading one. Each holds a descriptor and a goroutine, and those that are used up are missed by callers.

The server has a time for reading now, the same 30 s that callers of the product have; it runs from the beginning of a connection for its first request. The table in package stall says so.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -38,6 +38,7 @@
 
 const (
 	idleTimeout = time.Minute
+	readTimeout = 30 * time.Second
 	// writeStall is how long an operator's client may take nothing of its answer.
 	writeStall = 10 * time.Second
 )
@@ -122,6 +123,14 @@
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string { return []string{status.ServiceName, generation.ServiceName} }
 
+// serverOf returns a server whose requests, the first of a connection too, come within a time.
+func serverOf(handler fasthttp.RequestHandler, within time.Duration) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, Name: "tamarindstep", NoDefaultServerHeader: true,
+		MaxRequestBodySize: config.MaxSize, CloseOnShutdown: true, IdleTimeout: idleTimeout, ReadTimeout: within,
+	}
+}
+
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	var err error
@@ -134,10 +143,7 @@
 	if s.listener, err = net.Listen("tcp", s.listen); err != nil {
 		return err
 	}
-	s.server = &fasthttp.Server{
-		Handler: s.routes().Handler, Name: "tamarindstep", NoDefaultServerHeader: true,
-		MaxRequestBodySize: config.MaxSize, CloseOnShutdown: true, IdleTimeout: idleTimeout,
-	}
+	s.server = serverOf(s.routes().Handler, readTimeout)
 	go func() {
 		defer close(s.ended)
 		_ = s.server.Serve(stall.Listener{Listener: socket.Patient{Listener: s.listener}, Patience: writeStall})
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -14,7 +14,7 @@
 //	                          | write                | 10 s without progress            | last progress   | reset
 //	                          | write, turned away   | 0.5 s without progress           | last progress   | closed
 //	caller, operator, product | rest                 | 60 s                             | answer before   | closed
-//	                          | read a request       | 30 s (operators: none)           | first byte      | closed
+//	                          | read a request       | 30 s                             | first byte      | closed
 //	                          | write                | 10 s without progress            | last progress   | closed
 //	backend server, store     | connect              | 0.5 s; the store 1 s             | begin           | "not sent"
 //	                          | write                | the exchange's patience          | last progress   | "sent"
