peer: a call ends with its context in the handshake too

A call to a router that takes connections and says nothing (frozen, or its loop of calls not served) lasted the handshake's whole 2 s, whatever time its caller had: with up to a second for the connection before it, a claim or a fetch that has 2 s took up to 3, and a router that stops waited for it. The context bounded the connecting and the call, not what is between.

The end of the context closes the connection during the handshake; afterwards drpc minds it.

--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
@@ -72,3 +73,18 @@
 	})
 	is.True(errorx.IsOfType(err, Unreached))
 }
+
+// TestCallsEndWithTheirContext guards against a call that waits for a router that has stopped for longer than its caller does.
+func TestCallsEndWithTheirContext(t *testing.T) {
+	is := is.New(t)
+	a := startPeer(t, is, "a", "one key for both")
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(silent.Close()) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	err = a.Call(ctx, silent.Addr().String(), func(context.Context, wire.DRPCPeerClient) error { return nil })
+	is.True(err != nil)
+	is.True(time.Since(began) < time.Second)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -270,7 +270,10 @@
 		return Unreached.Wrap(err, "no connection to %s", address)
 	}
 	c := stall.New(raw, writeStall)
-	if err := shakeHands(c, s.key(), roleDialer, roleAcceptor); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	err = shakeHands(c, s.key(), roleDialer, roleAcceptor)
+	stop() // drpc minds the context from here on
+	if err != nil {
 		_ = c.Close()
 		return Unreached.Wrap(err, "no handshake with %s", address)
 	}
