--- a/daemon/build.go
+++ b/daemon/build.go
@@ -113,7 +113,7 @@
 		source:  generation.Source{Store: store.NewEtcd(s.Store)},
 		routers: vmlist.NewHTTP(s.VMList),
 		key:     s.PeerKey,
-		callers: front.New(s.CallerListen, fingerprint.NewMaker([]byte(s.PeerKey)), log, metrics),
+		callers: front.New(s.CallerListen, s.CallerStall, fingerprint.NewMaker([]byte(s.PeerKey)), log, metrics),
 		leave:   func(context.Context) error { return nil },
 	}
 }
@@ -141,6 +141,7 @@
 			Listen: s.CallerListen, DataHall: s.DataHall, Dialect: platform.Dialect{}, MaxRequests: int(s.MemoryMB * requestsPerMB),
 			MaxConns: int((s.Files - filesKept) * callersPart), TurnAways: s.Processor * turnAwaysPerCore,
 			Processor:    s.Processor,
+			WriteStall:   s.CallerStall,
 			Fingerprints: maker,
 		}, log, metrics),
 		leave: routers.Leave,
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -52,6 +52,7 @@
 	PeerKey       string  // of the own interface
 	Policy        string  // of the platform's interface
 	Drain         time.Duration
+	CallerStall   time.Duration // how long a caller may take nothing of its answer
 	RetryRatio    float64
 	RetrySlack    float64
 	ColdOvershoot float64
@@ -83,6 +84,7 @@
 	f.String("peer-key-file", "", "file with the key that all routers share; own interface only")
 	f.String("policy", "prompt-affinity", "routing policy; platform's interface only")
 	f.String("drain-seconds", "900", "how long a stopping router waits for its requests, in seconds")
+	f.String("caller-stall-seconds", "10", "how long a caller may take nothing of its answer until its connection is broken off, in seconds")
 	f.String("retry-ratio", "0.2", "second sends for each request, over the fleet")
 	f.String("retry-slack", "50", "second sends beyond that in ten seconds, over the fleet")
 	f.String("cold-overshoot", "1", "how many times its cold-rate a backend server may get that is slow from its start, over the fleet")
@@ -117,6 +119,7 @@
 		StoreWrites:   r.Number("store-writes", 1),
 		Policy:        r.Word("policy", policyNames()...),
 		Drain:         time.Duration(r.Number("drain-seconds", 1) * float64(time.Second)),
+		CallerStall:   time.Duration(r.Number("caller-stall-seconds", 0.1) * float64(time.Second)),
 		RetryRatio:    r.Number("retry-ratio", 0),
 		RetrySlack:    r.Number("retry-slack", 0),
 		ColdOvershoot: r.Number("cold-overshoot", 0),
--- a/front/front.go
+++ b/front/front.go
@@ -37,8 +37,6 @@
 	maxBody     = 8 << 20
 	idleTimeout = 60 * time.Second
 	readTimeout = 30 * time.Second
-	// writeStall is how long a caller may take nothing of its answer.
-	writeStall = 10 * time.Second
 	// drainPoll is how often a stopping router looks whether it is done.
 	drainPoll = 20 * time.Millisecond
 )
@@ -46,6 +44,8 @@
 // Service serves callers.
 type Service struct {
 	listen string
+	// writeStall is how long a caller may take nothing of its answer.
+	writeStall time.Duration
 	// fingerprints makes those of requests, alike at all routers.
 	fingerprints fingerprint.Maker
 	log          zerolog.Logger
@@ -67,9 +67,10 @@
 	ended    chan struct{}
 }
 
-// New returns the service that listens on an IP and port.
-func New(listen string, fingerprints fingerprint.Maker, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{listen: listen, fingerprints: fingerprints, log: log, metrics: metrics, ended: make(chan struct{})}
+// New returns the service that listens on an IP and port, and whose callers may take nothing of an answer
+// for so long.
+func New(listen string, writeStall time.Duration, fingerprints fingerprint.Maker, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
+	return &Service{listen: listen, writeStall: writeStall, fingerprints: fingerprints, log: log, metrics: metrics, ended: make(chan struct{})}
 }
 
 // Name implements kernel.Service.
@@ -104,7 +105,7 @@
 	}
 	go func() {
 		defer close(s.ended)
-		_ = s.server.Serve(stall.Listener{Listener: socket.Patient{Listener: listener}, Patience: writeStall})
+		_ = s.server.Serve(stall.Listener{Listener: socket.Patient{Listener: listener}, Patience: s.writeStall})
 	}()
 	return nil
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -17,9 +17,6 @@
 	"github.com/tamarindstep/tamarindstep/internal/stall"
 )
 
-// writeStall is how long a caller may take nothing of its answer.
-const writeStall = 10 * time.Second
-
 // callerConn is a caller's connection.
 type callerConn struct {
 	*stall.Conn
@@ -69,7 +66,7 @@
 	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, answerBuffer) }}
 )
 
-func newCallerConn(c net.Conn, headerBytes int) *callerConn {
+func newCallerConn(c net.Conn, headerBytes int, writeStall time.Duration) *callerConn {
 	out := &callerConn{Conn: stall.New(c, writeStall), writer: writers.Get().(*bufio.Writer)}
 	out.writer.Reset(out)
 	if reader, ok := readers.Get().(*bufio.Reader); ok && reader.Size() == headerBytes {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	TurnAways float64
 	// Processor is the part of a core that this router has, 0 for as many cores as it needs.
 	Processor float64
+	// WriteStall is how long a caller may take nothing of its answer.
+	WriteStall time.Duration
 	// Fingerprints makes those of requests, alike at all routers.
 	Fingerprints fingerprint.Maker
 }
@@ -165,7 +167,7 @@
 // serve serves one connection until it ends.
 func (s *Service) serve(raw net.Conn) {
 	defer s.ended.Done()
-	c := newCallerConn(raw, limitsOf(s.generation.InForce()).HeaderBytes)
+	c := newCallerConn(raw, limitsOf(s.generation.InForce()).HeaderBytes, s.settings.WriteStall)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -103,7 +103,7 @@
 	route := &config.CompiledRoute{}
 	route.Through.Objective = 100 * time.Millisecond
 	attempts := func(account model.AccountID) *attempt {
-		a := &attempt{service: s, conn: newCallerConn(ours, 4096), req: fasthttp.AcquireRequest(), account: account, route: route}
+		a := &attempt{service: s, conn: newCallerConn(ours, 4096, time.Second), req: fasthttp.AcquireRequest(), account: account, route: route}
 		a.req.Header.SetContentLength(100_000)
 		a.began = s.clock.Now()
 		return a
@@ -154,7 +154,7 @@
 	metrics := telemetry.NewMetrics()
 	s := New(Settings{MaxRequests: 10}, zerolog.Nop(), metrics)
 	ours, theirs := net.Pipe()
-	conn := newCallerConn(ours, 4096)
+	conn := newCallerConn(ours, 4096, time.Second)
 	next := make(chan string, 1)
 	go func() {
 		defer close(next)
--- a/gateway/wanted_test.go
+++ b/gateway/wanted_test.go
@@ -23,7 +23,7 @@
 	is.NoErr(err)
 	ours, err := listener.Accept()
 	is.NoErr(err)
-	a := &attempt{service: s, conn: newCallerConn(ours, 4096), sends: 1}
+	a := &attempt{service: s, conn: newCallerConn(ours, 4096, time.Second), sends: 1}
 	a.deadline = s.clock.Now() + time.Minute
 	stop := a.conn.watch(func() {})
 	is.True(a.isWanted())
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -11,11 +11,11 @@
 //	caller, passed through    | rest                 | the configuration's idle time    | answer before   | closed
 //	                          | read a header        | the configuration's header time  | first byte      | closed
 //	                          | read a body          | 30 s                             | header          | closed
-//	                          | write                | 10 s without progress            | last progress   | reset
+//	                          | write                | the setting caller-stall-seconds | last progress   | reset
 //	                          | write, turned away   | 0.5 s without progress           | last progress   | closed
 //	caller, operator, product | rest                 | 60 s                             | answer before   | closed
 //	                          | read a request       | 30 s                             | first byte      | closed
-//	                          | write                | 10 s without progress            | last progress   | closed
+//	                          | write                | as above (operators: 10 s)       | last progress   | closed
 //	backend server, store     | connect              | 0.5 s; the store 1 s             | begin           | "not sent"
 //	                          | write                | the exchange's patience          | last progress   | "sent"
 //	                          | read a head          | the exchange's patience          | begin           | "sent"
