e2e: the soak's callers keep their connections, rest, read slowly and leave

Each caller of the soak made a connection for each request, and each plain answer had 16 bytes. So no connection rested, no answer was larger than a buffer, and the resets after a rest went by unseen. Thirty-two connections now live until their router ends them: they rest for up to four fifths of the idle limit, which is 2 to 4 s and moves as a fault of its own, send bodies by length and in chunks, read at a drawn pace, and leave in a request, before and in an answer, in order or by a reset, or take nothing for longer than the bound (1.5 s). Answers have 0 bytes to 1 MB, at the sizes of the buffers that gateway, front and exchange name, by length, in chunks or without a length.

Checked beside what was: a connection that breaks off does so beside a signal, a backend server that misbehaves under an answer that is passed on, or the end of the request's time. A router that stops serves what began within 2.3 s of its signal. Ten seconds after the last caller no router has a connection, an unsent byte or a goroutine of one. Crowds are checked as before.

Ruled out as faults: refused connections of a router that starts and waits for the key, and slow answers whose rest had begun at the router before their caller had read them.

TestPlatformLargeAnswerAfterARest has an answer without a byte and one of 16 now; 0 meant 16 before.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -352,7 +352,7 @@
 		Name: "new", Path: "/new/", Kind: "safe", Pool: "entries", Attempts: 1, Timeout: time.Second,
 	})
 	w.version++
-	w.store.Put(users.ConfigurationKey, users.Configuration(w.version, routes, w.accounts))
+	w.store.Put(users.ConfigurationKey, users.Configuration(w.version, routes, w.accounts, w.idle))
 	await(t, "the change is in force", func() bool {
 		return users.Call(w.routers[0].callers, w.request("GET", "/new/1")).Status == 200
 	})
--- a/e2e/resting_test.go
+++ b/e2e/resting_test.go
@@ -16,6 +16,8 @@
 	longRest = 11 * time.Second
 	// largeAnswer is the size in bytes of an answer above the buffers of a connection.
 	largeAnswer = 6000
+	// smallAnswer is the size in bytes of one below all of them.
+	smallAnswer = 16
 )
 
 // TestPlatformLargeAnswerAfterARest guards against an answer that is written under the deadline of the
@@ -23,29 +25,29 @@
 func TestPlatformLargeAnswerAfterARest(t *testing.T) {
 	w := newWorld(t, 1)
 	var callers sync.WaitGroup
-	for _, size := range []int{0, 4096, largeAnswer, 300_000} {
+	for _, size := range []int{0, smallAnswer, 4096, largeAnswer, 300_000} {
 		first, second := w.request("POST", "/claim/first"), w.request("POST", fmt.Sprintf("/claim/second?bytes=%d", size))
 		c, err := users.Dial(w.routers[0].callers)
 		w.is.NoErr(err)
 		defer c.Close()
 		callers.Go(func() {
-			checkAnswer(t, c, first, 0)
+			checkAnswer(t, c, first)
 			time.Sleep(longRest)
-			checkAnswer(t, c, second, size)
+			checkAnswer(t, c, second)
 		})
 	}
 	callers.Wait()
 }
 
 // checkAnswer sends a request on a caller's connection, and checks that its answer is whole.
-func checkAnswer(t *testing.T, c *users.Caller, r users.Request, size int) {
+func checkAnswer(t *testing.T, c *users.Caller, r users.Request) {
 	t.Helper()
 	if err := c.Send(r); err != nil {
-		t.Errorf("%d bytes: %v", size, err)
+		t.Errorf("%s: %v", r.Path, err)
 		return
 	}
 	got := c.Read()
-	if got.Err != nil || got.Status != http.StatusOK || got.Body != users.PlainBody(size) {
-		t.Errorf("%d bytes: status %d, %d bytes, %v", size, got.Status, len(got.Body), got.Err)
+	if got.Err != nil || got.Status != http.StatusOK || got.Body != users.ShapeOf(r.Path).Body() {
+		t.Errorf("%s: status %d, %d bytes, %v", r.Path, got.Status, len(got.Body), got.Err)
 	}
 }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -37,6 +37,9 @@
 	crowd  int // number of the last crowd
 	crowds sync.WaitGroup
 
+	causes causes
+	sizes  []int // of answers
+
 	mu   sync.Mutex
 	seen []seen
 }
@@ -45,17 +48,20 @@
 type seen struct {
 	request users.Request
 	answer  users.Answer
+
+	// Of a request on a connection that lives:
+	on          *router
+	began, over time.Time
+	left        bool // by its caller
 }
 
-const (
-	soakCallers = 10
-	soakCrowd   = 60 // callers that come at the same moment
-)
+const soakCrowd = 60 // callers that come at the same moment
 
 // TestSoak lets faults come from outside, in series and one over another, and
 // checks from what callers and backend servers saw that a request which may not be
-// repeated runs at most once, that none is refused as not run and run, and that a
-// success is whole and the caller's own.
+// repeated runs at most once, that none is refused as not run and run, that a
+// success is whole and the caller's own, that each connection that broke off has a cause
+// among the faults, and that nothing is left once the callers have gone.
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
@@ -88,10 +94,16 @@
 	s.behave(s.engines, users.Behaviour{Events: 20, Gap: 2 * time.Millisecond})
 	s.behave(s.services, users.Behaviour{Gap: time.Millisecond})
 	s.floor = s.store.RevisionOf(peerKey) - 1
+	s.sizes = sizesAround(t)
+	quiet := goroutines(t, s.routers[0])
+	s.rest()
+	for _, r := range s.routers {
+		s.causes.listens(r)
+	}
 	until := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
 	var callers sync.WaitGroup
-	for n := range soakCallers {
-		callers.Go(func() { s.call(n, seed, until) })
+	for n := range soakConnections {
+		callers.Go(func() { (&livingCaller{soak: s, n: n, random: rand.New(rand.NewPCG(seed, uint64(n)+2))}).live(until) })
 	}
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(50+s.random.IntN(400)) * time.Millisecond)
@@ -101,6 +113,8 @@
 	callers.Wait()
 	s.crowds.Wait()
 	s.check()
+	s.checkBreaks()
+	s.checkLeftovers(quiet)
 	if s.returns {
 		for _, door := range s.doors {
 			door.Open() // a router that has started meanwhile waits for the key
@@ -111,28 +125,11 @@
 
 // flags returns those of the routers, beside the usual ones: crowds press upon small ones.
 func (s *soak) flags() []string {
+	out := []string{"--caller-stall-seconds", fmt.Sprint(soakStall.Seconds())}
 	if s.bursts {
-		return []string{"--processor", "0.2"}
-	}
-	return nil
-}
-
-// call sends requests until the time is over.
-func (s *soak) call(n int, seed uint64, until time.Time) {
-	random := rand.New(rand.NewPCG(seed, uint64(n)+2))
-	paths := []string{"/chat/1", "/review/1", "/claim/1", "/look/1"}
-	for i := 0; time.Now().Before(until); i++ {
-		path := paths[random.IntN(len(paths))]
-		r := users.Request{
-			Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("soak-%d-%d", n, i), Body: "the body",
-			TimeLeft: 2 * time.Second,
-		}
-		s.mu.Lock()
-		to := s.routers[random.IntN(len(s.routers))].callers
-		s.mu.Unlock()
-		s.ask(to, r)
-		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+		out = append(out, "--processor", "0.2")
 	}
+	return out
 }
 
 // fault draws a fault and lets it come.
@@ -146,7 +143,7 @@
 		s.burst(i)
 		return
 	}
-	switch s.random.IntN(12) {
+	switch s.random.IntN(13) {
 	case 0:
 		s.replace(i, syscall.SIGKILL)
 	case 1:
@@ -154,10 +151,12 @@
 	case 2:
 		s.pause(i)
 	case 3:
+		s.causes.lag()
 		s.doors[i].Shut()
 	case 4:
 		s.doors[i].Open()
 	case 5:
+		s.causes.lag()
 		s.store.SetDown(s.random.IntN(2) == 0)
 	case 6:
 		s.misbehave(s.services)
@@ -171,6 +170,8 @@
 		s.store.TakeBack(s.drawHall())
 	case 11:
 		s.chill()
+	case 12:
+		s.rest()
 	}
 }
 
@@ -193,11 +194,12 @@
 	got := users.Call(to, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen = append(s.seen, seen{r, got})
+	s.seen = append(s.seen, seen{request: r, answer: got})
 }
 
 // comeBack lets the store come back from a copy, and the backend servers write their entries again, all or some of them.
 func (s *soak) comeBack() {
+	s.causes.lag()
 	copied := s.floor // older than the key that the routers share
 	if s.random.IntN(4) > 0 {
 		copied = max(s.store.Revision()-int64(s.random.IntN(60)), s.floor)
@@ -226,6 +228,7 @@
 func (s *soak) replace(i int, signal syscall.Signal) {
 	s.resume(i)
 	old := s.routers[i]
+	s.causes.ends(old, signal)
 	_ = old.cmd.Process.Signal(signal)
 	<-old.exited
 	s.mu.Lock()
@@ -240,10 +243,12 @@
 		return
 	}
 	s.paused[i] = true
+	s.causes.pauses(s.routers[i])
 	_ = s.routers[i].cmd.Process.Signal(syscall.SIGSTOP)
 }
 
 func (s *soak) resume(i int) {
+	s.causes.resumes(s.routers[i])
 	_ = s.routers[i].cmd.Process.Signal(syscall.SIGCONT)
 	s.paused[i] = false
 }
@@ -258,6 +263,7 @@
 		ways = append(ways, users.Behaviour{Leaving: true}, users.Behaviour{Rest: "0.4"}, users.Behaviour{Rest: "soon"}, users.Behaviour{Surplus: true, Misled: true})
 	}
 	x := ways[s.random.IntN(len(ways))]
+	s.causes.misbehaves()
 	x.Gap = 2 * time.Millisecond
 	if backends[0].Pool == "engines" {
 		x.Events = 20
@@ -288,7 +294,7 @@
 	served := 0
 	for _, x := range s.seen {
 		runs := s.runsOf(x.request.ID)
-		once := x.request.Path == "/claim/1" || x.request.Path == "/chat/1"
+		once := strings.HasPrefix(x.request.Path, "/claim/") || strings.HasPrefix(x.request.Path, "/chat/")
 		if once && len(runs) > 1 {
 			s.t.Errorf("%s %s ran %d times", x.request.ID, x.request.Path, len(runs))
 		}
@@ -299,12 +305,12 @@
 			continue
 		}
 		served++
-		want := "the whole answer"
-		if x.request.Path == "/chat/1" || x.request.Path == "/review/1" {
+		want := users.ShapeOf(x.request.Path).Body()
+		if x.isStream() {
 			want = whole(20)
 		}
 		if x.answer.ID != x.request.ID || x.answer.Body != want {
-			s.t.Errorf("%s %s got the answer to %q: %q", x.request.ID, x.request.Path, x.answer.ID, x.answer.Body)
+			s.t.Errorf("%s %s got the answer to %q: %d bytes, %.200q", x.request.ID, x.request.Path, x.answer.ID, len(x.answer.Body), x.answer.Body)
 		}
 	}
 	if served == 0 {
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -24,8 +24,9 @@
 	doors    []*users.Door // of each router, to the store
 	version  int
 	accounts map[string]string
-	last     int      // number of the last request
-	flags    []string // of the routers, beside the usual ones
+	idle     time.Duration // that the configuration lets connections rest
+	last     int           // number of the last request
+	flags    []string      // of the routers, beside the usual ones
 }
 
 const callerKey = "key-of-a-caller"
@@ -43,7 +44,7 @@
 // an IP of its own, with flags beside the usual ones.
 func newWorld(t testing.TB, routers int, flags ...string) *world {
 	t.Helper()
-	w := &world{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}, flags: flags}
+	w := &world{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}, flags: flags, idle: users.DefaultIdle}
 	t.Cleanup(w.store.Close)
 	w.configure()
 	for i := range 2 {
@@ -71,7 +72,7 @@
 // configure puts the next version of the configuration into the store.
 func (w *world) configure() {
 	w.version += 3
-	w.store.Put(users.ConfigurationKey, users.Configuration(w.version, routes, w.accounts))
+	w.store.Put(users.ConfigurationKey, users.Configuration(w.version, routes, w.accounts, w.idle))
 }
 
 func (w *world) start(i int) *router {
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -217,8 +216,7 @@
 	if x.Events > 0 {
 		return b.stream(c, x, id, run)
 	}
-	bytes, _ := strconv.Atoi(req.URL.Query().Get("bytes")) // 0 where it doesn't say
-	return b.plain(c, x, id, bytes)
+	return b.plain(c, x, id, shapeOf(req.URL.Query()))
 }
 
 // Arrivals returns how many requests that were meant for it have come from one moment until another.
@@ -290,43 +288,6 @@
 	return out
 }
 
-// plainBody is the body of a plain answer.
-const plainBody = "the whole answer"
-
-// PlainBody returns the body of a plain answer to a request whose query asks for so many
-// bytes, as in ?bytes=6000; for 0 bytes, a short sentence.
-func PlainBody(bytes int) string {
-	if bytes == 0 {
-		return plainBody
-	}
-	return strings.Repeat("x", bytes)
-}
-
-func (b *Backend) plain(c net.Conn, x Behaviour, id string, bytes int) bool {
-	b.pause(x.Gap)
-	if x.Held != nil {
-		select {
-		case <-x.Held:
-		case <-b.closed:
-		}
-	}
-	status := x.Status
-	if status == 0 {
-		status = http.StatusOK
-	}
-	out := head(status, id, "seal-"+b.Name) + x.notice()
-	body := PlainBody(bytes)
-	if !x.Unframed {
-		_, err := io.WriteString(c, out+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
-		return err == nil
-	}
-	_, _ = io.WriteString(c, out+"\r\n"+body)
-	if x.Reset {
-		reset(c)
-	}
-	return false
-}
-
 func reset(c net.Conn) {
 	time.Sleep(20 * time.Millisecond) // so that the bytes before it arrive
 	if tcp, ok := c.(*net.TCPConn); ok {
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -34,13 +34,13 @@
 const Host = "callers.example"
 
 // Configuration returns an operators' configuration; the accounts are given by
-// key.
-func Configuration(version int, routes []Route, accounts map[string]string) []byte {
+// key, and idle is how long a caller's connection may rest.
+func Configuration(version int, routes []Route, accounts map[string]string, idle time.Duration) []byte {
 	out := map[string]any{
 		"version": version,
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000,
-			"idle_timeout_ms": 15000, "tokens_per_s": 100000,
+			"idle_timeout_ms": idle.Milliseconds(), "tokens_per_s": 100000,
 		},
 	}
 	pools := map[string]bool{}
@@ -76,6 +76,9 @@
 // ConfigurationKey is where the operators put their configuration.
 const ConfigurationKey = "op/config"
 
+// DefaultIdle is how long a caller's connection may rest where a test has no say.
+const DefaultIdle = 15 * time.Second
+
 // Request is a caller's request.
 type Request struct {
 	Method, Path, Key, ID, Body, LastEvent string
@@ -96,17 +99,12 @@
 // Caller is a caller's connection to a router.
 type Caller struct {
 	conn   net.Conn
+	pace   Pace
 	reader *bufio.Reader
 }
 
 // Dial makes a connection to a router.
-func Dial(address string) (*Caller, error) {
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &Caller{conn: c, reader: bufio.NewReader(c)}, nil
-}
+func Dial(address string) (*Caller, error) { return dial(net.Dialer{}, address) }
 
 // Close closes the connection.
 func (c *Caller) Close() { _ = c.conn.Close() }
@@ -128,7 +126,7 @@
 	switch {
 	case r.Chunked:
 		head += "Transfer-Encoding: chunked\r\n"
-		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(r.Body), r.Body)
+		body = chunked(r.Body)
 	case r.Method != "GET":
 		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
