gateway, front, explain: answers broken off towards callers are counted and explained by cause

The line of an answer that broke off had its figures, and an engineer had to work out of an error's text who had ended it. The line has the cause, and whether the answer was asked for again, so that one which another backend server continued isn't taken for lost; tamarindstep_broken_answers_total counts what reached a caller in part, at both interfaces. tamarindctl explain says it in words for one request and counts by route, account and cause with what was taken and how long the connection had rested.

At the product's own interface a caller that stalls is told from one that leaves by its connection (stall.Conn.Stalled), as the server of that interface closes the answer for both alike.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -12,7 +12,7 @@
 
 const explainHelp = `Reads routers' logs and prints what they refused, by route, account, reason and standing,
 and how much later than expected the first parts of answers came. With --request, prints
-that request's lines instead. A file named - is standard input. Logs may be compressed by
+that request's lines instead, with what became of an answer that broke off. A file named - is standard input. Logs may be compressed by
 gzip. With --plot, draws into a file, second by second, when first parts were expected and
 came, and how old the loads were that decided.
 
@@ -22,7 +22,9 @@
   EXPECTED    ms until an answer would begin at the best backend server: 10th, 50th and
               90th percentile; of first parts, the median of what was expected
   BACKLOG     tokens to be read before the request, below the figure
-  LATE        ms later than expected: 10th, 50th and 90th percentile`
+  LATE        ms later than expected: 10th, 50th and 90th percentile
+  TAKEN       bytes of an answer that its caller's connection took before it broke off
+  RESTED      ms that the connection had rested before the request`
 
 // explainOptions are the flags of the command.
 type explainOptions struct {
@@ -70,6 +72,7 @@
 	log.Keep(e.account, e.route)
 	e.printRefusals(cmd.OutOrStdout(), log.Refusals())
 	printFirstParts(cmd.OutOrStdout(), log.FirstParts())
+	printBroken(cmd.OutOrStdout(), log.Broken())
 	if a := log.LoadsAges(); a.Decisions > 0 {
 		fmt.Fprintf(cmd.OutOrStdout(), "\nage of the loads at %d decisions: %.0f ms in the median, %.0f at the 99th percentile\n",
 			a.Decisions, a.P50, a.P99)
@@ -118,6 +121,9 @@
 	}
 	for _, line := range lines {
 		fmt.Fprintf(w, "%s\n", line.Text)
+		if words := line.Words(); words != "" {
+			fmt.Fprintf(w, "  %s\n", words)
+		}
 	}
 	return nil
 }
@@ -153,6 +159,19 @@
 	table(w, rows)
 }
 
+// printBroken prints the answers that broke off towards their callers, where there are any.
+func printBroken(w io.Writer, all []explain.Broken) {
+	if len(all) == 0 {
+		return
+	}
+	rows := [][]any{{"BROKE OFF", "ROUTE", "ACCOUNT", "CAUSE", "TAKEN BYTES", "RESTED MS"}}
+	for _, b := range all {
+		rows = append(rows, []any{b.Count, b.Route, b.Account, b.Cause, percentiles(b.TakenBytes), percentiles(b.RestedMS)})
+	}
+	fmt.Fprintln(w)
+	table(w, rows)
+}
+
 func percentiles(q explain.Quantiles) string {
 	return fmt.Sprintf("%.0f %.0f %.0f", q.P10, q.P50, q.P90)
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -53,6 +53,15 @@
 	ShareHad  float64 `json:"share_had"`
 	Refused   int     `json:"refused"` // requests that a line stands for
 
+	// Of an answer that broke off; see docs/OPERATIONS.md.
+	Cause       string  `json:"cause"`
+	Begun       bool    `json:"begun"`
+	Again       bool    `json:"again"` // it was asked for again
+	AnswerBytes int     `json:"answer_bytes"`
+	TakenBytes  int     `json:"taken_bytes"`
+	WriteMS     float64 `json:"write_ms"`
+	RestedMS    float64 `json:"rested_ms"`
+
 	// LoadsAgeMS is how old the oldest word of another router was, in milliseconds.
 	LoadsAgeMS float64 `json:"loads_age_ms"`
 
@@ -65,6 +74,7 @@
 	refused    = "refused"
 	crowded    = "crowded"
 	done       = "done"
+	brokeOff   = "broke-off"
 )
 
 // Log is what was read.
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -160,3 +160,40 @@
 	var long Log
 	is.True(long.Read(strings.NewReader(strings.Repeat("x", maxLine+1))) != nil)
 }
+
+// TestBrokenAnswersAreExplained reads answers that broke off: for good, before their first byte, continued by another
+// backend server, and of a router that doesn't tell the cause.
+func TestBrokenAnswersAreExplained(t *testing.T) {
+	is := is.New(t)
+	line := func(request, rest string) string {
+		return fmt.Sprintf(`{"router":"vm-1","request":%q,"account":"league","route":"look","outcome":"broke-off",%s}`, request, rest)
+	}
+	l := read(t,
+		line("1", `"cause":"caller-stalled","begun":true,"answer_bytes":300000,"taken_bytes":4096,"write_ms":10000.4,"rested_ms":11000`),
+		line("2", `"cause":"caller-stalled","begun":true,"taken_bytes":2000,"rested_ms":0`),
+		line("3", `"cause":"backend","begun":false`),
+		line("4", `"cause":"backend","begun":true,"again":true`),
+		line("5", `"begun":true`),
+		`{"router":"vm-1","request":"6","outcome":"done"}`,
+	)
+	var words []string
+	for _, line := range l.Lines {
+		words = append(words, line.Words())
+	}
+	is.Equal(words, []string{
+		"the answer broke off: its caller took nothing of it for too long. 300000 bytes of its body were read, the caller's connection took " +
+			"4096 with the head; the last write lasted 10s, and the connection had rested 11s before the request",
+		"the answer broke off: its caller took nothing of it for too long. 0 bytes of its body were read, the caller's connection took " +
+			"2000 with the head; the last write lasted 0s, and the connection had rested 0s before the request",
+		"nothing of the answer was handed on: its backend server broke off",
+		"the answer broke off and was asked for again: its backend server broke off",
+		"", "",
+	})
+	got := l.Broken()
+	is.Equal(len(got), 2)
+	is.Equal(got[0], Broken{
+		Route: "look", Account: "league", Cause: "caller-stalled", Count: 2,
+		TakenBytes: Quantiles{P10: 2000, P50: 2000, P90: 4096}, RestedMS: Quantiles{P50: 0, P90: 11000},
+	})
+	is.Equal(got[1].Cause, "") // a router that doesn't tell
+}
--- a/front/relay.go
+++ b/front/relay.go
@@ -88,6 +88,7 @@
 	progress func(tokens float64)
 	finish   func(tokens float64, ending core.Ending)
 	brokeOff func() // the backend server did, after part of the answer was read
+	untaken  func() // the caller took only part of the answer
 	finished bool
 }
 
@@ -137,6 +138,9 @@
 // Close implements io.Closer. Before the end it means that the caller left;
 // the backend server is told by the end of its connection.
 func (r *relay) Close() error {
+	if !r.finished {
+		r.untaken()
+	}
 	r.end(core.Broken)
 	return nil
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -18,7 +19,9 @@
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
+	"github.com/tamarindstep/tamarindstep/internal/stall"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
 )
 
 const (
@@ -242,6 +245,7 @@
 	r := &relay{answer: answer, meter: meter{events: events}, told: time.Now(), progress: a.held.Progress}
 	r.finish = a.finished
 	r.brokeOff = a.brokeOffBegun
+	r.untaken = a.countUntaken(a.ctx.Conn())
 	size := firstBuffer
 	if !events {
 		size = maxHeld
@@ -318,11 +322,24 @@
 // brokeOffBegun is called where the backend server broke off an answer of which part was handed on. It
 // may be called after the handler has returned.
 func (a *attempt) brokeOffBegun() {
+	a.service.metrics.Front.Breaches.WithLabelValues(string(telemetry.BreachBackend)).Inc()
 	send := a.sentTo
 	send.Begun = true
 	a.blame.BrokeOff(send)
 }
 
+// countUntaken returns what counts an answer that its caller took only a part of.
+func (a *attempt) countUntaken(conn net.Conn) func() {
+	breaches := a.service.metrics.Front.Breaches
+	return func() {
+		why := telemetry.BreachLeft
+		if bounded, ok := conn.(*stall.Conn); ok && bounded.Stalled() {
+			why = telemetry.BreachStalled
+		}
+		breaches.WithLabelValues(string(why)).Inc()
+	}
+}
+
 // unchanging returns what stays the same of the request when it comes again. Its parts are copied, as a
 // stream may break off after the handler has returned and its request is used again.
 func (a *attempt) unchanging() func() fingerprint.Request {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
 )
 
 const (
@@ -249,8 +250,9 @@
 }
 
 // breakOff ends an answer so that its caller sees that it isn't whole.
-func (a *attempt) breakOff() {
+func (a *attempt) breakOff(why telemetry.Breach) {
 	a.keep = false
+	a.countBreach(why)
 	a.conn.Abort()
 	a.count("broken")
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -184,7 +184,7 @@
 func (a *attempt) giveUp(r *refusal) {
 	switch {
 	case a.relay.begun:
-		a.breakOff()
+		a.breakOff(a.breachOf(nil))
 	case a.ran:
 		a.refuse(brokeOff, 0)
 	default:
@@ -195,9 +195,13 @@
 // failed handles a request that was sent and whose answer broke off. It returns
 // false where it is sent again.
 func (a *attempt) failed(d scheduler.Decision, cause error) bool {
+	why := a.breachOf(cause)
 	if a.callerLeft() {
 		a.finish(core.Broken, 0)
 		a.keep = false
+		if a.relay.begun {
+			a.countBreach(why)
+		}
 		a.log("caller-left").Int("send", a.sends).Msg("caller left")
 		a.count("caller-left")
 		return true
@@ -205,13 +209,14 @@
 	a.ran = true
 	a.finish(endingOf(cause), 0)
 	ended := a.serverEnded(d, cause)
-	a.conn.writes.note(a.log("broke-off")).Err(cause).Int("send", a.sends).Bool("begun", a.relay.begun).Int("answer_bytes", a.relay.bytes).
+	again := a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry()
+	a.conn.writes.note(a.log("broke-off")).Err(cause).Str("cause", string(why)).Int("send", a.sends).Bool("begun", a.relay.begun).Bool("again", again).Int("answer_bytes", a.relay.bytes).
 		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
-	if a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry() {
+	if again {
 		return false
 	}
 	if a.relay.begun {
-		a.breakOff()
+		a.breakOff(why)
 		return true
 	}
 	if a.ctx.Err() != nil { // its time is over
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -64,6 +64,7 @@
 type Conn struct {
 	net.Conn
 	patience time.Duration
+	stalled  bool
 }
 
 // New returns a connection whose writes may go without progress for so long.
@@ -92,11 +93,15 @@
 			return taken, err
 		}
 		if missed := still.missed(n, c.unacknowledged()); missed >= looks {
+			c.stalled = true
 			return taken, &Error{Taken: taken, For: c.patience}
 		}
 	}
 }
 
+// Stalled tells whether a write has failed as the other side took nothing. It is for who writes.
+func (c *Conn) Stalled() bool { return c.stalled }
+
 // progress counts for how many looks in a row nothing was acknowledged.
 type progress struct {
 	queued int // bytes that were unacknowledged at the last look, 0 for none yet
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -47,6 +47,7 @@
 	Wait     *prometheus.HistogramVec // seconds, by account, class, policy
 	First    *prometheus.HistogramVec // seconds to the first byte, by route
 	Ended    prometheus.Counter
+	Breaches *prometheus.CounterVec // answers broken off towards their callers, by Breach
 	Notices  *prometheus.CounterVec // by what they say
 	Open     prometheus.Gauge
 	Unread   *prometheus.CounterVec // by reason
@@ -54,6 +55,17 @@
 	Window   prometheus.Gauge // requests, infinite where none was late
 }
 
+// Breach is why an answer that had begun isn't whole.
+type Breach string
+
+// The breaches.
+const (
+	BreachStalled Breach = "caller-stalled" // the caller took nothing for too long
+	BreachLeft    Breach = "caller-left"    // it ended its connection
+	BreachBackend Breach = "backend"        // the backend server broke off, and nobody could continue
+	BreachLate    Breach = "time-over"      // the request's own time was over
+)
+
 // Share counts the decisions.
 type Share struct {
 	Dispatched *prometheus.CounterVec // by account, backend, policy
@@ -104,6 +116,7 @@
 			Wait:     f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
 			First:    f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
 			Ended:    f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
+			Breaches: f.counters("broken_answers_total", "Answers broken off towards their callers, by cause.", "cause"),
 			Notices:  f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
 			Open:     f.gauge("requests_open", "Requests being served."),
 			Unread:   f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
