gateway: an answer that its caller doesn't take isn't held against its backend server

Twenty callers that read nothing of answers of 1 MB were let go of after the bound, and the next request of somebody else got 503 not-admitted, though all backend servers were well. Each answer that broke off counted as a failure of its backend server; from a share of 0.3 on, two in a row, a server gets nothing new for 0.7 to 1.4 s. It counts as a caller that has left does now.

Ruled out: the places at the backend servers (the test gives all back before it asks), the router's own load (no line of it), and the bound on connections.

Callers of the stand-in that take little have segments of 1,400 bytes, as the loopback's 64 KB let the system take megabytes for a caller that reads nothing.

--- a/e2e/leftovers_test.go
+++ b/e2e/leftovers_test.go
@@ -59,6 +59,17 @@
 var goroutinesLine = regexp.MustCompile(`(?m)^go_goroutines (\d+)$`)
 
 func goroutines(t testing.TB, r *router) int {
+	t.Helper()
+	is := is.New(t)
+	found := goroutinesLine.FindStringSubmatch(metricsOf(t, r))
+	is.True(found != nil)
+	n, err := strconv.Atoi(found[1])
+	is.NoErr(err)
+	return n
+}
+
+// metricsOf returns a router's counters as it writes them.
+func metricsOf(t testing.TB, r *router) string {
 	t.Helper()
 	is := is.New(t)
 	resp, err := http.Get("http://" + r.admin + "/metrics")
@@ -66,11 +77,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
-	found := goroutinesLine.FindSubmatch(text)
-	is.True(found != nil)
-	n, err := strconv.Atoi(string(found[1]))
-	is.NoErr(err)
-	return n
+	return string(text)
 }
 
 // The states of connections in /proc/net/tcp that hold nothing of a process.
--- /dev/null
+++ b/e2e/manners_test.go
@@ -0,0 +1,156 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+const (
+	// mannersStall is how long a caller may take nothing of its answer.
+	mannersStall = 500 * time.Millisecond
+	// endsSoon bounds what a router must end by itself.
+	endsSoon = 20 * time.Second
+)
+
+// manners is a router whose bounds are short, and a caller that does what it shouldn't.
+type manners struct {
+	*world
+	caller *users.Caller
+}
+
+func newManners(t *testing.T) *manners {
+	w := newWorld(t, 1, "--caller-stall-seconds", fmt.Sprint(mannersStall.Seconds()))
+	c, err := users.Dial(w.routers[0].callers)
+	w.is.NoErr(err)
+	t.Cleanup(c.Close)
+	w.is.NoErr(c.SetDeadline(time.Now().Add(endsSoon)))
+	return &manners{world: w, caller: c}
+}
+
+// checkOthers checks that another caller is served.
+func (m *manners) checkOthers() {
+	m.t.Helper()
+	got := users.Call(m.routers[0].callers, m.request("POST", "/claim/1?bytes=6000"))
+	if got.Err != nil || got.Status != 200 || len(got.Body) != 6000 {
+		m.t.Errorf("another caller got status %d, %.100q, %v", got.Status, got.Body, got.Err)
+	}
+}
+
+// checkGone checks that the router ends with nothing of its callers.
+func (m *manners) checkGone() {
+	m.t.Helper()
+	await(m.t, "nothing is left of the callers", func() bool { return connections(m.t, m.routers[0].callers) == 0 })
+}
+
+// TestPlatformCallerSendsAByteASecond guards against callers that hold a place by sending very slowly: the header must come
+// in the configuration's time, 3 s.
+func TestPlatformCallerSendsAByteASecond(t *testing.T) {
+	m := newManners(t)
+	sent := 0
+	for _, b := range "POST /claim/1 HTTP/1.1\r\nHost: " + users.Host {
+		if m.caller.Write(string(b)) != nil || m.caller.Ended() {
+			break
+		}
+		sent++
+		if sent == 1 {
+			m.checkOthers()
+		}
+		time.Sleep(time.Second)
+	}
+	m.is.True(sent < 6)
+	m.caller.Close()
+	m.checkGone()
+}
+
+// TestPlatformCallerNeverReads guards against answers that are held for callers which take nothing: each is broken off after
+// the bound and counted, while others are served.
+func TestPlatformCallerNeverReads(t *testing.T) {
+	m := newManners(t)
+	const callers, requests = 20, 8 // answers of 1 MB, far more than the system takes
+	for range callers {
+		c, err := users.DialNarrow(m.routers[0].callers)
+		m.is.NoErr(err)
+		t.Cleanup(c.Close)
+		for range requests {
+			m.is.NoErr(c.Send(m.request("POST", fmt.Sprintf("/look/1?bytes=%d", aLot))))
+		}
+	}
+	m.checkOthers()
+	await(t, "all are broken off", func() bool { return m.counted(`tamarindstep_broken_answers_total{cause="caller-stalled"} 20`) })
+	m.caller.Close()
+	m.checkGone()
+	m.checkOthers()
+}
+
+// counted tells whether the router's counters have a line.
+func (m *manners) counted(line string) bool { return strings.Contains(m.metrics(), line) }
+
+func (m *manners) metrics() string { return metricsOf(m.t, m.routers[0]) }
+
+// TestPlatformCallerHalfCloses guards against work for callers that are gone: one that ends its writing counts as such, as the
+// two can't be told apart. Nothing runs twice, and the connection ends without an answer.
+func TestPlatformCallerHalfCloses(t *testing.T) {
+	m := newManners(t)
+	m.behave(m.services, users.Behaviour{Gap: 100 * time.Millisecond})
+	r := m.request("POST", "/look/1")
+	m.is.NoErr(m.caller.Send(r))
+	m.is.NoErr(m.caller.CloseWrite())
+	got := m.caller.Read()
+	m.is.True(got.Err != nil)
+	m.is.True(!errors.Is(got.Err, os.ErrDeadlineExceeded))
+	m.is.True(len(m.runsOf(r.ID)) <= 1)
+	m.checkOthers()
+	m.caller.Close()
+	m.checkGone()
+}
+
+// TestPlatformCallerSendsAhead guards against answers that are mixed up or lost as the next requests are there already: they come
+// in order, each whole.
+func TestPlatformCallerSendsAhead(t *testing.T) {
+	m := newManners(t)
+	var sent []users.Request
+	for _, size := range []int{6000, 0, 300_000, 16} {
+		r := m.request("POST", fmt.Sprintf("/claim/1?bytes=%d", size))
+		m.is.NoErr(m.caller.Send(r))
+		sent = append(sent, r)
+	}
+	m.checkOthers()
+	for _, r := range sent {
+		got := m.caller.Read()
+		m.is.NoErr(got.Err)
+		m.is.Equal(got.Status, 200)
+		m.is.Equal(got.ID, r.ID)
+		m.is.Equal(len(got.Body), users.ShapeOf(r.Path).Bytes)
+		m.is.Equal(len(m.runsOf(r.ID)), 1)
+	}
+}
+
+// TestPlatformCallerSendsMoreThanItSaid guards against a body's surplus that is taken for part of it: the request is served as it
+// was said, the rest is refused as a request, and the connection ends.
+func TestPlatformCallerSendsMoreThanItSaid(t *testing.T) {
+	m := newManners(t)
+	r := m.request("POST", "/claim/1")
+	m.is.NoErr(m.caller.Send(r))
+	m.is.NoErr(m.caller.Write("and more than that\r\n\r\n"))
+	got := m.caller.Read()
+	m.is.NoErr(got.Err)
+	m.is.Equal(got.Status, 200)
+	runs := m.runsOf(r.ID)
+	m.is.Equal(len(runs), 1)
+	m.is.Equal(runs[0].Body, r.Body)
+	got = m.caller.Read()
+	m.is.NoErr(got.Err)
+	m.is.Equal(got.Status, 400)
+	m.is.True(got.Close)
+	got = m.caller.Read()
+	m.is.True(errors.Is(got.Err, io.EOF) || errors.Is(got.Err, io.ErrUnexpectedEOF) || errors.Is(got.Err, net.ErrClosed))
+	m.checkOthers()
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -227,7 +227,7 @@
 	return true
 }
 
-// endingOf returns what a cause for which an answer broke off says of its backend server.
+// endingOf returns how an answer that broke off counts for its backend server: not against it where the caller took no more.
 func endingOf(cause error) core.Ending {
 	if errors.Is(cause, errCaller) {
 		return core.Broken
--- a/internal/standin/users/pace.go
+++ b/internal/standin/users/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -11,8 +12,13 @@
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 )
 
-// narrowWindow is the size of a slow caller's buffer for what it hasn't read, in bytes.
-const narrowWindow = 4096
+const (
+	// narrowWindow is the size of a slow caller's buffer for what it hasn't read, in bytes.
+	narrowWindow = 4096
+	// segment is the size of the largest segment, in bytes, as on any network but the machine's own, where the
+	// router's system would take megabytes for a caller that reads nothing.
+	segment = 1400
+)
 
 // Pace is how a caller reads: so many bytes, then a pause. The zero Pace is at once.
 type Pace struct {
@@ -29,12 +35,12 @@
 func narrow(_, _ string, c syscall.RawConn) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, narrowWindow)
+		failed = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, narrowWindow),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segment),
+		)
 	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return errors.Join(err, failed)
 }
 
 func dial(dialer net.Dialer, address string) (*Caller, error) {
