gateway: callers that take an answer slowly, or leave unread, aren't held against backend servers

Twenty callers that took 1 MB too slowly for their requests' time, or that took nothing for 1.8 s and left, kept others out: the next request got 503 not-admitted (reason no-backend). The core takes a caller that leaves after twice the objective for a sign that its backend server was silent, unless it has heard that the answer had begun; and it heard so of streams alone. A plain answer was also done only once its caller had taken it.

Where the request's time ends, and more than half of it since the send went into writing to the caller, the backend server isn't to blame either.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -32,13 +32,14 @@
 type writes struct {
 	taken    int           // bytes of the answer that the system has taken
 	last     time.Duration // how long the last write took
+	spent    time.Duration // how long all of them took
 	rested   time.Duration // how long the connection had rested before the request, 0 for a new one
 	answered time.Duration // when the last answer ended, 0 for never
 }
 
 // begin begins the count for a request that has just arrived.
 func (w *writes) begin(now time.Duration) {
-	w.taken, w.last, w.rested = 0, 0, 0
+	w.taken, w.last, w.spent, w.rested = 0, 0, 0, 0
 	if w.answered > 0 {
 		w.rested = now - w.answered
 	}
@@ -56,6 +57,7 @@
 	c.writes.taken += n
 	c.writes.answered = clock.System.Now()
 	c.writes.last = c.writes.answered - began
+	c.writes.spent += c.writes.last
 	return n, err
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -78,6 +78,7 @@
 // long hands on an answer that is too large to be held.
 func (r *relay) long(a *attempt, answer *exchange.Answer, body []byte) error {
 	r.begun = true
+	a.held.Began()
 	r.writeHead(a, answer, chunked)
 	for {
 		if err := r.writeChunk(a, body); err != nil {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -207,7 +207,7 @@
 		return true
 	}
 	a.ran = true
-	a.finish(endingOf(cause), 0)
+	a.finish(a.endingOf(cause), 0)
 	ended := a.serverEnded(d, cause)
 	again := a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCaller) && a.relay.mayContinue() && a.mayRetry()
 	a.conn.writes.note(a.log("broke-off")).Err(cause).Str("cause", string(why)).Int("send", a.sends).Bool("begun", a.relay.begun).Bool("again", again).Int("answer_bytes", a.relay.bytes).
@@ -227,9 +227,11 @@
 	return true
 }
 
-// endingOf returns how an answer that broke off counts for its backend server: not against it where the caller took no more.
-func endingOf(cause error) core.Ending {
-	if errors.Is(cause, errCaller) {
+// endingOf returns how an answer that broke off counts for its backend server: not against it where the caller took no more,
+// or took most of the time by its reading until there was none left.
+func (a *attempt) endingOf(cause error) core.Ending {
+	slowly := a.ctx.Err() != nil && a.conn.writes.spent > time.Since(a.sentAt)/2
+	if slowly || errors.Is(cause, errCaller) {
 		return core.Broken
 	}
 	return core.Failed
