core/member, peer: a router that starts again at another address is heard at once

Callers saw a held-back request run once more by a router that had started anew by itself: in 2 of 30 runs of TestPlatformHeldBackRequestsOutliveAllRouters, six at a time, on.

Cause, by the routers' logs of those runs: the router that had started again listened at another port. The others went on greeting and probing the address of the process before, and took the new address from the VM list only once it was dead here and the list was read again, up to ten seconds later; it held both others dead meanwhile, and they it. So it knew no more of the request than the store did, and tried it by its own count, four to seven seconds after its start.

Now whoever sends what isn't taken is greeted where it says that it listens as well (the datagram's tag shows that it has the key; a recording costs a greeting, as before), a live process's own word on its address is taken, and it is told of the process before, so that it goes by a higher incarnation and rumours carry its address on. Ruled out: a write to the store that was lost (all were there), a datagram that was lost (other routers' came).

Tests, failing before: peer TestARouterThatMovedIsHeardAtOnce, core TestARouterThatMovedIsKnownAtOnce. The fleet of core's tests delivers by address now, and not by name alone.

--- a/core/datagram.go
+++ b/core/datagram.go
@@ -13,6 +13,7 @@
 	}
 	c.members.Heard(c.now, d.From, d.Boot)
 	for _, r := range d.Rumours {
+		c.members.Located(d.From, r)
 		c.members.Learn(c.now, r)
 	}
 	c.noteMemberChanges()
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -28,11 +29,15 @@
 	paused bool
 	held   []func() // what happened while paused
 	wakeAt model.Time
+	moves  int // how often it has started at another address
 	bytes  int64
 	sent   int64
 	parts  map[string]int64 // bytes by part of the datagram
 }
 
+// address returns where the router listens: its name, until it moves.
+func (n *node) address() string { return n.name + strings.Repeat("'", n.moves) }
+
 // count adds up what each part of a datagram takes.
 func (n *node) count(d *wire.Datagram) {
 	if n.parts == nil {
@@ -165,12 +170,12 @@
 	n.boot = f.random.Uint64() | 1
 	n.down = false
 	n.wakeAt = 0
-	self := member.Member{Name: n.name, Address: n.name, DataHall: n.hall, Boot: n.boot}
+	self := member.Member{Name: n.name, Address: n.address(), DataHall: n.hall, Boot: n.boot}
 	n.core = New(f.time.Now(), self, f.random.Uint64())
 	f.step(n, Configure{Config: f.config})
 	var listed []member.Listed
 	for _, o := range f.nodes {
-		listed = append(listed, member.Listed{Name: o.name, Address: o.name, DataHall: o.hall})
+		listed = append(listed, member.Listed{Name: o.name, Address: o.address(), DataHall: o.hall})
 	}
 	f.step(n, Routers{Listed: listed})
 }
@@ -266,7 +271,7 @@
 	if f.tamper != nil {
 		d = f.tamper(d)
 	}
-	if d == nil || to == nil || f.cut != nil && f.cut(n, to) || f.random.Float64() < f.loss {
+	if d == nil || to == nil || a.Address != to.address() || f.cut != nil && f.cut(n, to) || f.random.Float64() < f.loss {
 		return
 	}
 	delay := f.delay + time.Duration(f.random.Int64N(int64(f.delay)+1))
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -58,7 +58,7 @@
 	listed      bool       // the VM list has it
 	heard       model.Time // when it was last heard itself
 	asked       model.Time // when it was last asked to contradict its death
-	behind      bool       // it goes by an incarnation lower than the one held of it
+	behind      bool       // it is to be told what is held of it: it has started again, or goes by a lower incarnation
 }
 
 // Alive tells whether work may be shared with the member.
@@ -263,11 +263,22 @@
 	restarted := m.Boot != 0
 	m.Past, m.Boot = m.Boot, boot
 	if restarted {
+		m.behind = true
 		l.changes = append(l.changes, Change{Name: from, Status: m.Status, Restarted: true})
 		l.version++
 	}
 }
 
+// Located takes a member's own word on where it listens, from an authentic datagram of its live process: one that has started
+// again may listen elsewhere, and the VM list tells of it seconds later.
+func (l *List) Located(from string, own *wire.Rumour) {
+	m := l.members[from]
+	if m == nil || own.Name != from || own.Boot != m.Boot || own.Address == "" {
+		return
+	}
+	m.Address = own.Address
+}
+
 func (l *List) set(now model.Time, m *Member, status wire.Status) {
 	was := m.Alive()
 	if m.Status == wire.Status_STATUS_SUSPECT {
--- a/core/member/rumour.go
+++ b/core/member/rumour.go
@@ -24,8 +24,8 @@
 func (l *List) Rumours(to string) []*wire.Rumour {
 	out := []*wire.Rumour{l.rumour(&l.self)}
 	if m := l.members[to]; m != nil && (m.behind || m.Status != wire.Status_STATUS_ALIVE) {
+		out = append(out, l.rumourToItself(m))
 		m.behind = false
-		out = append(out, l.rumour(m))
 	}
 	for i := range l.rumours {
 		r := &l.rumours[i]
@@ -40,6 +40,16 @@
 	return out
 }
 
+// rumourToItself returns what a member is told of itself. One that has started again is told of the process before, so
+// that it goes by a higher incarnation, and all others take its word.
+func (l *List) rumourToItself(m *Member) *wire.Rumour {
+	out := l.rumour(m)
+	if m.behind && m.Past != 0 {
+		out.Boot = m.Past
+	}
+	return out
+}
+
 func (l *List) rumour(m *Member) *wire.Rumour {
 	return &wire.Rumour{
 		Name: m.Name, Address: m.Address, DataHall: m.DataHall,
@@ -71,7 +81,11 @@
 	if r.Incarnation == m.Incarnation && r.Status <= m.Status {
 		return
 	}
+	newer := r.Incarnation > m.Incarnation
 	l.take(now, m, r)
+	if newer {
+		l.spread(m.Name) // it may listen elsewhere now
+	}
 }
 
 func (l *List) take(now model.Time, m *Member, r *wire.Rumour) {
@@ -84,6 +98,7 @@
 	if r.Boot != 0 && m.Boot != r.Boot {
 		l.Heard(m.heard, m.Name, r.Boot)
 	}
+	m.behind = false
 	if m.Status != r.Status {
 		l.set(now, m, r.Status)
 	}
--- a/core/restart_test.go
+++ b/core/restart_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/policy/promptaffinity"
+	"github.com/tamarindstep/tamarindstep/wire"
 )
 
 // submitPrompt sends a request that is decided on by its prompt.
@@ -58,3 +60,28 @@
 	}
 	is.True(restarted.core.prompt.Usage(account).Asked > 0.8*inWindow)
 }
+
+// TestARouterThatMovedIsKnownAtOnce guards against a fleet that goes on sending to where a router listened before it started
+// again at another address, and takes it for dead.
+func TestARouterThatMovedIsKnownAtOnce(t *testing.T) {
+	for _, routers := range []int{9, 59, 295} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) { moveOne(t, routers) })
+	}
+}
+
+func moveOne(t *testing.T, routers int) {
+	is := is.New(t)
+	f := loadedFleet(routers, 9000)
+	moved := f.nodes[4]
+	f.kill(moved)
+	moved.moves++
+	f.start(moved)
+	f.runUntil(f.time.Now() + 8*time.Second) // before the VM list is read again
+	for _, n := range f.nodes {
+		if n != moved {
+			is.Equal(n.core.members.Get(moved.name).Address, moved.address())
+			is.Equal(n.core.members.Get(moved.name).Status, wire.Status_STATUS_ALIVE)
+			is.Equal(moved.core.members.Get(n.name).Status, wire.Status_STATUS_ALIVE)
+		}
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -164,6 +164,9 @@
 	if in.greet {
 		s.greet(in.from, address, from)
 	}
+	if in.greet && in.address != "" && in.address != address {
+		s.greet(in.from, in.address, from) // it has started again at another address
+	}
 	if in.again != nil && address != "" {
 		s.Send(address, in.again)
 	}
--- a/peer/receiver_test.go
+++ b/peer/receiver_test.go
@@ -52,3 +52,26 @@
 		})
 	}
 }
+
+// TestARouterThatMovedIsHeardAtOnce guards against a router that starts again at another address, and is greeted where it
+// listened before only.
+func TestARouterThatMovedIsHeardAtOnce(t *testing.T) {
+	is := is.New(t)
+	key := []byte("one key for both")
+	b := startAt(t, is, Settings{Name: "b", Boot: 2, Listen: freeAddress(is), Key: key})
+	got := make(chan *wire.Datagram, 16)
+	b.OnDatagram(func(d *wire.Datagram) { got <- d })
+	b.Send(freeAddress(is), &wire.Datagram{To: "a"}) // where its process before listened
+	a := startAt(t, is, Settings{Name: "a", Boot: 3, Listen: freeAddress(is), Key: key})
+	rumours := []*wire.Rumour{{Name: "a", Address: a.settings.Listen}}
+	for range 100 {
+		a.Send(b.settings.Listen, &wire.Datagram{To: "b", Rumours: rumours})
+		select {
+		case d := <-got:
+			is.Equal(d.Boot, uint64(3))
+			return
+		case <-time.After(50 * time.Millisecond): // greeted first, or lost
+		}
+	}
+	t.Fatal("no datagram came")
+}
