core/suspect: the store keeps that a try has failed, and all that it keeps stays held back

Callers saw a request that had ended three servers tried again four to seven seconds after all routers had started anew, where ten minutes were due; and of several requests kept in the store each was let go.

Causes: the document was written when a request was held back or let go, never when a try of it failed, so that routers that start knew of the first ends only. And they took all kept ends for ends of the moment of reading: ends of one request on servers that another hadn't run on counted as servers that ended together, which weakens both (found by reading while the trace was followed; two such requests are enough).

A failed try is told to the store now (one write a failed try, by routers that saw an end), without those that something else may have ended; and what is read from there is held back by that alone, until a whole answer. Nothing is asked of the store before a request is served, and while it is away nothing waits for it.

Tests, failing before: core TestRoutersThatStartAnewKnowOfAFailedTry, TestAllThatTheStoreKeepsStaysHeldBack.

--- a/core/core.go
+++ b/core/core.go
@@ -224,7 +224,7 @@
 	case Answered:
 		c.answered(e)
 	case HeldInStore:
-		c.takeSuspicions(e.Suspicions)
+		c.restoreSuspicions(e.Suspicions)
 	case StoreContacted:
 		c.contacted(e)
 	case Drain:
--- a/core/event.go
+++ b/core/event.go
@@ -251,9 +251,10 @@
 // need be known by fingerprint.
 type Suspected struct{ Accounts []model.AccountID }
 
-// HeldChanged tells that a request is held back, or isn't any more.
+// HeldChanged tells that a request is held back, or isn't any more, or that a try of it has failed.
 type HeldChanged struct {
 	Held      bool
+	Failed    bool // it was held back before, and a try has failed since
 	Seen      bool // this router has seen what led to it, and sees to it that the store keeps it
 	Suspicion *wire.Suspicion
 }
--- a/core/suspect/entry.go
+++ b/core/suspect/entry.go
@@ -13,6 +13,8 @@
 	saw   bool // this router has seen one of the ends, or the last answer
 	tell  int  // how many times it is still to be told
 	tells model.Time
+
+	restored model.Time // when it was read from the store, which keeps what is held back
 }
 
 // add adds an end, and tells whether it is new.
--- a/core/suspect/judge.go
+++ b/core/suspect/judge.go
@@ -72,6 +72,9 @@
 		if !e.covered() {
 			continue // one end isn't enough
 		}
+		if e.restored > e.Answered {
+			sum = heldFrom
+		}
 		for _, end := range e.counting() {
 			sum += b.points(e, end, others)
 		}
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -34,7 +34,7 @@
 //
 // Routers hear of ends and tries some tenths of a second late: that many more sends may
 // happen at other routers. Times that others tell are as late. What is known here is lost with the process;
-// what others know comes with the first datagrams (Digest), and package holds keeps it in the
+// what others know comes with the first datagrams (Digest), and package heldstore keeps it in the
 // store for the case that all routers end.
 package suspect
 
@@ -214,6 +214,21 @@
 	return e != nil && e.blamed()
 }
 
+// Failed returns how many tries of a request have failed since its last whole answer.
+func (b *Book) Failed(f model.Fingerprint) int {
+	e := b.entries[f]
+	if e == nil {
+		return 0
+	}
+	failed := 0
+	for _, end := range e.counting() {
+		if end.Try {
+			failed++
+		}
+	}
+	return failed
+}
+
 // Saw tells whether this router has seen one of the ends of a request, or its last whole answer.
 func (b *Book) Saw(f model.Fingerprint) bool {
 	e := b.entries[f]
@@ -242,6 +257,20 @@
 	}
 }
 
+// Restore takes a request that the store keeps as held back. Its ends count as what held it back, whatever else ended then.
+func (b *Book) Restore(now model.Time, in Suspicion) {
+	if len(in.Ends) == 0 {
+		return
+	}
+	e := b.entry(in.Fingerprint, in.Account)
+	e.restored = now
+	for _, end := range in.Ends {
+		e.add(end)
+	}
+	b.touch()
+	b.prune(now)
+}
+
 // Due returns when a request that is held back is tried here.
 func (b *Book) Due(f model.Fingerprint) model.Time {
 	e := b.entries[f]
@@ -251,12 +280,18 @@
 	return b.calm(b.due(e))
 }
 
-// Held returns what is held against each request that is held back, in order.
+// Held returns what is held against each request that is held back, in order, as it is to be kept: of a try that
+// something else may have ended, only the end.
 func (b *Book) Held() []Suspicion {
 	b.judge()
 	var out []Suspicion
 	for _, f := range slices.Sorted(maps.Keys(b.held)) {
-		out = append(out, b.entries[f].copied())
+		e := b.entries[f]
+		held := e.copied()
+		for i, end := range held.Ends {
+			held.Ends[i].Try = end.Try && b.points(e, end, b.held) == strongPoints
+		}
+		out = append(out, held)
 	}
 	return out
 }
@@ -299,7 +334,7 @@
 func (b *Book) entry(f model.Fingerprint, account model.AccountID) *entry {
 	e := b.entries[f]
 	if e == nil {
-		e = &entry{Suspicion: Suspicion{Fingerprint: f, Account: account, Answered: Never, Tried: Never}}
+		e = &entry{Suspicion: Suspicion{Fingerprint: f, Account: account, Answered: Never, Tried: Never}, restored: Never}
 		b.entries[f] = e
 	}
 	return e
--- a/core/suspicions.go
+++ b/core/suspicions.go
@@ -22,7 +22,8 @@
 	version  uint64 // of the book, as last looked at
 	accounts []model.AccountID
 	held     map[model.Fingerprint]bool
-	told     map[string]model.Time // by router, that knew something else
+	failed   map[model.Fingerprint]int // tries, of those that are held back
+	told     map[string]model.Time     // by router, that knew something else
 }
 
 func newSuspicions(salt uint64) suspicions {
@@ -67,6 +68,15 @@
 	}
 }
 
+// restoreSuspicions takes what the store keeps.
+func (c *Core) restoreSuspicions(kept []*wire.Suspicion) {
+	for _, in := range kept {
+		if s, ok := decodeSuspicion(c.now, in); ok {
+			c.suspicions.book.Restore(c.now, s)
+		}
+	}
+}
+
 // compareSuspicions tells a router what is known here where it knows something else.
 func (c *Core) compareSuspicions(d *wire.Datagram) {
 	s := &c.suspicions
@@ -100,11 +110,12 @@
 		s.accounts = accounts
 		c.do(Suspected{Accounts: accounts})
 	}
-	held := map[model.Fingerprint]bool{}
+	held, failed := map[model.Fingerprint]bool{}, map[model.Fingerprint]int{}
 	for _, h := range s.book.Held() {
-		held[h.Fingerprint] = true
-		if !s.held[h.Fingerprint] {
-			c.do(HeldChanged{Held: true, Seen: s.book.Saw(h.Fingerprint), Suspicion: encodeSuspicion(c.now, h)})
+		f := h.Fingerprint
+		held[f], failed[f] = true, s.book.Failed(f)
+		if !s.held[f] || failed[f] > s.failed[f] {
+			c.do(HeldChanged{Held: true, Failed: s.held[f], Seen: s.book.Saw(f), Suspicion: encodeSuspicion(c.now, h)})
 		}
 	}
 	for _, f := range sortedKeys(s.held) {
@@ -112,7 +123,7 @@
 			c.do(HeldChanged{Seen: s.book.Saw(f), Suspicion: &wire.Suspicion{Fingerprint: uint64(f)}})
 		}
 	}
-	s.held = held
+	s.held, s.failed = held, failed
 }
 
 // The marks of an end in a message.
--- a/core/suspicions_test.go
+++ b/core/suspicions_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -84,6 +85,83 @@
 	is.Equal(quiet, 0) // those that know the same tell each other nothing
 }
 
+// keeping is a router that decides by itself, and what the store keeps of it.
+type keeping struct {
+	core *Core
+	kept *wire.Suspicion
+}
+
+func newKeeping() *keeping {
+	return &keeping{core: New(0, member.Member{Name: "router-1", Boot: 1}, 1)}
+}
+
+// step returns what became of a request that is held back, nil for none.
+func (k *keeping) step(now model.Time, e Event) (refused *Refuse, tried bool) {
+	for _, a := range k.core.Step(now, e) {
+		switch a := a.(type) {
+		case HeldChanged:
+			if a.Seen {
+				k.kept = a.Suspicion
+			}
+		case Refuse:
+			refused = &a
+		case Tried:
+			tried = true
+		}
+	}
+	return refused, tried
+}
+
+// TestRoutersThatStartAnewKnowOfAFailedTry guards against all routers ending after a try under which a backend server ended:
+// the new ones tried again some seconds after their start, and not minutes later.
+func TestRoutersThatStartAnewKnowOfAFailedTry(t *testing.T) {
+	is := is.New(t)
+	before := newKeeping()
+	under := func(server string) ServerEnded {
+		return ServerEnded{Fingerprint: lethal, Account: 7, Backend: model.Backend(server), Ran: 80 * time.Millisecond}
+	}
+	before.step(time.Second, under("run-1"))
+	before.step(2*time.Second, under("run-2"))
+	is.Equal(len(before.kept.Backends), 2)
+	_, tried := before.step(10*time.Second, Arrive{ID: 1, Account: 7, Fingerprint: lethal})
+	is.True(tried)
+	before.step(10*time.Second+100*time.Millisecond, under("run-3"))
+	is.Equal(len(before.kept.Backends), 3)
+
+	after := newKeeping()
+	after.step(time.Second, HeldInStore{Suspicions: []*wire.Suspicion{before.kept}})
+	for now := 2 * time.Second; now < 5*time.Minute; now += time.Second {
+		refused, tried := after.step(now, Arrive{ID: 1, Account: 7, Fingerprint: lethal})
+		is.True(!tried && refused.Reason == HeldBack)
+	}
+}
+
+// TestAllThatTheStoreKeepsStaysHeldBack guards against requests that a router reads from the store together being taken for each
+// other's bystanders, and let go.
+func TestAllThatTheStoreKeepsStaysHeldBack(t *testing.T) {
+	is := is.New(t)
+	var kept []*wire.Suspicion
+	for f := range 5 {
+		k := newKeeping()
+		for end := range 2 {
+			server := fmt.Sprintf("run-%d-%d", f, end)
+			k.step(time.Duration(end+1)*time.Second, ServerEnded{
+				Fingerprint: model.Fingerprint(f + 1), Account: 7, Backend: model.Backend(server), Ran: 80 * time.Millisecond,
+			})
+		}
+		kept = append(kept, k.kept)
+	}
+	after := newKeeping()
+	after.step(time.Second, HeldInStore{Suspicions: kept})
+	for f := range kept {
+		refused, _ := after.step(2*time.Second, Arrive{ID: RequestID(f + 1), Account: 7, Fingerprint: model.Fingerprint(f + 1)})
+		is.True(refused != nil && refused.Reason == HeldBack)
+		is.True(refused.RetryAfter > time.Second && refused.RetryAfter < 10*time.Second)
+	}
+	after.step(3*time.Second, Answered{Fingerprint: 1})
+	is.Equal(len(after.core.suspicions.held), 4)
+}
+
 // TestSuspicionsInMessagesAreReadStrictly reads what no router of this kind writes.
 func TestSuspicionsInMessagesAreReadStrictly(t *testing.T) {
 	is := is.New(t)
--- a/scheduler/suspected.go
+++ b/scheduler/suspected.go
@@ -28,6 +28,10 @@
 		line.Msg("request let go")
 		return
 	}
+	if a.Failed {
+		line.Int("ends", len(a.Suspicion.Backends)).Msg("try of a held-back request failed")
+		return
+	}
 	s.metrics.Share.Held.Inc()
 	line.Int("ends", len(a.Suspicion.Backends)).Uints32("ended_ms", a.Suspicion.EndedMs).Msg("request held back")
 }
