e2e: what a test has taken out serves nothing, and no router's port is the system's to give

"never: the store keeps it": the two plain services that the test had taken out of the store went on answering. Their entries had gone together, so that routers kept them for 1.5 s, and every second request of the three seconds got a whole answer there, which rightly clears it. The wait for "a revived backend server is used" was over by an answer of the old ones. They are ended now, and each router must have been served by another one before the test goes on: stricter, in all three tests with such pools.

"never: router-1 is ready": bind: address already in use. A router's socket for sending is bound to all addresses, at a port that the system gives, and the port that freePort had asked of the system for another was just that.

--- a/e2e/ending_test.go
+++ b/e2e/ending_test.go
@@ -55,11 +55,17 @@
 	v := &revived{w: w, behave: behave, stopped: make(chan struct{}), live: map[int]*users.Backend{}}
 	for _, b := range w.services {
 		w.store.Remove("servers/" + b.Name)
+		b.Close() // routers that haven't heard of it would be served, and a whole answer clears a request
 	}
 	for i := range endedServers {
 		v.ended.Go(func() { v.keep(i) })
 	}
 	w.t.Cleanup(v.stop)
+	for _, r := range w.routers {
+		await(w.t, r.name+" uses a revived backend server", func() bool {
+			return users.Call(r.callers, w.request("POST", "/look/first")).Status == 200
+		})
+	}
 	return v
 }
 
@@ -176,9 +182,6 @@
 func TestPlatformRequestsThatEndServersAreHeldBack(t *testing.T) {
 	w := newWorld(t, 6)
 	v := w.revive(users.Behaviour{EndsUnder: lethal, EndsAfter: 30 * time.Millisecond, Gap: 20 * time.Millisecond})
-	await(t, "a revived backend server is used", func() bool {
-		return users.Call(w.routers[0].callers, w.request("POST", "/look/first")).Status == 200
-	})
 	callers := []caller{
 		{"POST", "/look/lethal", lethal, 350 * time.Millisecond},
 		{"POST", "/claim/lethal", lethal, 350 * time.Millisecond},
@@ -217,9 +220,6 @@
 func TestPlatformSoundRequestsOutliveWaves(t *testing.T) {
 	w := newWorld(t, 4)
 	v := w.revive(users.Behaviour{Gap: 100 * time.Millisecond})
-	await(t, "a revived backend server is used", func() bool {
-		return users.Call(w.routers[0].callers, w.request("POST", "/look/first")).Status == 200
-	})
 	var callers []caller
 	for i := range 30 {
 		callers = append(callers, caller{"POST", fmt.Sprintf("/look/sound-%d", i), "sound", 50 * time.Millisecond})
@@ -250,9 +250,6 @@
 func TestPlatformHeldBackRequestsOutliveAllRouters(t *testing.T) {
 	w := newWorld(t, 3)
 	v := w.revive(users.Behaviour{EndsUnder: lethal, EndsAfter: 30 * time.Millisecond})
-	await(t, "a revived backend server is used", func() bool {
-		return users.Call(w.routers[0].callers, w.request("POST", "/look/first")).Status == 200
-	})
 	comes := []caller{{"POST", "/claim/lethal", lethal, 300 * time.Millisecond}}
 	w.callFor(3*time.Second, comes)
 	await(t, "the store keeps it", func() bool { return len(w.store.Keys("tamarindstep/held")) == 1 })
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -8,13 +8,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -122,30 +120,6 @@
 	return f
 }
 
-// freePort returns an address whose port is free. Its IP is this process's own: a
-// port of 127.0.0.1 may be taken, before the router listens, by any connection of
-// the machine or by the tests of another process.
-// Nor is a port given twice: the system may offer one again once it is closed.
-func freePort(t testing.TB) string {
-	t.Helper()
-	pid := os.Getpid()
-	ip := fmt.Sprintf("127.%d.%d.%d:0", 1+(pid>>16)&0x7f, (pid>>8)&0xff, pid&0xff)
-	for {
-		l, err := net.Listen("tcp", ip)
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := l.Addr().String()
-		_ = l.Close()
-		if _, given := givenPorts.LoadOrStore(address, true); !given {
-			return address
-		}
-	}
-}
-
-// givenPorts holds the addresses that freePort has returned.
-var givenPorts sync.Map
-
 func (f *fleet) write(name, text string) string {
 	path := filepath.Join(f.dir, name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
