model, platform, generation, config, core: a run of a backend server is known by its name and its start

A backend server may start again under the identifier that it had, and says by born in its entry when. All that a router believes of one was kept by its name, so that a new run was taken for the old one: its prompts for read, its load for running.

model.Incarnation is name and start; the identity by which everything is kept is made of both, from the entry through the catalog that routers tell each other. So a new run is a new backend server everywhere at once and the old one is gone, as one that has left is, and late news of it name an identity that is no more. Which run is the newer is told by the store's revision, never by born: clocks jump. After the store's return from a copy, another run than before isn't believed until it is written again. Weighed: a message at which each part forgets (a part added later misses it, late news come after it). Without born the identity is the name's, as before. A born that is no whole number above 0 makes an entry unreadable.

Each change is counted (backend_server_restarts_total) and logged.

Tests: of model, the drawn one of generation and the two of core on prompts and reports failed with identities made of the name alone, that of a copy without its case. Tests that made config.Discovered name its incarnation now; nothing else of them changed.

--- a/config/compile.go
+++ b/config/compile.go
@@ -77,10 +77,9 @@
 	return r.Pool
 }
 
-// Discovered is a backend server that has announced itself. Its name is that of
-// one run of it: a restart has another.
+// Discovered is a run of a backend server that has announced itself.
 type Discovered struct {
-	Name     string
+	model.Incarnation
 	Pool     string
 	Address  string // IP and port
 	DataHall string
@@ -214,9 +213,9 @@
 		if _, known := c.Core.Pools[pool]; !known {
 			continue
 		}
-		id := model.Backend(d.Name)
+		id := d.Backend()
 		c.Core.Backends[id] = core.Backend{
-			Name: d.Name, Pool: pool, DataHall: d.DataHall, Slots: d.Slots, Leaving: d.Leaving,
+			Name: d.Name, Born: d.Born, Pool: pool, DataHall: d.DataHall, Slots: d.Slots, Leaving: d.Leaving,
 			Cold: d.Cold,
 		}
 		c.addresses[id] = d.Address
--- a/core/config.go
+++ b/core/config.go
@@ -32,6 +32,7 @@
 // Backend is what the core needs to know of a backend server.
 type Backend struct {
 	Name     string
+	Born     uint64 // as in model.Incarnation
 	Pool     model.PoolID
 	DataHall string
 	Slots    int
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -63,6 +63,14 @@
 	return (time.Duration(ms) * time.Millisecond).Round(time.Second).String()
 }
 
+// started prints when a run of a backend server started by its own clock, "" where it doesn't say.
+func started(bornMS uint64) string {
+	if bornMS == 0 {
+		return ""
+	}
+	return time.UnixMilli(int64(bornMS)).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
 func printStatus(w io.Writer, f status.Fleet) {
 	rows := [][]any{{"ROUTER", "DATA HALL", "STATUS", "READY", "GENERATION", "POLICY", "ERROR"}}
 	for _, r := range f.Routers {
@@ -70,9 +78,9 @@
 	}
 	table(w, rows)
 	fmt.Fprintln(w)
-	rows = [][]any{{"BACKEND SERVER", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING", "EVACUATED"}}
+	rows = [][]any{{"BACKEND SERVER", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING", "EVACUATED", "STARTED"}}
 	for _, b := range f.Backends {
-		rows = append(rows, []any{b.Name, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving, b.Evacuated})
+		rows = append(rows, []any{b.Name, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving, b.Evacuated, started(b.BornMS)})
 	}
 	table(w, rows)
 	fmt.Fprintln(w)
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -215,6 +215,7 @@
 	}
 	s.noteLapse(held, next)
 	s.noteDeparted(held, next)
+	s.noteRestarts(held, next)
 	s.catalog.history.add(held, next)
 	s.catalog.held = next
 	s.log.Info().Uint64("catalog", next.Revision).Int("backends", len(next.Entries)).
@@ -238,7 +239,7 @@
 
 func entryOf(d *config.Discovered) *wire.CatalogEntry {
 	return &wire.CatalogEntry{
-		Name: d.Name, Pool: d.Pool, Address: d.Address, DataHall: d.DataHall,
+		Name: d.Name, BornMs: d.Born, Pool: d.Pool, Address: d.Address, DataHall: d.DataHall,
 		Slots: uint32(d.Slots), Leaving: d.Leaving, Cold: d.Cold,
 	}
 }
@@ -248,7 +249,8 @@
 	var out []config.Discovered
 	for _, e := range entries {
 		out = append(out, config.Discovered{
-			Name: e.Name, Pool: e.Pool, Address: e.Address, DataHall: e.DataHall,
+			Incarnation: incarnationOf(e),
+			Pool:        e.Pool, Address: e.Address, DataHall: e.DataHall,
 			Slots: int(e.Slots), Leaving: e.Leaving, Cold: e.Cold,
 		})
 	}
--- a/generation/returned_test.go
+++ b/generation/returned_test.go
@@ -123,7 +123,7 @@
 func (s *silentStore) announced() []Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return []Announcement{{Key: "engine", Revision: s.server, Backend: &config.Discovered{Name: "engine", Leaving: s.leaving}}}
+	return []Announcement{{Key: "engine", Revision: s.server, Backend: &config.Discovered{Incarnation: model.Incarnation{Name: "engine"}, Leaving: s.leaving}}}
 }
 
 func (s *silentStore) at() uint64 {
--- a/generation/settle.go
+++ b/generation/settle.go
@@ -65,7 +65,7 @@
 		name := a.Backend.Name
 		listed[name] = true
 		switch old, had := before[name]; {
-		case had && old.Leaving && !a.Backend.Leaving:
+		case had && (old.Leaving && !a.Backend.Leaving || a.Backend.Follows(incarnationOf(old))):
 			kept[name] = old
 		case !had && time.Since(c.departed[name]) < departedFor:
 			kept[name] = nil
--- a/generation/settle_test.go
+++ b/generation/settle_test.go
@@ -40,7 +40,7 @@
 }
 
 func announcement(name string, leaving bool, version uint64) Announcement {
-	return Announcement{Key: "key of " + name, Revision: version, Backend: &config.Discovered{Name: name, Pool: "pool", Leaving: leaving}}
+	return Announcement{Key: "key of " + name, Revision: version, Backend: &config.Discovered{Incarnation: model.Incarnation{Name: name}, Pool: "pool", Leaving: leaving}}
 }
 
 // write writes an entry, or takes it back.
--- a/generation/unreadable_test.go
+++ b/generation/unreadable_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
 
@@ -18,7 +19,7 @@
 	s := newTestService()
 	s.catalog.entries = map[string]*wire.CatalogEntry{}
 	good := func(key string) Announcement {
-		return Announcement{Key: key, Backend: &config.Discovered{Name: key, Pool: "engines", Address: "10.0.0.1:1", Slots: 2}}
+		return Announcement{Key: key, Backend: &config.Discovered{Incarnation: model.Incarnation{Name: key}, Pool: "engines", Address: "10.0.0.1:1", Slots: 2}}
 	}
 	bad := func(key string) Announcement { return Announcement{Key: key, Problem: errors.New("no entry")} }
 	leaving := func() map[string]bool {
--- a/status/status.go
+++ b/status/status.go
@@ -163,6 +163,7 @@
 // Backend is one backend server, as its owner has it.
 type Backend struct {
 	Name     string `json:"name"`
+	BornMS   uint64 `json:"born_ms,omitempty"` // when this run started by its own clock, in Unix ms; 0 where it doesn't say
 	Pool     string `json:"pool"`
 	Owner    string `json:"owner"`
 	Slots    uint32 `json:"slots"`
@@ -251,7 +252,7 @@
 		f.Evacuated = append(f.Evacuated, a.Evacuated...)
 		for _, b := range a.Backends {
 			f.Backends = append(f.Backends, Backend{
-				Name: b.Name, Pool: b.Pool, Owner: a.Name, Slots: b.Slots, Limit: b.Limit,
+				Name: b.Name, BornMS: b.BornMs, Pool: b.Pool, Owner: a.Name, Slots: b.Slots, Limit: b.Limit,
 				Occupied: b.Occupied, Leaving: b.Leaving, Evacuated: b.Evacuated,
 			})
 		}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -85,6 +85,7 @@
 	Generation    prometheus.Gauge
 	Evacuated     prometheus.Gauge
 	Unreadable    prometheus.Counter
+	Restarts      prometheus.Counter
 	Era           prometheus.Gauge
 	EraRefused    prometheus.Counter
 }
@@ -140,6 +141,7 @@
 			Evacuated:     f.gauge("evacuated_halls", "Data halls that are evacuated, but for those of the operators' file."),
 			Era:           f.gauge("store_era", "Era of the store: how often it has come back from a copy."),
 			EraRefused:    f.counter("store_era_refused_total", "Answers of the store whose era is over or can't be read."),
+			Restarts:      f.counter("backend_server_restarts_total", "Backend servers that have started again under their names."),
 			Unreadable:    f.counter("unreadable_announcements_total", "Announcements of backend servers that couldn't be read."),
 		},
 	}
