internal/exchange, back, gateway: a run of a backend server gets no connection of the one before

A backend server that starts again at its address while it is cut off leaves connections that rest and say nothing: each would cost a request its patience. What rests is closed now at the first send to another run, told by its start; exchanges under way go on. Without a start, the client of an address is the one that it was.

--- a/back/back.go
+++ b/back/back.go
@@ -55,9 +55,15 @@
 	return s.clients.Of(address).Do(ctx, req, exchange.Options{Patient: patience, Wanted: wanted})
 }
 
-// Exchange is Send with options of the caller's.
-func (s *Service) Exchange(ctx context.Context, address string, req *fasthttp.Request, options exchange.Options) (*exchange.Answer, error) {
-	return s.clients.Of(address).Do(ctx, req, options)
+// Run is one run of a backend server: its IP and port, and when it started, 0 where it doesn't say.
+type Run struct {
+	Address string
+	Born    uint64
+}
+
+// Exchange is Send to one run of a backend server, with options of the caller's.
+func (s *Service) Exchange(ctx context.Context, to Run, req *fasthttp.Request, options exchange.Options) (*exchange.Answer, error) {
+	return s.clients.OfRun(to.Address, to.Born).Do(ctx, req, options)
 }
 
 // lookTimeout bounds the look at a backend server whose answer broke off: a port that nobody listens on
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
@@ -30,7 +31,8 @@
 		Backend: backend.Name, Account: a.name, TimeLeft: a.left(), LastEvent: a.relay.resumeAt(),
 		CopyFrom: inForce.AddressOf(d.CopyFrom),
 	})
-	answer, err := s.back.Exchange(a.ctx, inForce.AddressOf(d.Backend), req, exchange.Options{
+	run := back.Run{Address: inForce.AddressOf(d.Backend), Born: backend.Born}
+	answer, err := s.back.Exchange(a.ctx, run, req, exchange.Options{
 		Patient: a.patience(), Undelimited: true, Stable: true,
 		Skip:   a.isSurplus,
 		Wanted: func() bool { return a.isWanted() && s.notices.Takes(d.Backend) },
