--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -47,6 +47,7 @@
 	Name, Pool, Hall string
 	Cold             time.Duration // how much longer it is slow from its start, as it announces
 
+	born     int64 // when it started, as it announces, in Unix ms; 0 for not at all
 	listener net.Listener
 	store    *Store
 	ended    sync.WaitGroup
@@ -63,22 +64,37 @@
 
 // NewBackend starts a backend server on loopback and announces it.
 func NewBackend(store *Store, name, pool, hall string) (*Backend, error) {
-	return newBackendAt("127.0.0.1:0", store, name, pool, hall)
+	return newBackendAt("127.0.0.1:0", store, life{name: name, pool: pool, hall: hall})
 }
 
 // Again ends a backend server, and starts another at its address, under another name: its next life.
 func (b *Backend) Again(name string) (*Backend, error) {
 	b.Close()
 	b.store.Remove("servers/" + b.Name)
-	return newBackendAt(b.listener.Addr().String(), b.store, name, b.Pool, b.Hall)
+	return newBackendAt(b.listener.Addr().String(), b.store, life{name: name, pool: b.Pool, hall: b.Hall})
 }
 
-func newBackendAt(address string, store *Store, name, pool, hall string) (*Backend, error) {
+// Reborn ends a backend server, and starts it again at its address and under its name: its entry says when, and was there all along.
+func (b *Backend) Reborn(born int64) (*Backend, error) {
+	b.Close()
+	return newBackendAt(b.listener.Addr().String(), b.store, life{name: b.Name, pool: b.Pool, hall: b.Hall, born: born})
+}
+
+// life is what one run of a backend server announces of itself.
+type life struct {
+	name, pool, hall string
+	born             int64 // 0 where it doesn't say when it started
+}
+
+func newBackendAt(address string, store *Store, as life) (*Backend, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	b := &Backend{Name: name, Pool: pool, Hall: hall, listener: listener, store: store, conns: map[net.Conn]bool{}, closed: make(chan struct{})}
+	b := &Backend{
+		Name: as.name, Pool: as.pool, Hall: as.hall, born: as.born,
+		listener: listener, store: store, conns: map[net.Conn]bool{}, closed: make(chan struct{}),
+	}
 	b.Announce("ready")
 	b.ended.Add(1)
 	go b.accept()
@@ -87,10 +103,14 @@
 
 // Announce writes the backend server's state into the store.
 func (b *Backend) Announce(state string) {
-	value, _ := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": b.Pool, "address": b.listener.Addr().String(), "zone": b.Hall, "version": "v1",
 		"slots": 8, "state": state, "cold_remaining_ms": b.Cold.Milliseconds(), "call_seq": 0,
-	})
+	}
+	if b.born > 0 {
+		entry["born"] = b.born
+	}
+	value, _ := json.Marshal(entry)
 	b.store.Put("servers/"+b.Name, value)
 }
 
