gateway: the test of what callers do to servers asks the attempt

What an answer that broke off says of its backend server depends on the attempt's time as well now. The cases and what is expected of them are as they were.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -55,7 +55,8 @@
 // TestCallersDoNotFailServers guards against a backend server that counts as failing since callers took no more of its answers.
 func TestCallersDoNotFailServers(t *testing.T) {
 	is := is.New(t)
-	is.Equal(endingOf(callerError(io.ErrClosedPipe)), core.Broken)
-	is.Equal(endingOf(io.ErrUnexpectedEOF), core.Failed)
-	is.Equal(endingOf(errNameless), core.Failed)
+	a := &attempt{ctx: t.Context()}
+	is.Equal(a.endingOf(callerError(io.ErrClosedPipe)), core.Broken)
+	is.Equal(a.endingOf(io.ErrUnexpectedEOF), core.Failed)
+	is.Equal(a.endingOf(errNameless), core.Failed)
 }
