core, scheduler: live routers whose load reports don't arrive are told of

Decisions carried how old the oldest report was, not whose. A line now names the router, how long, through which relay, and how many of its reports came and weren't taken, with the reason; a gauge counts them. Nothing is decided by it.

--- a/core/core.go
+++ b/core/core.go
@@ -72,6 +72,7 @@
 	// Where decisions are made by prompt.
 	promptKeys map[RequestID]model.Key
 	loads      loadExchange
+	overdue    overdue
 	coldLimits cold.Limits
 	hallHomes  bool
 
@@ -116,6 +117,7 @@
 		members:    member.New(self, random),
 		outbox:     map[string]*wire.Datagram{},
 		loads:      newLoadExchange(DefaultLoadsBytes),
+		overdue:    newOverdue(),
 		coldLimits: cold.Limits{Overshoot: 1},
 		promptKeys: map[RequestID]model.Key{},
 		requests:   map[RequestID]*request{},
@@ -174,6 +176,7 @@
 	c.flushReports()
 	c.followSuspicions()
 	c.flushLoads()
+	c.followOverdue()
 	c.flushOutbox()
 	return c.actions
 }
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -21,18 +21,20 @@
 
 // node is one router of the fleet.
 type node struct {
-	name   string
-	hall   string
-	core   *Core
-	boot   uint64
-	down   bool
-	paused bool
-	held   []func() // what happened while paused
-	wakeAt model.Time
-	moves  int // how often it has started at another address
-	bytes  int64
-	sent   int64
-	parts  map[string]int64 // bytes by part of the datagram
+	name string
+	hall string
+	core *Core
+	boot uint64
+	// processor is its part of a core, as the VM list and the router itself tell it.
+	processor float64
+	down      bool
+	paused    bool
+	held      []func() // what happened while paused
+	wakeAt    model.Time
+	moves     int // how often it has started at another address
+	bytes     int64
+	sent      int64
+	parts     map[string]int64 // bytes by part of the datagram
 }
 
 // address returns where the router listens: its name, until it moves.
@@ -120,6 +122,8 @@
 	service map[model.AccountID]float64
 	// dispatched is called with each request that is sent to a backend server.
 	dispatched func(*job)
+	// onOverdue is called with what a router tells of reports that don't arrive.
+	onOverdue func(*node, LoadsOverdue)
 	// tamper may change or drop a datagram on its way.
 	tamper func(*wire.Datagram) *wire.Datagram
 }
@@ -170,12 +174,12 @@
 	n.boot = f.random.Uint64() | 1
 	n.down = false
 	n.wakeAt = 0
-	self := member.Member{Name: n.name, Address: n.address(), DataHall: n.hall, Boot: n.boot}
+	self := member.Member{Name: n.name, Address: n.address(), DataHall: n.hall, Boot: n.boot, Processor: n.processor}
 	n.core = New(f.time.Now(), self, f.random.Uint64())
 	f.step(n, Configure{Config: f.config})
 	var listed []member.Listed
 	for _, o := range f.nodes {
-		listed = append(listed, member.Listed{Name: o.name, Address: o.address(), DataHall: o.hall})
+		listed = append(listed, member.Listed{Name: o.name, Address: o.address(), DataHall: o.hall, Processor: o.processor})
 	}
 	f.step(n, Routers{Listed: listed})
 }
@@ -238,6 +242,10 @@
 		f.dispatch(a)
 	case Refuse:
 		f.refuse(a)
+	case LoadsOverdue:
+		if f.onOverdue != nil {
+			f.onOverdue(n, a)
+		}
 	case ContactStore:
 		f.contacts++
 		f.after(f.delay, func() {
--- a/core/loads.go
+++ b/core/loads.go
@@ -280,12 +280,19 @@
 // of a process that has ended since, which a relay may still pass on, isn't.
 func (c *Core) takeLoadReport(in *wire.Loads) bool {
 	from := c.memberOf(in.Router)
-	if from == nil || from.Past != 0 && in.Process == uint32(from.Past) {
+	if from == nil {
+		c.overdue.drop(in.Router, fromUnknown)
+		return false
+	}
+	if from.Past != 0 && in.Process == uint32(from.Past) {
+		c.overdue.drop(in.Router, fromPast)
 		return false
 	}
 	if !c.prompt.TakeLoadReport(c.now, from.Name, in.Process, decodeLoadReport(in)) {
+		c.overdue.drop(in.Router, notNewer)
 		return false
 	}
+	delete(c.overdue.dropped, in.Router)
 	c.askDead(from.Name)
 	return true
 }
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -160,6 +160,22 @@
 	return sum / time.Duration(len(m.peers))
 }
 
+// Heard is what was last heard of another router.
+type Heard struct {
+	At       model.Time
+	Process  uint32
+	Sequence uint64 // of its last load report, 0 for none
+}
+
+// HeardOf returns what was last heard of a router.
+func (m *Machine) HeardOf(router string) Heard {
+	p := m.peers[router]
+	if p == nil {
+		return Heard{}
+	}
+	return Heard{At: p.at, Process: p.process, Sequence: p.sequence}
+}
+
 // Knows tells whether the last report of a router was of a certain process.
 func (m *Machine) Knows(router string, process uint32) bool {
 	p := m.peers[router]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -323,9 +323,24 @@
 		s.logChange(a.Change)
 	case core.RelayChanged:
 		s.log.Info().Str("from", a.From).Str("to", a.To).Int("unconfirmed", a.Unconfirmed).Msg("relay changed")
+	case core.LoadsOverdue:
+		s.logOverdue(a)
+	case core.OverdueCounted:
+		s.metrics.Share.Overdue.Set(float64(a.Routers))
 	}
 }
 
+// logOverdue notes that a router's load reports don't arrive, or do again.
+func (s *Service) logOverdue(a core.LoadsOverdue) {
+	message := "load reports overdue"
+	if a.Again {
+		message = "load reports arrive again"
+	}
+	s.log.Info().Str("of", a.Router).Dur("silent_ms", a.Silent).Uint64("sequence", a.Sequence).
+		Str("relay", a.Relay).Dur("relay_heard_ms", a.Relayed).
+		Int("dropped", a.Dropped).Str("because", a.Because).Int("overdue", a.Overdue).Msg(message)
+}
+
 // send sends a datagram, and counts it where it leaves the data hall.
 func (s *Service) send(a core.Send) {
 	bytes := s.peers.Send(a.Address, a.Datagram)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -75,6 +75,7 @@
 	Members    prometheus.Gauge
 	Owned      prometheus.Gauge
 	Held       prometheus.Gauge
+	Overdue    prometheus.Gauge
 }
 
 // Platform counts the use of the platform.
@@ -132,6 +133,7 @@
 			Members:    f.gauge("members", "Live routers, this one included."),
 			Owned:      f.gauge("owned_backends", "Backend servers whose slots this router grants."),
 			Held:       f.gauge("held_requests", "Requests that are held back, as backend servers ended under them."),
+			Overdue:    f.gauge("load_reports_overdue", "Live routers of which no load reports arrive."),
 		},
 		Platform: &Platform{
 			StoreCalls:    f.counters("store_calls_total", "Calls of the store.", "call"),
