core/relay: routers are ordered by processor as messages tell it, the same to all

Cause: relays are those with the most processor. Whoever was suspect once, and was then told of by a rumour, ranked above its equals from then on, at those that had taken the rumour. So routers chose it as their relay for good, which the other relays didn't pass on to, and which didn't count itself as one. Nothing asked, as it confirmed and passed on what its own callers told. Ruled out by the log of overdue reports: reports dropped as late or of a process before; restarts (none); loss. Test: core TestRoutersOnceSuspectAreHeard, without a network: 19 pairs of 40 routers unheard before, 0 now.

--- /dev/null
+++ b/core/heard_test.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// unequalFleet returns a fleet of 40 routers, one of which in each data hall has more processor.
+func unequalFleet() *fleet {
+	f := loadedFleet(40, 100_000)
+	for i, n := range f.nodes {
+		n.processor = 0.192
+		if i < 3 {
+			n.processor = 0.8
+		}
+		f.kill(n)
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	return f
+}
+
+// unheard returns how many pairs of a router and another have it that the one hasn't heard the
+// other since some time.
+func (f *fleet) unheard(since model.Time) int {
+	out := 0
+	for _, n := range f.nodes {
+		for _, o := range f.nodes {
+			if n != o && !n.down && !o.down && n.core.prompt.HeardOf(o.name).At < since {
+				out++
+			}
+		}
+	}
+	return out
+}
+
+// allSend lets each router send a request.
+func (f *fleet) allSend() {
+	for _, n := range f.nodes {
+		f.sendLong(n)
+	}
+}
+
+// heardWithin is how long a report takes at the most to reach every router: its exchange, and the
+// turns of two relays, each with a datagram's way.
+const heardWithin = loadsEvery + 2*passOnEvery + 10*time.Millisecond
+
+// TestRoutersOnceSuspectAreHeard guards against routers that never heard some others: those that had
+// been suspect ranked higher among the relays, at whoever had heard so, than at the others.
+func TestRoutersOnceSuspectAreHeard(t *testing.T) {
+	is := is.New(t)
+	f := unequalFleet()
+	f.runUntil(f.time.Now() + time.Second)
+	for i := 10; i < 20; i++ {
+		f.strike(f.nodes[i], "freeze", 1500*time.Millisecond)
+	}
+	f.runUntil(f.time.Now() + 15*time.Second)
+	for _, n := range f.nodes {
+		is.Equal(n.core.Live(), len(f.nodes))
+	}
+	before := f.time.Now()
+	f.allSend()
+	f.runUntil(before + heardWithin)
+	is.Equal(f.unheard(before), 0)
+}
--- a/core/loads.go
+++ b/core/loads.go
@@ -133,11 +133,11 @@
 	l.planned = true
 	l.plannedAt = c.now
 	self := c.members.Self()
-	fleet := []relay.Router{{Name: self.Name, DataHall: self.DataHall, Processor: self.Processor}}
+	fleet := []relay.Router{{Name: self.Name, DataHall: self.DataHall, Processor: float32(self.Processor)}}
 	for _, name := range c.members.Names() {
 		m := c.members.Get(name)
 		if m.Status == wire.Status_STATUS_ALIVE || m.Status == wire.Status_STATUS_LEAVING {
-			fleet = append(fleet, relay.Router{Name: name, DataHall: m.DataHall, Processor: m.Processor})
+			fleet = append(fleet, relay.Router{Name: name, DataHall: m.DataHall, Processor: float32(m.Processor)})
 		}
 	}
 	before := l.plan.Serves
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -36,8 +36,9 @@
 type Router struct {
 	Name     string
 	DataHall string
-	// Processor is the router's part of a core, as far as known.
-	Processor float64
+	// Processor is the router's part of a core, as far as known, no finer than messages tell
+	// it: it orders routers, and must be the same to all.
+	Processor float32
 }
 
 // Plan is whom one router exchanges messages with.
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -51,7 +51,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := fleetOf(rapid.IntRange(1, 120).Draw(t, "routers"), rapid.IntRange(1, 5).Draw(t, "halls"))
 		for i := range fleet {
-			fleet[i].Processor = rapid.SampledFrom([]float64{0.2, 0.8}).Draw(t, "processor")
+			fleet[i].Processor = rapid.SampledFrom([]float32{0.2, 0.8}).Draw(t, "processor")
 		}
 		from := fleet[rapid.IntRange(0, len(fleet)-1).Draw(t, "from")].Name
 		if _, got := told(from, fleet); len(got) != len(fleet) {
