core: whoever passes on is told as a relay, also where the plan has it as none

Seen: routers whose view of the fleet differs from the others' (members held for dead, ranked otherwise) act as relays that the relays don't count as such; they and those who tell them hear only part of the fleet until the views agree, which nothing hurries. A router that has passed anything on to this one in the last two seconds is now told as a relay too, in the way that callers are served already. It costs bytes only where views differ.

--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/tamarindstep/tamarindstep/core/relay"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
@@ -68,3 +70,40 @@
 	f.runUntil(before + heardWithin)
 	is.Equal(f.unheard(before), 0)
 }
+
+// nextRelay returns a router that is a relay of a data hall without some others.
+func (f *fleet) nextRelay(hall string, without []string) *node {
+	var left []relay.Router
+	for _, n := range f.nodes {
+		if !slices.Contains(without, n.name) {
+			left = append(left, relay.Router{Name: n.name, DataHall: n.hall, Processor: float32(n.processor)})
+		}
+	}
+	at := slices.IndexFunc(f.nodes, func(n *node) bool {
+		return n.hall == hall && !slices.Contains(without, n.name) && relay.Of(n.name, left).Relay == ""
+	})
+	return f.nodes[at]
+}
+
+// TestRelayThatIsOneToItselfAloneIsHeard guards against routers that go unheard while views of the
+// fleet differ: a relay that the other relays don't take for one, and those that it serves, must hear
+// and be heard all the same.
+func TestRelayThatIsOneToItselfAloneIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := unequalFleet()
+	f.runUntil(f.time.Now() + 3*time.Second)
+	relays := f.nodes[20].core.loads.plan.Relays[:2] // of its data hall
+	self := f.nextRelay(f.nodes[20].hall, relays)
+	for _, name := range relays {
+		self.core.members.Get(name).Processor = 0.01
+	}
+	self.core.loads.planned = false
+	f.runUntil(f.time.Now() + 300*time.Millisecond)
+	f.allSend()
+	f.runUntil(f.time.Now() + 300*time.Millisecond)
+	before := f.time.Now()
+	f.allSend()
+	f.runUntil(before + heardWithin)
+	is.Equal(self.core.loads.link.relay, "")
+	is.Equal(f.unheard(before), 0)
+}
--- a/core/loads.go
+++ b/core/loads.go
@@ -49,6 +49,7 @@
 	toAll     loadQueue             // for the other relays and the routers served here
 	toServed  loadQueue             // for the routers served here
 	callers   map[string]model.Time // that have told this router as their relay, and when
+	passers   map[string]model.Time // that have passed on to it, and when
 }
 
 func newLoadExchange(bytesPerSecond float64) loadExchange {
@@ -62,6 +63,7 @@
 		toServed: newLoadQueue(),
 
 		callers: map[string]model.Time{},
+		passers: map[string]model.Time{},
 	}
 }
 
@@ -188,7 +190,7 @@
 	toAll := l.toAll.take(atOnce)
 	toServed := l.toServed.take(atOnce - sizeOf(toAll))
 	if len(toAll) > 0 {
-		c.sendLoads(l.plan.Relays, toAll, wire.PassOn_PASS_ON_SERVED)
+		c.sendLoads(c.relays(), toAll, wire.PassOn_PASS_ON_SERVED)
 	}
 	if len(toAll)+len(toServed) > 0 {
 		c.sendLoads(c.served(), slices.Concat(toAll, toServed), wire.PassOn_PASS_ON_NOBODY)
@@ -204,18 +206,24 @@
 }
 
 // callerKept is how long a router is served after it has last told this one as its
-// relay, or was last to be served by the plan: routers that don't hold the same view of the
-// fleet would else leave it without a relay.
+// relay, or was last to be served by the plan, and how long one is told as a relay after it has
+// last passed on to this one: routers that don't hold the same view of the fleet would else
+// leave each other, and those that they serve, untold.
 const callerKept = 2 * time.Second
 
 // served returns the routers that hear of the fleet through this one.
-func (c *Core) served() []string {
-	l := &c.loads
-	out := slices.Clone(l.plan.Serves)
-	for _, name := range sortedKeys(l.callers) {
+func (c *Core) served() []string { return withRecent(c.now, c.loads.plan.Serves, c.loads.callers) }
+
+// relays returns the other relays: those by the plan, and those that pass on as one.
+func (c *Core) relays() []string { return withRecent(c.now, c.loads.plan.Relays, c.loads.passers) }
+
+// withRecent returns names and those of the others that were seen lately; it forgets the rest.
+func withRecent(now model.Time, names []string, seen map[string]model.Time) []string {
+	out := slices.Clone(names)
+	for _, name := range sortedKeys(seen) {
 		switch {
-		case c.now > l.callers[name]+callerKept:
-			delete(l.callers, name)
+		case now > seen[name]+callerKept:
+			delete(seen, name)
 		case !slices.Contains(out, name):
 			out = append(out, name)
 		}
@@ -255,6 +263,8 @@
 	own, process := model.HashName(self.Name), uint32(self.Boot)
 	if d.LoadsTo == wire.PassOn_PASS_ON_ALL {
 		c.loads.callers[d.From] = c.now
+	} else {
+		c.loads.passers[d.From] = c.now
 	}
 	if d.From == c.loads.link.relay {
 		c.loads.link.heard = c.now
