core, wire: routers without news show that they are there, and relays tell whom they hear

A router that has nothing new tells nothing for one to three seconds, or for good where nothing runs; nobody can tell that from one whose reports don't arrive. A router without news shows itself to its relay every 200 ms by an empty datagram, and a relay tells every 150 ms, with its own loads, whom it hears: a digest, and the routers where they have changed and twice a second. What those told goes before it; where news still waits at a relay the digest is left out. A router that others hear and that is dead here is asked to contradict that. Limit: it says that a router is heard, not that no datagram on the way was lost; what was lost comes true as before.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -13,9 +13,13 @@
 	retryBudgetPause = 300 * time.Millisecond
 )
 
+// byPrompt tells whether the policy in force decides by prompt.
+func (c *Core) byPrompt() bool { return c.config.Policy != nil && c.config.Policy.ByPrompt != nil }
+
 // configurePrompt hands the configuration on to the decisions by prompt.
 func (c *Core) configurePrompt() {
-	if c.config.Policy == nil || c.config.Policy.ByPrompt == nil {
+	c.loads.presence.wanted = c.byPrompt()
+	if !c.byPrompt() {
 		return
 	}
 	out := prompt.Config{
--- a/core/core.go
+++ b/core/core.go
@@ -158,7 +158,10 @@
 
 // LimitLoads sets how many bytes a second this router tells each of those that it tells: of
 // what it has on the backend servers, and of what it passes on as a relay.
-func (c *Core) LimitLoads(bytesPerSecond float64) { c.loads = newLoadExchange(bytesPerSecond) }
+func (c *Core) LimitLoads(bytesPerSecond float64) {
+	c.loads = newLoadExchange(bytesPerSecond)
+	c.loads.presence.wanted = c.byPrompt()
+}
 
 // Step takes one event at a time that never goes back, and returns what is to
 // be done for it, in order.
@@ -193,13 +196,13 @@
 		if c.holdBack(e) {
 			return
 		}
-		if c.config.Policy != nil && c.config.Policy.ByPrompt != nil {
+		if c.byPrompt() {
 			c.arriveByPrompt(e)
 			return
 		}
 		c.arrive(e)
 	case TurnedAway:
-		if c.config.Policy != nil && c.config.Policy.ByPrompt != nil {
+		if c.byPrompt() {
 			c.turnedAway(e)
 		}
 	case Began:
--- a/core/datagram.go
+++ b/core/datagram.go
@@ -32,7 +32,7 @@
 	for _, f := range d.Free {
 		c.hint(d.From, model.PoolID(f.Pool), int(f.Slots))
 	}
-	if len(d.Loads) > 0 {
+	if len(d.Loads) > 0 || d.LoadsTo == wire.PassOn_PASS_ON_ALL {
 		c.takeLoads(d)
 	}
 	if d.Report != nil {
--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -107,3 +107,37 @@
 	is.Equal(self.core.loads.link.relay, "")
 	is.Equal(f.unheard(before), 0)
 }
+
+// oldest returns how old the oldest knowledge of another router is, at each router.
+func (f *fleet) oldest() []time.Duration {
+	var out []time.Duration
+	for _, n := range f.nodes {
+		age := time.Duration(0)
+		for _, o := range f.nodes {
+			if n != o {
+				age = max(age, f.time.Now()-n.core.prompt.HeardOf(o.name).At)
+			}
+		}
+		out = append(out, age)
+	}
+	return out
+}
+
+// TestKnowledgeOfIdleRoutersIsYoung guards against decisions by knowledge of which nobody can tell
+// whether it is old or nothing has changed: four of five routers get no requests, and each hears of
+// each other's state within the bounds aimed at.
+func TestKnowledgeOfIdleRoutersIsYoung(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(82, 100_000)
+	begin := f.time.Now()
+	var ages []time.Duration
+	for i := range 500 {
+		f.runUntil(begin + time.Duration(i)*20*time.Millisecond)
+		f.submitPrompt(f.nodes[i%16], model.Account(accountNames(1)[0]), 1000, 20)
+		ages = append(ages, f.oldest()...)
+	}
+	slices.Sort(ages)
+	t.Logf("median %v, 99 in 100 %v, most %v", ages[len(ages)/2], ages[len(ages)*99/100], ages[len(ages)-1])
+	is.True(ages[len(ages)/2] < 200*time.Millisecond)
+	is.True(ages[len(ages)*99/100] < 500*time.Millisecond)
+}
--- a/core/loadqueue.go
+++ b/core/loadqueue.go
@@ -76,6 +76,7 @@
 // it is, the newer stands.
 func join(into, newer *wire.Loads) {
 	into.Sequence = newer.Sequence
+	joinHears(into, newer)
 	for i, id := range newer.Backends {
 		at := slices.Index(into.Backends, id)
 		if at < 0 {
--- a/core/loads.go
+++ b/core/loads.go
@@ -50,6 +50,7 @@
 	toServed  loadQueue             // for the routers served here
 	callers   map[string]model.Time // that have told this router as their relay, and when
 	passers   map[string]model.Time // that have passed on to it, and when
+	presence  presence
 }
 
 func newLoadExchange(bytesPerSecond float64) loadExchange {
@@ -64,13 +65,15 @@
 
 		callers: map[string]model.Time{},
 		passers: map[string]model.Time{},
+
+		presence: newPresence(),
 	}
 }
 
 // nextLoads returns when the other routers are to be told.
 func (c *Core) nextLoads() model.Time {
 	l := &c.loads
-	next := min(l.nextOwn(), l.nextPassOn(), l.link.overdue(), l.nextPlan())
+	next := min(l.nextOwn(), l.nextPassOn(), l.link.overdue(), l.nextPlan(), l.nextPresence())
 	if next == never {
 		return never
 	}
@@ -118,6 +121,7 @@
 	}
 	c.refreshPlan()
 	c.leaveSilentRelay()
+	c.keepPresent()
 	if c.now >= l.nextOwn() {
 		c.tellOwnLoads()
 	}
@@ -155,6 +159,7 @@
 func (c *Core) tellOwnLoads() {
 	l := &c.loads
 	own := c.ownLoads()
+	c.addHears(own)
 	if l.link.relay == "" {
 		l.toAll.add(own)
 		return
@@ -189,6 +194,9 @@
 	atOnce := min(maxAtOnce, int(l.budget.size)) // so that its silence is short where bytes are few
 	toAll := l.toAll.take(atOnce)
 	toServed := l.toServed.take(atOnce - sizeOf(toAll))
+	if l.toAll.holdsNews() || l.toServed.holdsNews() {
+		toAll, toServed = withoutDigest(toAll), withoutDigest(toServed)
+	}
 	if len(toAll) > 0 {
 		c.sendLoads(c.relays(), toAll, wire.PassOn_PASS_ON_SERVED)
 	}
@@ -263,6 +271,8 @@
 	own, process := model.HashName(self.Name), uint32(self.Boot)
 	if d.LoadsTo == wire.PassOn_PASS_ON_ALL {
 		c.loads.callers[d.From] = c.now
+		c.loads.presence.heard[d.From] = c.now
+		c.noteNothingNew(d.From)
 	} else {
 		c.loads.passers[d.From] = c.now
 	}
@@ -303,6 +313,7 @@
 		return false
 	}
 	delete(c.overdue.dropped, in.Router)
+	c.takeHears(from.Name, in)
 	c.askDead(from.Name)
 	return true
 }
@@ -319,7 +330,7 @@
 
 // isEmpty tells whether a message only asks for its confirmation.
 func isEmpty(in *wire.Loads) bool {
-	return len(in.Backends)+len(in.Parts)+len(in.Accounts)+len(in.Suspicions) == 0
+	return in.HearsDigest == 0 && len(in.Hears) == 0 && !hasNews(in)
 }
 
 // keepToPassOn keeps a message for those whom this router is to pass it on to.
--- a/core/overdue.go
+++ b/core/overdue.go
@@ -71,7 +71,7 @@
 // followOverdue tells of the live routers whose reports don't arrive.
 func (c *Core) followOverdue() {
 	o := &c.overdue
-	if c.now < o.looked+overdueEvery {
+	if !c.byPrompt() || c.now < o.looked+overdueEvery {
 		return
 	}
 	o.looked = c.now
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -35,7 +35,8 @@
 	process  uint32
 	past     uint32     // its process before, whose reports may still be passed on; 0 for none
 	sequence uint64     // of its last report
-	at       model.Time // when it was last heard
+	at       model.Time // when it was last heard, or said to have nothing new
+	told     model.Time // when its last report came
 	runs     map[model.BackendID]uint32
 }
 
@@ -110,7 +111,7 @@
 		return false
 	}
 	p.sequence = w.Sequence
-	p.at = m.now
+	p.at, p.told = m.now, m.now
 	m.endUnheard()
 	for _, l := range w.Loads {
 		if s := m.servers[l.Backend]; s != nil {
@@ -130,6 +131,17 @@
 	return true
 }
 
+// NothingNew takes that a router has nothing to tell beyond what it told before.
+func (m *Machine) NothingNew(now model.Time, router string) {
+	m.now = max(m.now, now)
+	p := m.peers[router]
+	if p == nil {
+		p = &peerLoad{runs: map[model.BackendID]uint32{}}
+		m.peers[router] = p
+	}
+	p.at = m.now
+}
+
 // Running returns how many requests run at a backend server, as far as is known here.
 func (m *Machine) Running(id model.BackendID) int {
 	if s := m.servers[id]; s != nil {
@@ -138,7 +150,7 @@
 	return 0
 }
 
-// oldestReport returns the age of the oldest load report of another router.
+// oldestReport returns how old the oldest knowledge of another router's load is.
 func (m *Machine) oldestReport() time.Duration {
 	age := time.Duration(0)
 	for _, p := range m.peers {
@@ -190,7 +202,7 @@
 // forgetUnheard takes back what routers have running that aren't heard any more.
 func (m *Machine) forgetUnheard() {
 	for _, p := range m.peers {
-		if len(p.runs) > 0 && m.now > p.at+unheardKept {
+		if len(p.runs) > 0 && m.now > p.told+unheardKept {
 			m.takeBack(p)
 		}
 	}
