core/prompt: a late report of an earlier process shuts its router out no more

A router that starts may get the first report of another's new process and then a late one of the process before, which a slow relay still held. It took the late one for a newer process, and the present one for the one before: its reports were refused for good, as the member list knew of no restart to say otherwise. The member list does know the present process: where nothing else has come for a second, it is let in again. Test: core TestLateReportOfAnEarlierProcessShutsNobodyOut: after three seconds the late process was still the one held, now the present one is.

--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarindstep/tamarindstep/core/relay"
 	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
 )
 
 // unequalFleet returns a fleet of 40 routers, one of which in each data hall has more processor.
@@ -141,3 +142,16 @@
 	is.True(ages[len(ages)/2] < 200*time.Millisecond)
 	is.True(ages[len(ages)*99/100] < 500*time.Millisecond)
 }
+
+// TestLateReportOfAnEarlierProcessShutsNobodyOut guards against a restarted router that is never heard
+// again by one that got a late report of its process before after the first of the new one.
+func TestLateReportOfAnEarlierProcessShutsNobodyOut(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(9, 100_000)
+	f.sendLong(f.nodes[2])
+	f.runUntil(f.time.Now() + 200*time.Millisecond)
+	late := &wire.Loads{Router: model.HashName(f.nodes[2].name), Process: 77, Sequence: 1000}
+	is.True(f.nodes[5].core.takeLoadReport(late))
+	f.runUntil(f.time.Now() + 3*time.Second)
+	is.Equal(f.nodes[5].core.prompt.HeardOf(f.nodes[2].name).Process, uint32(f.nodes[2].boot))
+}
--- a/core/loads.go
+++ b/core/loads.go
@@ -308,6 +308,9 @@
 		c.overdue.drop(in.Router, fromPast)
 		return false
 	}
+	if in.Process == uint32(from.Boot) {
+		c.prompt.Readmit(c.now, from.Name, in.Process)
+	}
 	if !c.prompt.TakeLoadReport(c.now, from.Name, in.Process, decodeLoadReport(in)) {
 		c.overdue.drop(in.Router, notNewer)
 		return false
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -131,6 +131,17 @@
 	return true
 }
 
+// pastKept is how long reports of a process are left out after others came that made it the one before.
+const pastKept = time.Second
+
+// Readmit lets a router's process be heard that was taken for the one before, as a late report
+// of that one came after its first; the caller knows that it is the present one.
+func (m *Machine) Readmit(now model.Time, router string, process uint32) {
+	if p := m.peers[router]; p != nil && p.past == process && now >= p.told+pastKept {
+		m.ForgetRouter(router)
+	}
+}
+
 // NothingNew takes that a router has nothing to tell beyond what it told before.
 func (m *Machine) NothingNew(now model.Time, router string) {
 	m.now = max(m.now, now)
