core: relays ask for whom they don't hear, and are told; single answers go beside the budget

Seen without a network (the drawn test below, half of all datagrams lost for some seconds): two relays hold each other for dead once datagrams arrive again. Neither tells the other, so those that they serve don't hear each other, until it is their turn to be pinged: 33 pairs of 40 routers unheard for over a second and more. Nothing asked. A relay now asks for whoever it hasn't heard for 600 ms, two at a time: one held alive shows itself to the asker for two seconds and tells all that it has running once more; one held dead is pinged, so that it can contradict that. The question is the router's last report as far as it came, without contents. With that, the same test showed that what a relay answers to one router, confirmations above all, was charged to the bytes that each receiver is told: a restarted relay with 9,000 bytes a second was 26,000 below zero and told nothing for over 3 s (77 pairs). Such answers go beside that budget. First try: an asked router told an empty report; each is confirmed, which made the silence longer. It shows itself now, and reports where something runs. Test: core TestEachRouterIsHeardAgain, drawn: loss, cuts, freezes, restarts; within 4.1 s of the last of it (two seconds of failure detection, half a second to ask the dead, 0.9 s to leave a silent relay, 0.5 s until the list of those heard comes again, 0.2 s for a report) each router is heard, and stays so.

--- a/core/core.go
+++ b/core/core.go
@@ -178,6 +178,7 @@
 	c.exchangeLedger()
 	c.flushReports()
 	c.followSuspicions()
+	c.askUnheard()
 	c.flushLoads()
 	c.followOverdue()
 	c.flushOutbox()
--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
+	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/core/relay"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
@@ -28,14 +30,13 @@
 	return f
 }
 
-// unheard returns how many pairs of a router and another have it that the one hasn't heard the
-// other since some time.
-func (f *fleet) unheard(since model.Time) int {
-	out := 0
+// unheard returns the routers and others that they haven't heard since some time.
+func (f *fleet) unheard(since model.Time) map[[2]string]bool {
+	out := map[[2]string]bool{}
 	for _, n := range f.nodes {
 		for _, o := range f.nodes {
 			if n != o && !n.down && !o.down && n.core.prompt.HeardOf(o.name).At < since {
-				out++
+				out[[2]string{n.name, o.name}] = true
 			}
 		}
 	}
@@ -69,7 +70,7 @@
 	before := f.time.Now()
 	f.allSend()
 	f.runUntil(before + heardWithin)
-	is.Equal(f.unheard(before), 0)
+	is.Equal(len(f.unheard(before)), 0)
 }
 
 // nextRelay returns a router that is a relay of a data hall without some others.
@@ -106,7 +107,7 @@
 	f.allSend()
 	f.runUntil(before + heardWithin)
 	is.Equal(self.core.loads.link.relay, "")
-	is.Equal(f.unheard(before), 0)
+	is.Equal(len(f.unheard(before)), 0)
 }
 
 // oldest returns how old the oldest knowledge of another router is, at each router.
@@ -155,3 +156,39 @@
 	f.runUntil(f.time.Now() + 3*time.Second)
 	is.Equal(f.nodes[5].core.prompt.HeardOf(f.nodes[2].name).Process, uint32(f.nodes[2].boot))
 }
+
+// heardAgainWithin is how long it takes at the most, once datagrams arrive, until each router is heard
+// by each other: two seconds in which a suspicion of before still ends in a death, the half second
+// between two questions to one that is dead, what it takes to leave a relay and to be told whom the next
+// one hears, and a report's way.
+const heardAgainWithin = 2*time.Second + member.Period + quietFor + confirmWithin + hearsRepeated + heardWithin
+
+// TestEachRouterIsHeardAgain loses datagrams, cuts a data hall off, freezes routers and restarts them,
+// as drawn, relays among them, while some send and some have nothing to tell. Whatever was lost,
+// each router hears of each other's state within the bound, and goes on doing so.
+func TestEachRouterIsHeardAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := loadedFleet(rapid.SampledFrom([]int{9, 24, 40}).Draw(t, "routers"), 100_000)
+		f.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
+		for range rapid.IntRange(1, 6).Draw(t, "faults") {
+			n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "router")]
+			long := time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond
+			f.strike(n, rapid.SampledFrom([]string{"freeze", "restart", "cut"}).Draw(t, "fault"), long)
+			f.sendLong(f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "sender")])
+			f.runUntil(f.time.Now() + time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause"))*time.Millisecond)
+		}
+		f.runUntil(f.time.Now() + 2500*time.Millisecond) // the longest fault is over
+		f.loss = 0
+		f.runUntil(f.time.Now() + heardAgainWithin)
+		for range 8 {
+			// What is known of a router is forgotten as news comes of its restart, and told again soon.
+			before := f.unheard(f.time.Now() - 500*time.Millisecond)
+			f.runUntil(f.time.Now() + heardWithin)
+			for pair := range f.unheard(f.time.Now() - 500*time.Millisecond) {
+				if before[pair] {
+					t.Fatalf("%s hasn't heard %s of %d routers for half a second", pair[0], pair[1], len(f.nodes))
+				}
+			}
+		}
+	})
+}
--- a/core/loads.go
+++ b/core/loads.go
@@ -51,6 +51,7 @@
 	callers   map[string]model.Time // that have told this router as their relay, and when
 	passers   map[string]model.Time // that have passed on to it, and when
 	presence  presence
+	asking    asking
 }
 
 func newLoadExchange(bytesPerSecond float64) loadExchange {
@@ -67,6 +68,7 @@
 		passers: map[string]model.Time{},
 
 		presence: newPresence(),
+		asking:   newAsking(),
 	}
 }
 
@@ -168,7 +170,7 @@
 		c.introduce(l.link.relay)
 	}
 	l.link.told(c.now, own)
-	c.sendLoads([]string{l.link.relay}, []*wire.Loads{own}, wire.PassOn_PASS_ON_ALL)
+	c.sendLoads(c.toldAsRelays(), []*wire.Loads{own}, wire.PassOn_PASS_ON_ALL)
 }
 
 // ownLoads returns what is to be told of this router, and takes it as told.
@@ -246,13 +248,18 @@
 		return
 	}
 	for _, name := range names {
-		d := c.to(name)
-		d.Loads = slices.Concat(d.Loads, loads)
-		d.LoadsTo = max(d.LoadsTo, passOn)
+		c.putLoads(name, loads, passOn)
 	}
 	c.loads.budget.level -= float64(datagramOverhead + sizeOf(loads))
 }
 
+// putLoads puts loads into the datagram for one router, beside the budget.
+func (c *Core) putLoads(name string, loads []*wire.Loads, passOn wire.PassOn) {
+	d := c.to(name)
+	d.Loads = slices.Concat(d.Loads, loads)
+	d.LoadsTo = max(d.LoadsTo, passOn)
+}
+
 // memberOf returns the member whose name has a hash, nil where none is known.
 func (c *Core) memberOf(router uint32) *member.Member {
 	if m := c.members.Get(c.loads.names[router]); m != nil {
@@ -281,6 +288,10 @@
 	}
 	for _, in := range d.Loads {
 		c.takeSuspicions(in.Suspicions)
+		if in.Router == own && isEmpty(in) && d.From != c.loads.link.relay {
+			c.heed(d.From)
+			continue
+		}
 		if in.Router == own {
 			c.loads.link.confirm(c.now, in, process)
 			continue
@@ -289,7 +300,7 @@
 			continue
 		}
 		if isEmpty(in) {
-			c.sendLoads([]string{d.From}, []*wire.Loads{in}, wire.PassOn_PASS_ON_NOBODY)
+			c.putLoads(d.From, []*wire.Loads{in}, wire.PassOn_PASS_ON_NOBODY)
 			continue
 		}
 		c.keepToPassOn(in, d.LoadsTo)
--- a/core/presence.go
+++ b/core/presence.go
@@ -90,7 +90,9 @@
 		return
 	}
 	l.presence.shown = c.now
-	c.to(l.link.relay).LoadsTo = wire.PassOn_PASS_ON_ALL
+	for _, name := range c.toldAsRelays() {
+		c.to(name).LoadsTo = wire.PassOn_PASS_ON_ALL
+	}
 }
 
 // addHears adds to what this router tells of itself whom it hears, where it passes on for others
--- a/core/prompt/loads.go
+++ b/core/prompt/loads.go
@@ -80,6 +80,16 @@
 	return report, settled
 }
 
+// Restate lets the next report tell of everything that runs, and tells whether anything does.
+func (m *Machine) Restate() bool {
+	runs := false
+	for _, s := range m.servers {
+		s.toldAt = min(s.toldAt, m.now-restateAfter)
+		runs = runs || len(s.flights) > 0
+	}
+	return runs
+}
+
 // told returns a backend server's part of a load report and takes it as told.
 func (s *server) told(now model.Time, news bool) Load {
 	l := Load{Backend: s.id, Sent: uint64(s.untold), Running: uint32(len(s.flights))}
