internal/stall: a write that stalled names the two ends of its connection

The error of a deadline had them, and the trace of the reset answers used them. The table's bound of writes to backend servers has the system's own, which is the sooner.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -17,7 +17,7 @@
 //	                          | read a request       | 30 s                             | first byte      | closed
 //	                          | write                | as above (operators: 10 s)       | last progress   | closed
 //	backend server, store     | connect              | 0.5 s; the store 1 s             | begin           | "not sent"
-//	                          | write                | the exchange's patience          | last progress   | "sent"
+//	                          | write                | its patience; 2.5 s unacknowledged | last progress | "sent"
 //	                          | read a head          | the exchange's patience          | begin           | "sent"
 //	                          | read part of a body  | the exchange's patience          | part before     | broken off
 //	                          | all of it            | the request's own time           | arrival         | closed
@@ -46,11 +46,13 @@
 type Error struct {
 	Taken int           // bytes of the write that the system took
 	For   time.Duration // how long the other side acknowledged nothing, at least
+	From  net.Addr      // of this side
+	To    net.Addr      // of the other side
 }
 
 // Error implements error.
 func (e *Error) Error() string {
-	return fmt.Sprintf("nothing was acknowledged for %v, %d bytes into a write", e.For, e.Taken)
+	return fmt.Sprintf("write %v->%v: nothing was acknowledged for %v, %d bytes into it", e.From, e.To, e.For, e.Taken)
 }
 
 // Timeout tells that a time has run out, as net.Error does.
@@ -94,7 +96,7 @@
 		}
 		if missed := still.missed(n, c.unacknowledged()); missed >= looks {
 			c.stalled = true
-			return taken, &Error{Taken: taken, For: c.patience}
+			return taken, &Error{Taken: taken, For: c.patience, From: c.LocalAddr(), To: c.RemoteAddr()}
 		}
 	}
 }
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -56,6 +56,7 @@
 	is.True(errors.As(err, &stalled))
 	is.True(errors.Is(err, os.ErrDeadlineExceeded))
 	is.Equal(stalled.Taken, n)
+	is.Equal(stalled.To, c.RemoteAddr())
 	is.True(time.Since(began) >= patience)
 }
 
