core: a router that leaves and has no news is heard too

Seen without a network: of a draining router without news nothing counted as heard, as only live members did; relays asked for it every 600 ms until it ended. Whoever is reachable counts as heard. Test: core TestLeavingRouterWithoutNewsIsHeard, red before.

--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -192,3 +192,13 @@
 		}
 	})
 }
+
+// TestLeavingRouterWithoutNewsIsHeard guards against asking for a router again and again that leaves and
+// has nothing to tell.
+func TestLeavingRouterWithoutNewsIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(24, 100_000)
+	f.step(f.nodes[8], Drain{})
+	f.runUntil(f.time.Now() + 2*time.Second)
+	is.Equal(len(f.unheard(f.time.Now()-500*time.Millisecond)), 0)
+}
--- a/core/presence.go
+++ b/core/presence.go
@@ -155,7 +155,7 @@
 
 // noteNothingNew notes that a router has nothing to tell beyond what is known here.
 func (c *Core) noteNothingNew(name string) {
-	if m := c.members.Get(name); c.loads.presence.wanted && m != nil && m.Alive() {
+	if m := c.members.Get(name); c.loads.presence.wanted && m != nil && m.Reachable() {
 		c.prompt.NothingNew(c.now, name)
 	}
 }
