core: silence counts from a router's return, not from when it was first known

It was held for dead for a moment between two looks; what was known of it is forgotten then, and the silence counted from when it was first seen alive. Test: core TestSilenceCountsFromTheReturn, red before.

--- a/core/core.go
+++ b/core/core.go
@@ -284,6 +284,7 @@
 	if change.Restarted || change.Status == wire.Status_STATUS_DEAD {
 		c.forgetSource(change.Name)
 		c.forgetLoads(change)
+		delete(c.overdue.alive, change.Name)
 		delete(c.owners, change.Name)
 	}
 	c.do(MemberChanged{Change: change})
--- a/core/overdue_test.go
+++ b/core/overdue_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -43,3 +44,20 @@
 	sends(1)
 	is.Equal(told, map[bool]int{false: 8, true: 8})
 }
+
+// TestSilenceCountsFromTheReturn guards against telling of half a minute's silence of a router that was held
+// for dead for a moment: what was known of it is forgotten then.
+func TestSilenceCountsFromTheReturn(t *testing.T) {
+	is := is.New(t)
+	f := loadedFleet(9, 100_000)
+	told := 0
+	f.onOverdue = func(_ *node, _ LoadsOverdue) { told++ }
+	n, name := f.nodes[0], f.nodes[3].name
+	f.runUntil(f.time.Now() + 2*overdueEvery)
+	n.core.memberChanged(member.Change{Name: name, Status: wire.Status_STATUS_DEAD})
+	n.core.overdue.looked = 0
+	for _, a := range n.core.Step(f.time.Now(), Tick{}) {
+		f.act(n, a)
+	}
+	is.Equal(told, 0)
+}
