heldstore, core: the store grants a try of a held-back request to one router at a time

Servers ended under two tries at once: routers whose tries are due within the tenths of a second in which they hear of each other's each made one.

A try that is due is asked for now: the router reads a small document in the store and swaps its claim in. Of those that claim at once one swap goes through, whatever clocks say; by their clocks routers only tell claims of the last five seconds from older ones. Two calls of the store a try, none for any other request. While the store doesn't answer within half a second nobody tries, and all else goes on; a lost answer counts as no. Weighed: turns among the live routers (with hundreds a request seldom reaches the one whose turn it is), times without a swap (two may read at once), a claim without end (its router may be gone). What waits for the answer counts as waited, so that a slow store doesn't make the router take itself for busy and refuse others by their headers.

The stand-ins of the fleet in core/suspect and of decisions in heldstore take the new step; what they checked before is checked as before.

--- a/core/core.go
+++ b/core/core.go
@@ -194,14 +194,11 @@
 	case Configure:
 		c.configure(e.Config)
 	case Arrive:
-		if c.holdBack(e) {
-			return
-		}
-		if c.byPrompt() {
-			c.arriveByPrompt(e)
-			return
+		if !c.holdBack(e) {
+			c.arrived(e)
 		}
-		c.arrive(e)
+	case TryAnswered:
+		c.tryAnswered(e)
 	case TurnedAway:
 		if c.byPrompt() {
 			c.turnedAway(e)
@@ -239,6 +236,15 @@
 	}
 }
 
+// arrived takes a request that isn't held back.
+func (c *Core) arrived(e Arrive) {
+	if c.byPrompt() {
+		c.arriveByPrompt(e)
+		return
+	}
+	c.arrive(e)
+}
+
 // Wake returns when the next Tick is due.
 func (c *Core) Wake() model.Time {
 	wake := min(c.prompt.Wake(), c.nextLoads(), c.members.Wake(), c.ledger.Wake(c.now), c.nextReport(), c.nextDeadline(), c.nextReady(), c.nextWatch(), c.suspicions.book.NextTell())
@@ -258,7 +264,7 @@
 }
 
 // Idle tells whether no request waits or runs at this router.
-func (c *Core) Idle() bool { return len(c.requests) == 0 && c.prompt.Idle() }
+func (c *Core) Idle() bool { return len(c.requests)+len(c.suspicions.asking) == 0 && c.prompt.Idle() }
 
 func (c *Core) probe() {
 	for _, s := range c.members.Tick(c.now) {
--- a/core/event.go
+++ b/core/event.go
@@ -106,6 +106,12 @@
 // HeldInStore is the requests that are held back, as the store keeps them.
 type HeldInStore struct{ Suspicions []*wire.Suspicion }
 
+// TryAnswered answers an AskTry.
+type TryAnswered struct {
+	ID      RequestID
+	Granted bool
+}
+
 // Abandon takes back a request that still waits, as its caller has left.
 type Abandon struct{ ID RequestID }
 
@@ -157,6 +163,7 @@
 func (ServerEnded) event()    {}
 func (Answered) event()       {}
 func (HeldInStore) event()    {}
+func (TryAnswered) event()    {}
 
 // Action is an output of the core. Each action type below is one.
 type Action interface{ action() }
@@ -259,6 +266,12 @@
 	Suspicion *wire.Suspicion
 }
 
+// AskTry asks whether a request that is held back may be sent once more, as no other router does.
+type AskTry struct {
+	ID          RequestID
+	Fingerprint model.Fingerprint
+}
+
 // Tried tells that a request which is held back is sent once more.
 type Tried struct {
 	Fingerprint model.Fingerprint
@@ -270,6 +283,7 @@
 func (Suspected) action()      {}
 func (HeldChanged) action()    {}
 func (Tried) action()          {}
+func (AskTry) action()         {}
 func (Refuse) action()         {}
 func (Send) action()           {}
 func (Watch) action()          {}
--- a/core/suspect/entry.go
+++ b/core/suspect/entry.go
@@ -14,6 +14,7 @@
 	tell  int  // how many times it is still to be told
 	tells model.Time
 
+	asked    model.Time // when a try was last asked for here
 	restored model.Time // when it was read from the store, which keeps what is held back
 }
 
--- a/core/suspect/fleet_test.go
+++ b/core/suspect/fleet_test.go
@@ -25,6 +25,10 @@
 	sent    map[model.Fingerprint][]model.Time
 	served  map[model.Fingerprint]model.Time // last
 	refused map[model.Fingerprint]model.Time // last, as held back
+
+	granting bool // tries are granted, by whoever keeps claims
+	claims   map[model.Fingerprint]model.Time
+	tries    []model.Time
 }
 
 type server struct {
@@ -96,12 +100,39 @@
 func (w *town) arrive(f model.Fingerprint, lethal bool) {
 	now := w.queue.Now()
 	router := w.random.IntN(len(w.books))
-	verdict := w.books[router].Judge(now, f)
-	w.tell()
-	if verdict.Held && !verdict.Try {
+	verdict := w.books[router].Consider(now, f)
+	switch {
+	case verdict.Held && !verdict.Try:
 		w.refused[f] = now
+	case verdict.Try && w.granting:
+		w.queue.After(time.Duration(w.random.Int64N(int64(claimTakes))), func() { w.claim(router, f, lethal) })
+	case !verdict.Try || w.books[router].Try(now, f):
+		w.send(router, f, lethal)
+	}
+	w.tell()
+}
+
+const (
+	// claimTakes is how long the answer to a claim may take, and claimedFor how long another's holds.
+	claimTakes = 100 * time.Millisecond
+	claimedFor = 5 * time.Second
+)
+
+// claim asks for a try, and makes it where it is granted.
+func (w *town) claim(router int, f model.Fingerprint, lethal bool) {
+	now := w.queue.Now()
+	if at, claimed := w.claims[f]; claimed && now < at+claimedFor || !w.books[router].Try(now, f) {
 		return
 	}
+	w.claims[f] = now
+	w.tries = append(w.tries, now)
+	w.send(router, f, lethal)
+	w.tell()
+}
+
+// send sends a request from a router to a backend server that is up.
+func (w *town) send(router int, f model.Fingerprint, lethal bool) {
+	now := w.queue.Now()
 	s := w.servers[w.random.IntN(len(w.servers))]
 	if !s.up {
 		return
@@ -221,6 +252,25 @@
 	})
 }
 
+// TestGrantedTriesAreMadeOneAtATime draws fleets in which a request that ends its servers comes every 50 ms to routers that hear
+// of each other's tries late: those that are granted are apart, and no more than due.
+func TestGrantedTriesAreMadeOneAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newTown(t, rapid.IntRange(2, 60).Draw(t, "routers"), 20)
+		w.granting, w.claims = true, map[model.Fingerprint]model.Time{}
+		w.come(firstLethal, 50*time.Millisecond, true)
+		w.run(60 * time.Second)
+		for i := range len(w.tries) - 1 {
+			if w.tries[i+1] < w.tries[i]+claimedFor {
+				t.Fatalf("tries at %v and %v", w.tries[i], w.tries[i+1])
+			}
+		}
+		if len(w.tries) > 2 {
+			t.Fatalf("%d tries in the first minute", len(w.tries))
+		}
+	})
+}
+
 func ExampleBook() {
 	b := New(1)
 	for backend, at := range []time.Duration{time.Second, 2 * time.Second} {
--- a/core/suspect/judge.go
+++ b/core/suspect/judge.go
@@ -7,14 +7,34 @@
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
+// Ends returns the ends that count against a request.
+func (b *Book) Ends(f model.Fingerprint) []End {
+	e := b.entries[f]
+	if e == nil {
+		return nil
+	}
+	return e.counting()
+}
+
+// Failed returns how many tries of a request have failed since its last whole answer.
+func (b *Book) Failed(f model.Fingerprint) int {
+	failed := 0
+	for _, end := range b.Ends(f) {
+		if end.Try {
+			failed++
+		}
+	}
+	return failed
+}
+
 // due returns when a held-back request is to be tried.
 func (b *Book) due(e *entry) model.Time {
 	last := e.Answered
 	for _, end := range e.counting() {
 		last = max(last, end.At)
 	}
-	if e.Tried > last {
-		return e.Tried + tryPause + b.jitter(e.Fingerprint)
+	if tried := max(e.Tried, e.asked); tried > last {
+		return tried + tryPause + b.jitter(e.Fingerprint)
 	}
 	return last + b.wait(e) + b.jitter(e.Fingerprint)
 }
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -33,7 +33,7 @@
 // # Limits
 //
 // Routers hear of ends and tries some tenths of a second late: that many more sends may
-// happen at other routers. Times that others tell are as late. What is known here is lost with the process;
+// happen at other routers, and tries too unless they are asked for (Consider). Times that others tell are as late. What is known here is lost with the process;
 // what others know comes with the first datagrams (Digest), and package heldstore keeps it in the
 // store for the case that all routers end.
 package suspect
@@ -194,6 +194,16 @@
 
 // Judge tells what is to be done with a request that has arrived. A try that it grants counts as made.
 func (b *Book) Judge(now model.Time, f model.Fingerprint) Verdict {
+	out := b.Consider(now, f)
+	if out.Try {
+		b.Try(now, f)
+	}
+	return out
+}
+
+// Consider tells what is to be done with a request that has arrived, where a try must be asked for. No other
+// one is due here while it is.
+func (b *Book) Consider(now model.Time, f model.Fingerprint) Verdict {
 	e := b.entries[f]
 	if e == nil || !b.isHeld(f) {
 		return Verdict{}
@@ -202,31 +212,32 @@
 	if out.RetryAfter > 0 {
 		return out
 	}
-	e.Tried = now
-	b.toBeTold(now, e)
+	e.asked = now
 	out.Try, out.RetryAfter = true, 0
 	return out
 }
 
-// Knows tells whether anything is held against a request.
-func (b *Book) Knows(f model.Fingerprint) bool {
-	e := b.entries[f]
-	return e != nil && e.blamed()
-}
-
-// Failed returns how many tries of a request have failed since its last whole answer.
-func (b *Book) Failed(f model.Fingerprint) int {
+// Try notes that a try is made, and tells whether it may be: not where a backend server has ended under the request since
+// it was asked for.
+func (b *Book) Try(now model.Time, f model.Fingerprint) bool {
 	e := b.entries[f]
-	if e == nil {
-		return 0
+	if e == nil || !b.isHeld(f) {
+		return true
 	}
-	failed := 0
 	for _, end := range e.counting() {
-		if end.Try {
-			failed++
+		if end.At > e.asked {
+			return false
 		}
 	}
-	return failed
+	e.Tried = now
+	b.toBeTold(now, e)
+	return true
+}
+
+// Knows tells whether anything is held against a request.
+func (b *Book) Knows(f model.Fingerprint) bool {
+	e := b.entries[f]
+	return e != nil && e.blamed()
 }
 
 // Saw tells whether this router has seen one of the ends of a request, or its last whole answer.
@@ -334,7 +345,7 @@
 func (b *Book) entry(f model.Fingerprint, account model.AccountID) *entry {
 	e := b.entries[f]
 	if e == nil {
-		e = &entry{Suspicion: Suspicion{Fingerprint: f, Account: account, Answered: Never, Tried: Never}, restored: Never}
+		e = &entry{Suspicion: Suspicion{Fingerprint: f, Account: account, Answered: Never, Tried: Never}, restored: Never, asked: Never}
 		b.entries[f] = e
 	}
 	return e
--- a/core/suspicions.go
+++ b/core/suspicions.go
@@ -24,10 +24,13 @@
 	held     map[model.Fingerprint]bool
 	failed   map[model.Fingerprint]int // tries, of those that are held back
 	told     map[string]model.Time     // by router, that knew something else
+
+	asks   bool                 // a try is asked for
+	asking map[RequestID]Arrive // that wait for the answer
 }
 
 func newSuspicions(salt uint64) suspicions {
-	return suspicions{book: suspect.New(salt), held: map[model.Fingerprint]bool{}, told: map[string]model.Time{}}
+	return suspicions{book: suspect.New(salt), held: map[model.Fingerprint]bool{}, told: map[string]model.Time{}, asking: map[RequestID]Arrive{}}
 }
 
 // holdBack refuses a request that is held back, and tells whether it did.
@@ -35,18 +38,52 @@
 	if e.Fingerprint == 0 {
 		return false
 	}
-	verdict := c.suspicions.book.Judge(c.now, e.Fingerprint)
-	if !verdict.Held {
+	verdict := c.suspicions.book.Consider(c.now, e.Fingerprint)
+	switch {
+	case !verdict.Held:
 		return false
+	case !verdict.Try:
+		c.do(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: verdict.RetryAfter})
+	case c.suspicions.asks:
+		c.suspicions.asking[e.ID] = e
+		c.do(AskTry{ID: e.ID, Fingerprint: e.Fingerprint})
+	default:
+		return !c.try(e)
 	}
-	if verdict.Try {
-		c.do(Tried{Fingerprint: e.Fingerprint, Account: e.Account, Ends: verdict.Ends})
+	return true
+}
+
+// AskForTries lets each try be asked for, by an AskTry: routers whose tries are due at the same time don't hear of each
+// other's for some tenths of a second.
+func (c *Core) AskForTries() { c.suspicions.asks = true }
+
+// try notes that a held-back request is sent once more, and tells whether it may be.
+func (c *Core) try(e Arrive) bool {
+	book := c.suspicions.book
+	if !book.Try(c.now, e.Fingerprint) {
+		c.do(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: book.Due(e.Fingerprint) - c.now})
 		return false
 	}
-	c.do(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: verdict.RetryAfter})
+	c.do(Tried{Fingerprint: e.Fingerprint, Account: e.Account, Ends: len(book.Ends(e.Fingerprint))})
 	return true
 }
 
+// tryAnswered goes on with a request whose try was asked for.
+func (c *Core) tryAnswered(e TryAnswered) {
+	waited, waits := c.suspicions.asking[e.ID]
+	if !waits {
+		return // its caller has left
+	}
+	delete(c.suspicions.asking, e.ID)
+	if !e.Granted {
+		c.do(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: c.suspicions.book.Due(waited.Fingerprint) - c.now})
+		return
+	}
+	if c.try(waited) {
+		c.arrived(waited)
+	}
+}
+
 // serverEnded notes that a backend server has ended under a request.
 func (c *Core) serverEnded(e ServerEnded) {
 	c.suspicions.book.Ended(c.now, e.Fingerprint, e.Account, suspect.End{
--- a/core/suspicions_test.go
+++ b/core/suspicions_test.go
@@ -162,6 +162,38 @@
 	is.Equal(len(after.core.suspicions.held), 4)
 }
 
+// TestTriesAreAskedFor lets a router whose try is due ask for it, and refuse what comes meanwhile.
+func TestTriesAreAskedFor(t *testing.T) {
+	is := is.New(t)
+	k := newKeeping()
+	k.core.AskForTries()
+	for i, server := range []string{"run-1", "run-2"} {
+		k.step(time.Duration(i+1)*time.Second, ServerEnded{Fingerprint: lethal, Account: 7, Backend: model.Backend(server), Ran: 80 * time.Millisecond})
+	}
+	arrive := func(now model.Time, id RequestID) []Action {
+		return k.core.Step(now, Arrive{ID: id, Account: 7, Fingerprint: lethal})
+	}
+	is.Equal(arrive(10*time.Second, 1), []Action{AskTry{ID: 1, Fingerprint: lethal}})
+	refused, tried := k.step(10*time.Second, Arrive{ID: 2, Account: 7, Fingerprint: lethal})
+	is.True(!tried && refused.ID == 2 && refused.Reason == HeldBack)
+	refused, tried = k.step(10*time.Second+5*time.Millisecond, TryAnswered{ID: 1})
+	is.True(!tried && refused.ID == 1 && refused.RetryAfter > time.Second)
+
+	is.Equal(arrive(30*time.Second, 3), []Action{AskTry{ID: 3, Fingerprint: lethal}})
+	_, tried = k.step(30*time.Second+5*time.Millisecond, TryAnswered{ID: 3, Granted: true})
+	is.True(tried)
+
+	is.Equal(arrive(60*time.Second, 4), []Action{AskTry{ID: 4, Fingerprint: lethal}})
+	k.step(60*time.Second, Abandon{ID: 4})
+	refused, tried = k.step(60*time.Second+5*time.Millisecond, TryAnswered{ID: 4, Granted: true})
+	is.True(!tried && refused == nil) // its caller has left
+
+	is.Equal(arrive(90*time.Second, 5), []Action{AskTry{ID: 5, Fingerprint: lethal}})
+	k.step(90*time.Second+2*time.Millisecond, ServerEnded{Fingerprint: lethal, Account: 7, Backend: model.Backend("run-9"), Ran: 80 * time.Millisecond})
+	refused, tried = k.step(90*time.Second+5*time.Millisecond, TryAnswered{ID: 5, Granted: true})
+	is.True(!tried && refused.ID == 5) // a server has ended under it meanwhile
+}
+
 // TestSuspicionsInMessagesAreReadStrictly reads what no router of this kind writes.
 func TestSuspicionsInMessagesAreReadStrictly(t *testing.T) {
 	is := is.New(t)
--- a/heldstore/heldstore.go
+++ b/heldstore/heldstore.go
@@ -4,6 +4,9 @@
 //
 // The store holds one small document. A router that has seen what led to a change merges it in
 // by a swap; one that starts reads it once. While the store is out, changes wait.
+//
+// Another small document holds which requests are being tried: of routers at which a try is due at the same time, the
+// store lets one make it.
 package heldstore
 
 import (
@@ -56,8 +59,10 @@
 	changes []core.HeldChanged // that are to be written
 	wake    chan struct{}
 
+	run    context.Context
 	cancel context.CancelFunc
 	ended  chan struct{}
+	claims sync.WaitGroup
 }
 
 // New returns the service.
@@ -83,16 +88,16 @@
 
 func (s *Service) begin(ctx context.Context, decisions Decisions) {
 	s.decisions = decisions
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s.cancel = cancel
-	decisions.Observe(scheduler.Observer{Held: s.changed})
-	go s.follow(run)
+	s.run, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	decisions.Observe(scheduler.Observer{Held: s.changed, Try: s.try})
+	go s.follow(s.run)
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
 	<-s.ended
+	s.claims.Wait()
 	return nil
 }
 
--- a/heldstore/heldstore_test.go
+++ b/heldstore/heldstore_test.go
@@ -72,6 +72,7 @@
 type decisions struct {
 	mu       sync.Mutex
 	told     []uint64
+	answers  []core.TryAnswered
 	observer scheduler.Observer
 }
 
@@ -80,8 +81,13 @@
 func (d *decisions) Tell(e core.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, s := range e.(core.HeldInStore).Suspicions {
-		d.told = append(d.told, s.Fingerprint)
+	switch e := e.(type) {
+	case core.HeldInStore:
+		for _, s := range e.Suspicions {
+			d.told = append(d.told, s.Fingerprint)
+		}
+	case core.TryAnswered:
+		d.answers = append(d.answers, e)
 	}
 }
 
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -26,6 +26,9 @@
 	Slept func(time.Duration)
 	// Held is given each request that is held back from now on, or isn't any more.
 	Held func(core.HeldChanged)
+	// Try is asked whether a request that is held back may be tried; core.TryAnswered is to be told. Where nobody is asked,
+	// each router decides by itself.
+	Try func(core.AskTry)
 }
 
 // Observe adds an observer; it must be done before events come.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -57,4 +57,5 @@
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
 	delete(r.service.waiters, r.id)
+	delete(r.service.asked, r.id)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 	mu        sync.Mutex
 	nextID    core.RequestID
 	waiters   map[core.RequestID]chan Decision
+	asked     map[core.RequestID]model.Time // of those whose try was asked for, since when
 	observers []Observer
 
 	turnedAway turnedAway
@@ -113,6 +114,7 @@
 		clock:   clock.System,
 		began:   clock.System.Now(),
 		waiters: map[core.RequestID]chan Decision{},
+		asked:   map[core.RequestID]model.Time{},
 		ended:   make(chan struct{}),
 
 		loadsBytes: core.DefaultLoadsBytes,
@@ -226,6 +228,9 @@
 	if s.hallHomes {
 		c.HomesInHalls()
 	}
+	if s.tryIsAsked() {
+		c.AskForTries()
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	due := s.now()
@@ -311,12 +316,9 @@
 	case core.Suspected:
 		s.setSuspected(a.Accounts)
 	case core.HeldChanged:
-		s.logHeld(a)
-		s.eachObserver(func(o Observer) {
-			if o.Held != nil {
-				o.Held(a)
-			}
-		})
+		s.noteHeld(a)
+	case core.AskTry:
+		s.askTry(a)
 	case core.Tried:
 		s.log.Info().Stringer("fingerprint", a.Fingerprint).Int("ends", a.Ends).Msg("held-back request tried")
 	case core.MemberChanged:
@@ -362,6 +364,10 @@
 func (s *Service) decide(id core.RequestID, d Decision) {
 	s.mu.Lock()
 	waiter := s.waiters[id]
+	if at, asked := s.asked[id]; asked {
+		d.Waited = s.now() - at // for the store, and then for its turn
+		delete(s.asked, id)
+	}
 	if !d.Dispatched {
 		delete(s.waiters, id)
 	}
--- a/scheduler/suspected.go
+++ b/scheduler/suspected.go
@@ -20,6 +20,37 @@
 	s.suspected.Store(&set)
 }
 
+// noteHeld hands on that a request is held back, or isn't any more, or that a try of it has failed.
+func (s *Service) noteHeld(a core.HeldChanged) {
+	s.logHeld(a)
+	s.eachObserver(func(o Observer) {
+		if o.Held != nil {
+			o.Held(a)
+		}
+	})
+}
+
+// askTry asks whoever grants tries.
+func (s *Service) askTry(a core.AskTry) {
+	s.mu.Lock()
+	if s.waiters[a.ID] != nil {
+		s.asked[a.ID] = s.now()
+	}
+	s.mu.Unlock()
+	s.eachObserver(func(o Observer) {
+		if o.Try != nil {
+			o.Try(a)
+		}
+	})
+}
+
+// tryIsAsked tells whether anybody grants tries.
+func (s *Service) tryIsAsked() bool {
+	asked := false
+	s.eachObserver(func(o Observer) { asked = asked || o.Try != nil })
+	return asked
+}
+
 // logHeld notes that a request is held back, or isn't any more, and counts those that are.
 func (s *Service) logHeld(a core.HeldChanged) {
 	line := s.log.Info().Stringer("fingerprint", model.Fingerprint(a.Suspicion.Fingerprint)).Bool("seen", a.Seen)
