core/holding, gateway: what is held for callers is counted in bytes, and gives way in a stated order

A router of 112 MB with 400 callers that read nothing of answers of 200 KB had 126 to 130 MB at its peak (119 to 121 MB since an answer is done once it was read), and would be ended by its system for it. How many requests it takes was bounded by number alone, and an answer was held twice over while it was read into a buffer that grows, and whole until its last byte was taken.

From half of that on a body above 16 KB is refused before it is read (503, not run); beyond it an answer is passed on in parts of 8 KB. A held answer lies in blocks of 32 KB, written at once, each of which goes as the system takes it. A gauge for each kind, a counter and a line for each way of giving way.

The 75 of 400 that are turned away with the usual 1,024 descriptors are over the bound on connections, 325.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -36,6 +36,10 @@
 // one holds its body, of some ten kilobytes, and the buffers of two connections.
 const requestsPerMB = 5
 
+// heldPart is the part of the memory that may be held for callers. A good third of what is held of answers to callers that
+// take nothing lies in the system's buffers.
+const heldPart = 0.75
+
 const (
 	// filesKept is how many descriptors are for other things than connections to callers
 	// and backend servers: routers, the store, and the runtime.
@@ -142,6 +146,7 @@
 			MaxConns: int((s.Files - filesKept) * callersPart), TurnAways: s.Processor * turnAwaysPerCore,
 			Processor:    s.Processor,
 			WriteStall:   s.CallerStall,
+			HeldBytes:    int(s.MemoryMB * heldPart * bytesPerMB),
 			Fingerprints: maker,
 		}, log, metrics),
 		leave: routers.Leave,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,7 @@
 	misses     int  // backend servers that couldn't be reached
 	tried      []model.BackendID
 	relay      relay
+	holds      holds
 	blame      *blame.Case
 	keep       bool // the connection may carry another request
 }
@@ -78,6 +79,7 @@
 // it has ended without a decision.
 func (a *attempt) release() {
 	a.letGo()
+	a.returnHeld()
 	if !a.lent {
 		fasthttp.ReleaseRequest(a.req)
 	}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// wrote counts a write that has ended.
+func (w *writes) wrote(n int, began time.Duration) {
+	w.taken += n
+	w.answered = clock.System.Now()
+	w.last = w.answered - began
+	w.spent += w.last
+}
+
 // note adds the writing of an answer to a line.
 func (w *writes) note(line *zerolog.Event) *zerolog.Event {
 	return line.Int("taken_bytes", w.taken).Dur("write_ms", w.last).Dur("rested_ms", w.rested)
@@ -54,13 +62,21 @@
 func (c *callerConn) Write(b []byte) (int, error) {
 	began := clock.System.Now()
 	n, err := c.Conn.Write(b)
-	c.writes.taken += n
-	c.writes.answered = clock.System.Now()
-	c.writes.last = c.writes.answered - began
-	c.writes.spent += c.writes.last
+	c.writes.wrote(n, began)
 	return n, err
 }
 
+// writeBuffers writes buffers past the connection's own, and lets go of each as the system has taken it.
+func (c *callerConn) writeBuffers(buffers *net.Buffers) error {
+	if err := c.flush(); err != nil {
+		return err
+	}
+	began := clock.System.Now()
+	n, err := c.WriteBuffers(buffers)
+	c.writes.wrote(n, began)
+	return err
+}
+
 // buffers are those of connections that have ended: a flooded router would spend
 // much of its processor on collecting them.
 var (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	TurnAways float64
 	// Processor is the part of a core that this router has, 0 for as many cores as it needs.
 	Processor float64
+	// HeldBytes is how much is held for callers, of their requests and answers, 0 for any amount.
+	HeldBytes int
 	// WriteStall is how long a caller may take nothing of its answer.
 	WriteStall time.Duration
 	// Fingerprints makes those of requests, alike at all routers.
@@ -89,6 +91,7 @@
 	shed      atomic.Int64 // connections turned away that are still open
 	shedNoted *occasional
 	pending   *pending
+	memory    *memory
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -97,7 +100,7 @@
 
 // New returns the service.
 func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers(), pending: newPending(settings.Processor, metrics.Front)}
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers(), pending: newPending(settings.Processor, metrics.Front), memory: newMemory(settings.HeldBytes, log, metrics.Front)}
 }
 
 // Name implements kernel.Service.
@@ -195,10 +198,12 @@
 	refused, err := c.readHeader(a.req, limits)
 	if err == nil && refused == nil {
 		a.admit()
+		a.takeBody(limits)
 		if a.shed {
 			return a.refuseUnread()
 		}
 		refused, err = c.readBody(a.req, limits)
+		a.countBody()
 	}
 	if err != nil {
 		return false
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -29,6 +29,7 @@
 	unconfirmed    = &refusal{fasthttp.StatusServiceUnavailable, "configuration-unconfirmed", false}
 	tooMany        = &refusal{fasthttp.StatusServiceUnavailable, "too-many-requests", false}
 	crowded        = &refusal{fasthttp.StatusServiceUnavailable, "queue-full", false}
+	noRoom         = &refusal{fasthttp.StatusServiceUnavailable, "no-room-for-body", false}
 	stopping       = &refusal{fasthttp.StatusServiceUnavailable, "stopping", false}
 	tooLate        = &refusal{fasthttp.StatusServiceUnavailable, "too-late", false}
 	// heldBack says when the request is tried again. It is sent for all that arrives in the meantime, so
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -55,48 +56,99 @@
 	return r.whole(a, answer)
 }
 
-// whole reads an answer to its end before it hands it on.
+// whole reads an answer to its end before it hands it on, where there is room for it.
 func (r *relay) whole(a *attempt, answer *exchange.Answer) error {
-	body, err := io.ReadAll(io.LimitReader(answer, maxHeld+1))
-	r.bytes += len(body)
+	most, ok := a.takeAnswer(answer)
+	if !ok {
+		return r.long(a, answer, nil, make([]byte, relayBuffer))
+	}
+	body, size, err := readBlocks(answer, most)
+	r.bytes += size
 	if err != nil {
 		return err
 	}
-	if len(body) > maxHeld {
-		return r.long(a, answer, body)
+	if size > maxHeld {
+		return r.long(a, answer, body, make([]byte, heldBlock))
 	}
+	a.holdAnswer(size)
 	answer.Close()
 	a.finish(core.Done, r.output()) // the server isn't held to its caller's pace
 	r.begun = true
-	r.writeHead(a, answer, len(body))
-	if !a.req.Header.IsHead() {
-		_, _ = a.conn.writer.Write(body)
+	r.writeHead(a, answer, size)
+	if a.req.Header.IsHead() {
+		return callerError(a.conn.flush())
 	}
-	return callerError(a.conn.flush())
+	return r.writeBlocks(a, body)
 }
 
-// long hands on an answer that is too large to be held.
-func (r *relay) long(a *attempt, answer *exchange.Answer, body []byte) error {
+// heldBlock is the size of the blocks, in bytes, that a held answer is read into: each is let go of as soon as
+// the caller's system has taken it.
+const heldBlock = 32 << 10
+
+// readBlocks reads an answer of which most bytes are expected, up to one more than are held of any.
+func readBlocks(answer *exchange.Answer, most int) (blocks net.Buffers, size int, err error) {
+	for size <= maxHeld {
+		block := make([]byte, 0, blockFor(most, size))
+		for len(block) < cap(block) {
+			n, err := answer.Read(block[len(block):cap(block)])
+			block = block[:len(block)+n]
+			size += n
+			if err == io.EOF && len(block) == 0 && len(blocks) > 0 {
+				return blocks, size, nil
+			}
+			if err == io.EOF {
+				return append(blocks, block), size, nil
+			}
+			if err != nil {
+				return nil, size, err
+			}
+		}
+		blocks = append(blocks, block)
+	}
+	return blocks, size, nil
+}
+
+// blockFor returns the size of the next block of an answer of which so much has been read. One of unknown length, for
+// which as much as is ever held is expected, begins with a small one. There is room for a byte more, so that the end is
+// met without another block.
+func blockFor(most, read int) int {
+	if most == maxHeld && read == 0 {
+		return answerBuffer
+	}
+	return min(max(most-read, 0)+1, heldBlock)
+}
+
+// writeBlocks writes a body: through the connection's buffer where it is one block, as its head is sent with it then.
+func (r *relay) writeBlocks(a *attempt, body net.Buffers) error {
+	if len(body) == 1 {
+		_, _ = a.conn.writer.Write(body[0])
+		return callerError(a.conn.flush())
+	}
+	return callerError(a.conn.writeBuffers(&body))
+}
+
+// long hands on an answer that isn't held: what was read of it, and then parts as large as a buffer.
+func (r *relay) long(a *attempt, answer *exchange.Answer, blocks net.Buffers, buffer []byte) error {
 	r.begun = true
 	a.held.Began()
 	r.writeHead(a, answer, chunked)
-	for {
-		if err := r.writeChunk(a, body); err != nil {
+	for _, block := range blocks {
+		if err := r.writeChunk(a, block); err != nil {
 			return err
 		}
-		body = body[:cap(body)]
-		n, err := answer.Read(body)
+	}
+	for {
+		n, err := answer.Read(buffer)
 		r.bytes += n
-		body = body[:n]
-		if err == io.EOF {
-			if err := r.writeChunk(a, body); err != nil {
-				return err
-			}
-			return r.end(a)
+		if err != nil && err != io.EOF {
+			return err
 		}
-		if err != nil {
+		if err := r.writeChunk(a, buffer[:n]); err != nil {
 			return err
 		}
+		if err == io.EOF {
+			return r.end(a)
+		}
 	}
 }
 
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -83,13 +83,30 @@
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
+	return c.write(func() (int, error) {
+		n, err := c.Conn.Write(p)
+		p = p[n:]
+		return n, err
+	})
+}
+
+// WriteBuffers writes buffers at once, and lets go of each as the system has taken it.
+func (c *Conn) WriteBuffers(buffers *net.Buffers) (int, error) {
+	return c.write(func() (int, error) {
+		n, err := buffers.WriteTo(c.Conn)
+		return int(n), err
+	})
+}
+
+// write calls part, which writes what is left, until it is done or the other side has taken nothing for too long.
+func (c *Conn) write(part func() (int, error)) (int, error) {
 	taken := 0
 	still := progress{}
 	for {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.patience / looks)); err != nil {
 			return taken, err
 		}
-		n, err := c.Conn.Write(p[taken:])
+		n, err := part()
 		taken += n
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return taken, err
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -60,6 +60,28 @@
 	is.True(time.Since(began) >= patience)
 }
 
+// TestWriteBuffersIsBoundedAndWhole writes buffers to one that takes nothing, and to one that takes all.
+func TestWriteBuffersIsBoundedAndWhole(t *testing.T) {
+	is := is.New(t)
+	c, _ := pair(t)
+	n, err := c.WriteBuffers(&net.Buffers{make([]byte, large), make([]byte, large)})
+	var stalled *Error
+	is.True(errors.As(err, &stalled))
+	is.Equal(stalled.Taken, n)
+	is.True(c.Stalled())
+	c, other := pair(t)
+	got := make(chan string, 1)
+	go func() {
+		text, _ := io.ReadAll(other) // its end is the connection's
+		got <- string(text)
+	}()
+	n, err = c.WriteBuffers(&net.Buffers{[]byte("an "), []byte("answer")})
+	is.NoErr(err)
+	is.Equal(n, len("an answer"))
+	is.NoErr(c.Close())
+	is.Equal(<-got, "an answer")
+}
+
 // slow is a connection that takes a few bytes until each deadline. It fails writes that have no deadline of their own.
 type slow struct {
 	net.Conn
