core: the slow tests of whole fleets run beside one another

They are each a fleet in virtual time with a random source of its own. What they check is as it was.

--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -129,6 +129,7 @@
 // whether it is old or nothing has changed: four of five routers get no requests, and each hears of
 // each other's state within the bounds aimed at.
 func TestKnowledgeOfIdleRoutersIsYoung(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := loadedFleet(82, 100_000)
 	begin := f.time.Now()
@@ -167,6 +168,7 @@
 // as drawn, relays among them, while some send and some have nothing to tell. Whatever was lost,
 // each router hears of each other's state within the bound, and goes on doing so.
 func TestEachRouterIsHeardAgain(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := loadedFleet(rapid.SampledFrom([]int{9, 24, 40}).Draw(t, "routers"), 100_000)
 		f.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -202,6 +202,7 @@
 // them, as drawn, relays among them. Once it is quiet, each router holds of each backend
 // server what really runs there: nothing is lost for good, and nothing counted twice.
 func TestLoadsComeTrueAgain(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := loadedFleet(rapid.SampledFrom([]int{9, 24, 40}).Draw(t, "routers"), 100_000)
 		f.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
--- a/core/property_test.go
+++ b/core/property_test.go
@@ -23,6 +23,7 @@
 // Property: without faults the gap between accounts that wait stays within the
 // bound, at every moment.
 func TestGapIsBounded(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRun(t)
 		r.calm(5 * time.Second)
@@ -56,6 +57,7 @@
 // Property: what a cut let some accounts get ahead by is made good once it has
 // healed, as each side's service is counted.
 func TestCutIsMadeGood(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRun(t)
 		r.longest = 60
@@ -196,6 +198,7 @@
 
 // What the accounts were given outlives all routers being replaced one by one.
 func TestLedgerOutlivesReplacements(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newFleet(1, todaysConfig(fleetfair.Policy), todaysHalls)
 	backlog(f, 1, benchDepth)
--- a/core/restart_test.go
+++ b/core/restart_test.go
@@ -64,6 +64,7 @@
 // TestARouterThatMovedIsKnownAtOnce guards against a fleet that goes on sending to where a router listened before it started
 // again at another address, and takes it for dead.
 func TestARouterThatMovedIsKnownAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{9, 59, 295} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) { moveOne(t, routers) })
 	}
--- a/core/share_test.go
+++ b/core/share_test.go
@@ -113,6 +113,7 @@
 }
 
 func TestFleetSharesFairly(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newFleet(1, todaysConfig(fleetfair.Policy), todaysHalls)
 	backlog(f, 1, 60)
--- a/core/suspicions_test.go
+++ b/core/suspicions_test.go
@@ -36,6 +36,7 @@
 // TestEndsSeenAtSeveralRoutersAddUp lets two routers see one end each. All others hold the request back well
 // before the four seconds that users give a fleet to hear of it.
 func TestEndsSeenAtSeveralRoutersAddUp(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{2, 9, 59, 295} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			is := is.New(t)
--- a/core/watch_test.go
+++ b/core/watch_test.go
@@ -45,6 +45,7 @@
 // TestWatchersCutOffFromTheStoreAreReplaced takes the store away from exactly those routers
 // that watch it, which then hear nothing, as where nothing changes.
 func TestWatchersCutOffFromTheStoreAreReplaced(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{9, 64, 300} {
 		bound := watchBound[routers]
 		is := is.New(t)
@@ -69,6 +70,7 @@
 
 // TestCutRoutersWatchTheStore cuts routers off from all others, and not from the store.
 func TestCutRoutersWatchTheStore(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{9, 64} {
 		bound := watchBound[routers]
 		is := is.New(t)
@@ -91,6 +93,7 @@
 // TestPartOfTheFleetWatchesTheStore cuts the fleet in two, so that one part has none of the
 // routers that watch.
 func TestPartOfTheFleetWatchesTheStore(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := idleFleet(3, 64)
 	apart := map[*node]bool{}
@@ -110,6 +113,7 @@
 
 // TestStoreThatIsOutIsAskedLittle takes the store away from all routers.
 func TestStoreThatIsOutIsAskedLittle(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := idleFleet(5, 64)
 	f.storeShut = anyNode
@@ -126,6 +130,7 @@
 // TestIdleFleetHasFewWatchers counts the routers that watch the store where nothing is amiss:
 // each is a call of the store every few seconds.
 func TestIdleFleetHasFewWatchers(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{9, 64, 300} {
 		is := is.New(t)
 		f := idleFleet(7, routers)
