--- /dev/null
+++ b/e2e/crowd_bench_test.go
@@ -0,0 +1,56 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+// BenchmarkPlatformRefusalByHeader measures the processor time that a router spends on a request of a crowd that
+// it refuses by its header, on connections that go on.
+func BenchmarkPlatformRefusalByHeader(b *testing.B) {
+	w := newWorld(b, 1, "--processor", "0.01")
+	w.behave(w.engines, users.Behaviour{Events: streamEvents, Gap: time.Second})
+	before := processorTime(b, w.routers[0])
+	refused := pressOn(w, "/chat/1", b.N)
+	spent := processorTime(b, w.routers[0]) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
+	b.ReportMetric(float64(refused)/float64(b.N), "refused/req")
+}
+
+// pressOn makes so many requests of a path, on as many connections as there are callers, and returns how many were refused.
+func pressOn(w *world, path string, requests int) int64 {
+	var callers sync.WaitGroup
+	var last, refused atomic.Int64
+	body := strings.Repeat("x", streamBody)
+	for range streamCallers {
+		callers.Go(func() {
+			c, err := users.Dial(w.routers[0].callers)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			for n := last.Add(1); n <= int64(requests); n = last.Add(1) {
+				r := users.Request{Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("crowd-%d", n), Body: body}
+				if c.Send(r) != nil {
+					return
+				}
+				got := c.Read()
+				if got.Err != nil {
+					return
+				}
+				if got.Status == http.StatusServiceUnavailable {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return refused.Load()
+}
--- a/e2e/processor_test.go
+++ b/e2e/processor_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -24,6 +23,9 @@
 	streamCallers = 100
 	// moreEngines is how many engines beside the usual ones have slots for all.
 	moreEngines = 30
+	// plainCallers is how many callers ask for plain answers, and quietFor how long a router has started by then.
+	plainCallers = 8
+	quietFor     = time.Second
 	// ticksPerSecond is the unit of the times in /proc.
 	ticksPerSecond = 100
 )
@@ -53,47 +55,64 @@
 	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
 }
 
-// BenchmarkPlatformRefusalByHeader measures the processor time that a router spends on a request of a crowd that
-// it refuses by its header, on connections that go on.
-func BenchmarkPlatformRefusalByHeader(b *testing.B) {
-	w := newWorld(b, 1, "--processor", "0.01")
-	w.behave(w.engines, users.Behaviour{Events: streamEvents, Gap: time.Second})
-	before := processorTime(b, w.routers[0])
-	refused := pressOn(w, "/chat/1", b.N)
-	spent := processorTime(b, w.routers[0]) - before
-	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
-	b.ReportMetric(float64(refused)/float64(b.N), "refused/req")
+// BenchmarkPlatformPlain measures what a router spends on a plain request of a connection that is kept: processor time,
+// and calls of the system that read and write.
+func BenchmarkPlatformPlain(b *testing.B) {
+	for _, size := range []int{16, 6000, 200_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) { benchmarkPlain(b, size) })
+	}
 }
 
-// pressOn makes so many requests of a path, on as many connections as there are callers, and returns how many were refused.
-func pressOn(w *world, path string, requests int) int64 {
+func benchmarkPlain(b *testing.B, size int) {
+	w := newWorld(b, 1)
+	path := fmt.Sprintf("/look/1?bytes=%d", size)
+	time.Sleep(quietFor)
+	before, calls := processorTime(b, w.routers[0]), ioCalls(b, w.routers[0])
 	var callers sync.WaitGroup
-	var last, refused atomic.Int64
-	body := strings.Repeat("x", streamBody)
-	for range streamCallers {
+	var last, served atomic.Int64
+	for range plainCallers {
 		callers.Go(func() {
 			c, err := users.Dial(w.routers[0].callers)
 			if err != nil {
+				b.Error(err)
 				return
 			}
 			defer c.Close()
-			for n := last.Add(1); n <= int64(requests); n = last.Add(1) {
-				r := users.Request{Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("crowd-%d", n), Body: body}
-				if c.Send(r) != nil {
-					return
-				}
-				got := c.Read()
-				if got.Err != nil {
-					return
-				}
-				if got.Status == http.StatusServiceUnavailable {
-					refused.Add(1)
+			for n := last.Add(1); n <= int64(b.N); n = last.Add(1) {
+				r := users.Request{Method: "POST", Path: path, Key: callerKey, ID: fmt.Sprintf("plain-%d", n), Body: "the body"}
+				if c.Send(r) == nil && c.Read().Status == 200 {
+					served.Add(1)
 				}
 			}
 		})
 	}
 	callers.Wait()
-	return refused.Load()
+	spent := processorTime(b, w.routers[0]) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
+	b.ReportMetric(float64(ioCalls(b, w.routers[0])-calls)/float64(b.N), "io-calls/req")
+	b.ReportMetric(float64(served.Load())/float64(b.N), "served/req")
+}
+
+// ioCalls returns how many calls of a router's process have read or written.
+func ioCalls(b *testing.B, r *router) int {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", r.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	sum := 0
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name != "syscr" && name != "syscw" {
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sum += n
+	}
+	return sum
 }
 
 // callMany makes so many requests of a path, each on a new connection, and returns
