--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -4,14 +4,13 @@
 	"time"
 
 	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/model"
 )
 
 // planNext plans an account's next request of a kind.
 func (w *world) planNext(kind, account int) {
-	third := w.Length / 3
-	into := w.time.Now() - settle - w.WarmUp
-	hot := w.Load.HotAtOnce || into > third && into < 2*third
+	hot := w.Load.isHot(account, w.time.Now()-settle-w.WarmUp, w.Length)
 	w.time.At(w.time.Now()+w.source.gap(kind, account, hot), func() {
 		c := w.source.draw(kind, account, w.time.Now())
 		w.calls = append(w.calls, c)
@@ -89,6 +88,9 @@
 func (w *world) refused(n *node, a core.Refuse) {
 	if c := n.calls[a.ID]; c != nil {
 		w.service.wait(w.time.Now(), c)
+		if a.Reason == core.Refusal(prompt.OverShare) {
+			w.service.hold(w.time.Now(), c)
+		}
 	}
 	w.comeBack(n, a.ID, a.RetryAfter)
 }
--- a/emulator/load.go
+++ b/emulator/load.go
@@ -37,6 +37,9 @@
 	HotFactor float64
 	// HotAtOnce lets the hot accounts send so much from the beginning to the end.
 	HotAtOnce bool
+	// Turns are groups of accounts that send HotFactor times their usual by turns, each group for TurnFor.
+	Turns   [][]int
+	TurnFor time.Duration
 	// AtOneRouter are the accounts all of whose callers reach one router, each its own;
 	// the others' callers reach any.
 	AtOneRouter []int
@@ -99,10 +102,20 @@
 	return random.IntN(n)
 }
 
+// isHot tells whether an account sends HotFactor times its usual so far into an experiment of some length.
+func (l *Load) isHot(account int, into, length time.Duration) bool {
+	if len(l.Turns) > 0 {
+		turn := max(int(into/l.TurnFor), 0) % len(l.Turns)
+		return slices.Contains(l.Turns[turn], account)
+	}
+	third := length / 3
+	return account < l.Hot && (l.HotAtOnce || into > third && into < 2*third)
+}
+
 // gap returns the time until the next request of a kind from an account.
 func (s *source) gap(kind, account int, hot bool) time.Duration {
 	rate := s.load.Kinds[kind].PerSecond * s.load.Factor * s.sizes[account]
-	if hot && account < s.load.Hot {
+	if hot {
 		rate *= s.load.HotFactor
 	}
 	return time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -30,6 +30,9 @@
 	// LeastPart is the least part that an account got over some seconds of what it
 	// might have had; see type service.
 	LeastPart float64
+	// Gap is the longest time for which an account was refused as beyond its share while nothing
+	// of it began.
+	Gap time.Duration
 	// FirstTokens holds the time until each first token, sorted.
 	FirstTokens []time.Duration
 }
@@ -76,6 +79,7 @@
 	}
 	r.WorstAccount = worstOf(accounts)
 	r.LeastPart = w.service.leastPart()
+	r.Gap = w.service.gap()
 	w.sumEngines(&r)
 	return r
 }
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -30,6 +30,11 @@
 type accountService struct {
 	seconds map[int]*second
 	costs   []float64 // of all requests
+	// held tells that a request was refused as beyond the share, at heldAt, and that nothing has begun since;
+	// gap is the longest time that this lasted.
+	held   bool
+	heldAt model.Time
+	gap    time.Duration
 }
 
 func newService(load Load) *service {
@@ -61,6 +66,7 @@
 // begin counts an answer that begins.
 func (s *service) begin(now model.Time, c *call) {
 	s.at(now, c).got += costOf(c)
+	s.accounts[c.account].held = false
 	if c.first > s.load.Kinds[c.kind].Objective {
 		s.wait(now, c)
 	}
@@ -69,6 +75,25 @@
 // wait notes that a request was refused or is late.
 func (s *service) wait(now model.Time, c *call) { s.at(now, c).waited = true }
 
+// hold notes that a request was refused as its account has had its share.
+func (s *service) hold(now model.Time, c *call) {
+	a := &s.accounts[c.account]
+	if !a.held {
+		a.held, a.heldAt = true, now
+	}
+	a.gap = max(a.gap, now-a.heldAt)
+}
+
+// gap returns the longest time for which an account was refused as beyond its share while nothing
+// of it began.
+func (s *service) gap() time.Duration {
+	out := time.Duration(0)
+	for i := range s.accounts {
+		out = max(out, s.accounts[i].gap)
+	}
+	return out
+}
+
 // leastPart returns the least part that an account which waited in each second of a
 // window got of what it asked for or the best served account got, whichever was less in
 // each second; its largest requests left off that, 1 where no account waited so.
