core/prompt: an account that its only router holds up isn't held back there

The bound of reach is there to keep accounts that all routers send from running ahead of one that its router has no time for. A router that turns away unread a quarter or more of all that an account asks for is what holds that account up: nobody waits for what it may begin there, and holding it back frees nothing that others could use. So the bound doesn't hold there for it; its share does, as before. State: one amount of each account, of this router, that fades over the window; no message.

Ruled out: the share (had 0.83 to 1.02 of it, nothing of late), the engines (tokens before it read in 3 ms), reports (0.3 to 0.9 s old). From 15 s on the router's processor binds, as before.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -78,7 +78,10 @@
 func (c *Core) turnedAway(e TurnedAway) {
 	for _, r := range e.Requests {
 		in := prompt.Request{Account: r.Account, Pool: r.Pool, Route: r.Route, Prompt: r.Prompt}
-		c.countByPrompt(model.Key{Pool: r.Pool, Account: r.Account}, c.prompt.CostOf(&in), 0)
+		if c.config.Pools[r.Pool].FollowLoad {
+			c.loads.changed = true
+			c.prompt.CountUnread(r.Account, c.prompt.CostOf(&in))
+		}
 	}
 }
 
--- a/core/prompt/levels.go
+++ b/core/prompt/levels.go
@@ -160,8 +160,9 @@
 		return within
 	}
 	begun, lately := h.inWindow().Begun, h.lately().Begun
+	beyond := !l.spare && begun > max(l.bound, l.ahead) || !l.plenty && lately > max(l.brief, l.aheadLately)
 	switch {
-	case !l.spare && begun > max(l.bound, l.ahead), !l.plenty && lately > max(l.brief, l.aheadLately):
+	case beyond && !h.heldUpHere():
 		return beyondReach
 	case !l.enough && begun > l.real:
 		return farOver
--- a/core/prompt/reach_test.go
+++ b/core/prompt/reach_test.go
@@ -124,3 +124,22 @@
 	is.Equal(m.standingOf(2, l), within)
 	is.Equal(m.standingOf(3, l), within)
 }
+
+// TestWhoIsHeldUpAtItsRouterIsntHeldBackThere is of an account that was refused altogether for a second and a half, as others
+// had just begun to ask, at the only router that its callers reach, which had time for a twentieth of them.
+func TestWhoIsHeldUpAtItsRouterIsntHeldBackThere(t *testing.T) {
+	is := is.New(t)
+	m, stands := heldUp(3, 0.4)
+	is.Equal(stands, beyondReach)
+	asked := m.Usage(1).Asked
+	m.CountUnread(1, 0.2*asked)
+	is.Equal(m.standingOf(1, m.levels()), beyondReach) // its other callers may reach others
+	m.CountUnread(1, 0.2*asked)
+	is.True(m.standingOf(1, m.levels()) != beyondReach)
+	for range samples { // now its router has time for all of it
+		m.Count(1, asked/float64(samples), 0)
+		m.now += sampleEvery
+		m.Sample(m.now)
+	}
+	is.True(!m.shares.accounts[1].heldUpHere())
+}
--- a/core/prompt/shares.go
+++ b/core/prompt/shares.go
@@ -36,6 +36,7 @@
 	untold Usage          // of this router, that the others don't know of
 	past   [samples]Usage // of now: a ring
 	last   int            // the newest entry
+	unread float64        // of what was asked for here, turned away unread in the time of a window; fades
 	held   uint32         // samples at which it was held back as beyond reach, the newest in the lowest bit
 }
 
@@ -95,6 +96,20 @@
 	h.untold.add(Usage{asked, begun})
 }
 
+// CountUnread adds to what an account has asked for at this router what was turned away unread, in tokens.
+func (m *Machine) CountUnread(account model.AccountID, asked float64) {
+	m.Count(account, asked, 0)
+	m.shares.of(account).unread += asked
+}
+
+// unreadPart is the part of all that an account asks for that one router turns away unread, from which
+// on that router is what holds the account up.
+const unreadPart = 0.25
+
+// heldUpHere tells whether it is this router that has no time for what the account asks for: what it may
+// begin here keeps nobody from following.
+func (h *history) heldUpHere() bool { return h.unread > unreadPart*h.inWindow().Asked }
+
 func (a *Usage) add(b Usage) {
 	a.Asked += b.Asked
 	a.Begun += b.Begun
@@ -145,6 +160,7 @@
 		asked := 0.0
 		for _, h := range m.shares.accounts {
 			asked += h.inWindow().Asked
+			h.unread *= unreadKept
 			h.last = (h.last + 1) % samples
 			h.past[h.last] = h.now
 		}
@@ -158,6 +174,9 @@
 	}
 }
 
+// unreadKept is what is left from one sample to the next of what was turned away unread.
+const unreadKept = 1 - float64(sampleEvery)/float64(window)
+
 // largestFade is how long the largest request counts, fading.
 const largestFade = 10 * time.Second
 
