--- a/core/prompt/levels.go
+++ b/core/prompt/levels.go
@@ -25,6 +25,7 @@
 	// ahead is what an account must have begun in the window for that bound to hold for it, and aheadLately
 	// in the time of a burst: one that is behind the best served one itself keeps nobody from following.
 	ahead, aheadLately float64
+	best               float64 // what the best served account has begun in the window
 	// spare tells that there is enough for all in the part of the window in which anything was asked
 	// for. At a cold start the whole window has enough for seconds, though engines can't make it yet.
 	spare bool
@@ -43,6 +44,7 @@
 	span := m.span()
 	var kept float64
 	kept, out.spare = maxMin(all.asked, capacity*span.Seconds()/window.Seconds())
+	out.best = all.best
 	out.ahead, out.aheadLately = t.BehindPart*all.best, t.BehindPart*lately.best
 	out.bound = max(t.KeepPart*kept, m.reach((*history).inWindow, all.best, span))
 	out.owed = max(out.owed+t.Slack*capacity, t.BestPart*all.best)
@@ -162,7 +164,7 @@
 	begun, lately := h.inWindow().Begun, h.lately().Begun
 	beyond := !l.spare && begun > max(l.bound, l.ahead) || !l.plenty && lately > max(l.brief, l.aheadLately)
 	switch {
-	case beyond && !h.heldUpHere():
+	case beyond && !(begun < l.best && h.heldUpHere()):
 		return beyondReach
 	case !l.enough && begun > l.real:
 		return farOver
