core: looking after who is heard costs less

Idle fleets of hundreds in core's tests took three times as long (package core without the race detector 31 s of processor before who is heard was told, 76 s after).

--- a/core/overdue.go
+++ b/core/overdue.go
@@ -11,7 +11,7 @@
 	// overdueAfter is how long a live router may tell nothing until that is told to the operators.
 	overdueAfter = time.Second
 	// overdueEvery is how often it is looked for such routers at the most.
-	overdueEvery = 250 * time.Millisecond
+	overdueEvery = 500 * time.Millisecond
 	// maxOverdueTold is how many changes are told at a time; the number of routers overdue is
 	// always told whole.
 	maxOverdueTold = 4
--- a/core/presence.go
+++ b/core/presence.go
@@ -149,14 +149,18 @@
 	}
 	for _, name := range groups[from].names {
 		c.noteNothingNew(name)
-		c.askDead(name)
 	}
 }
 
-// noteNothingNew notes that a router has nothing to tell beyond what is known here.
+// noteNothingNew notes that a router, which was heard, has nothing to tell beyond what is known here.
 func (c *Core) noteNothingNew(name string) {
-	if m := c.members.Get(name); c.loads.presence.wanted && m != nil && m.Reachable() {
+	m := c.members.Get(name)
+	switch {
+	case m == nil || !c.loads.presence.wanted:
+	case m.Reachable():
 		c.prompt.NothingNew(c.now, name)
+	default:
+		c.askDead(name)
 	}
 }
 
