--- a/core/heard_test.go
+++ b/core/heard_test.go
@@ -173,9 +173,7 @@
 		f := loadedFleet(rapid.SampledFrom([]int{9, 24, 40}).Draw(t, "routers"), 100_000)
 		f.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
 		for range rapid.IntRange(1, 6).Draw(t, "faults") {
-			n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "router")]
-			long := time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond
-			f.strike(n, rapid.SampledFrom([]string{"freeze", "restart", "cut"}).Draw(t, "fault"), long)
+			f.strikeDrawn(t)
 			f.sendLong(f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "sender")])
 			f.runUntil(f.time.Now() + time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause"))*time.Millisecond)
 		}
--- a/core/loads_test.go
+++ b/core/loads_test.go
@@ -207,9 +207,7 @@
 		f := loadedFleet(rapid.SampledFrom([]int{9, 24, 40}).Draw(t, "routers"), 100_000)
 		f.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
 		for range rapid.IntRange(1, 6).Draw(t, "faults") {
-			n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "router")]
-			long := time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond
-			f.strike(n, rapid.SampledFrom([]string{"freeze", "restart", "cut"}).Draw(t, "fault"), long)
+			f.strikeDrawn(t)
 			for range 20 {
 				f.sendLong(f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "sender")])
 				f.runUntil(f.time.Now() + 25*time.Millisecond)
@@ -229,6 +227,13 @@
 	})
 }
 
+// strikeDrawn strikes a router, as drawn.
+func (f *fleet) strikeDrawn(t *rapid.T) {
+	n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "router")]
+	long := time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond
+	f.strike(n, rapid.SampledFrom([]string{"freeze", "restart", "cut"}).Draw(t, "fault"), long)
+}
+
 // strike freezes or restarts a router, or cuts its data hall off, for some time.
 func (f *fleet) strike(n *node, fault string, long time.Duration) {
 	if n.down || n.paused {
