scheduler: metrics tell how late events are taken, and how long steps last

Three hypotheses: the core's goroutine is one of many that can run; one step is long; a lock is held against it. Neither the log nor the metrics could tell them apart.

core_event_wait_seconds is the time from an event to the step that takes it, core_step_duration_seconds a step with its actions. The runtime's own figures of goroutines that can run, and of how long they wait for it, are exported as well.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -241,6 +241,7 @@
 		case t := <-s.events:
 			s.noteSleep()
 			s.noteLag(c, s.now()-t.at)
+			s.metrics.Share.EventWait.Observe((s.now() - t.at).Seconds())
 			s.step(c, t.event)
 		case look := <-s.ask:
 			look(c)
@@ -264,6 +265,7 @@
 
 func (s *Service) step(c *core.Core, e core.Event) {
 	began := time.Now()
+	defer func() { s.metrics.Share.Step.Observe(time.Since(began).Seconds()) }()
 	actions := c.Step(s.now(), e)
 	s.metrics.Share.StepTime.Add(time.Since(began).Seconds())
 	s.metrics.Share.Steps.Inc()
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -75,6 +75,8 @@
 	Tokens     *prometheus.CounterVec // by account, pool, policy
 	StepTime   prometheus.Counter     // seconds
 	Steps      prometheus.Counter
+	EventWait  prometheus.Histogram // seconds from an event to the step that takes it
+	Step       prometheus.Histogram // seconds of a step
 	Members    prometheus.Gauge
 	Owned      prometheus.Gauge
 	Held       prometheus.Gauge
@@ -100,7 +102,7 @@
 // NewMetrics returns a router's counters, registered.
 func NewMetrics() *Metrics {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	f := factory{r}
 	return &Metrics{
 		Registry: r,
@@ -136,6 +138,8 @@
 			Tokens:     f.counters("tokens_total", "Tokens delivered, input and output.", "account", "pool", "policy"),
 			StepTime:   f.counter("core_seconds_total", "Processor time of the decisions."),
 			Steps:      f.counter("core_steps_total", "Events that the decisions took."),
+			EventWait:  f.histogram("core_event_wait_seconds", "Time from an event to the step of the decisions that takes it."),
+			Step:       f.histogram("core_step_duration_seconds", "Time of one step of the decisions, its actions included."),
 			Members:    f.gauge("members", "Live routers, this one included."),
 			Owned:      f.gauge("owned_backends", "Backend servers whose slots this router grants."),
 			Held:       f.gauge("held_requests", "Requests that are held back, as backend servers ended under them."),
@@ -181,6 +185,12 @@
 	return g
 }
 
+func (f factory) histogram(name, help string) prometheus.Histogram {
+	h := prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: prefix, Name: name, Help: help, Buckets: waitBuckets})
+	f.registry.MustRegister(h)
+	return h
+}
+
 func (f factory) histograms(name, help string, labels ...string) *prometheus.HistogramVec {
 	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: prefix, Name: name, Help: help, Buckets: waitBuckets,
