scheduler: the line of a changed router names it by a key of its own

Cause: the key was added to a logger whose context holds it already. The other lines of the scheduler, and all other keys that the context holds (level, time, message), were looked through: no other line repeats one.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -359,7 +359,7 @@
 	if change.New {
 		return
 	}
-	s.log.Info().Str("router", change.Name).Stringer("status", change.Status).
+	s.log.Info().Str("of", change.Name).Stringer("status", change.Status).
 		Bool("restarted", change.Restarted).Msg("router changed")
 }
 
