core/prompt: an account beyond reach in the window goes on by a tenth of its even part

What callers saw: as others began to ask, an account was refused as beyond its share for up to 1.65 s with nothing of it begun, most of it at idle engines.

Cause: those that have just begun to ask have begun little and count as held up; whoever was served in the four seconds before is beyond reach of them for as long as the window remembers it, whatever it has begun of late. The bound of the window was a stop, where all it is for is that others can follow.

Now it holds only for who has begun more of late than a tenth of its even part of a burst. Who is bounded still counts as held back, so that nobody waits for it.

TestBoundedAccountsGoOn failed before.

--- a/core/prompt/levels.go
+++ b/core/prompt/levels.go
@@ -25,7 +25,9 @@
 	// ahead is what an account must have begun in the window for that bound to hold for it, and aheadLately
 	// in the time of a burst: one that is behind the best served one itself keeps nobody from following.
 	ahead, aheadLately float64
-	best               float64 // what the best served account has begun in the window
+	// goOn is what an account may begin in the time of a burst though that bound holds for it.
+	goOn float64
+	best float64 // what the best served account has begun in the window
 	// spare tells that there is enough for all in the part of the window in which anything was asked
 	// for. At a cold start the whole window has enough for seconds, though engines can't make it yet.
 	spare bool
@@ -52,6 +54,7 @@
 	out.real = max(out.real, out.owed)
 	made := max(all.begun, capacity) * burst.Seconds() / window.Seconds()
 	out.even, out.plenty = maxMin(lately.asked, made)
+	out.goOn = goOnPart * out.even
 	owed, _ := maxMin(lately.asked, capacity*burst.Seconds()/window.Seconds())
 	out.brief = max(t.KeepPart*owed, m.reach((*history).lately, lately.best, burst))
 	out.even = max(out.even, t.BestPart*lately.best)
@@ -95,7 +98,7 @@
 	for _, account := range m.shares.order {
 		h := m.shares.accounts[account]
 		h.held <<= 1
-		if m.standingOf(account, l) == beyondReach {
+		if h.isBounded(l) {
 			h.held |= 1
 		}
 	}
@@ -155,6 +158,19 @@
 	beyondReach                 // and so far that others which ask for more can't follow
 )
 
+// goOnPart is the part of its even part of a burst up to which an account goes on, whatever it has begun in the window: users
+// compare accounts second by second, and one that is refused altogether until the window has passed stops for seconds.
+const goOnPart = 0.1
+
+// isBounded tells whether an account has begun as much as it may, for others that are held up to stay within reach.
+func (h *history) isBounded(l levels) bool {
+	begun, lately := h.inWindow().Begun, h.lately().Begun
+	if begun < l.best && h.heldUpHere() {
+		return false
+	}
+	return !l.spare && begun > max(l.bound, l.ahead) || !l.plenty && lately > max(l.brief, l.aheadLately)
+}
+
 // standingOf returns how an account stands.
 func (m *Machine) standingOf(account model.AccountID, l levels) standing {
 	h := m.shares.accounts[account]
@@ -162,9 +178,8 @@
 		return within
 	}
 	begun, lately := h.inWindow().Begun, h.lately().Begun
-	beyond := !l.spare && begun > max(l.bound, l.ahead) || !l.plenty && lately > max(l.brief, l.aheadLately)
 	switch {
-	case beyond && !(begun < l.best && h.heldUpHere()):
+	case lately > l.goOn && h.isBounded(l):
 		return beyondReach
 	case !l.enough && begun > l.real:
 		return farOver
--- a/core/prompt/reach_test.go
+++ b/core/prompt/reach_test.go
@@ -65,6 +65,27 @@
 	is.True(m.standingOf(2, m.levels()) != beyondReach)
 }
 
+// TestBoundedAccountsGoOn is of accounts that were refused altogether for up to two seconds, as others began to ask: what they had
+// begun before counted against them, whatever they had begun of late.
+func TestBoundedAccountsGoOn(t *testing.T) {
+	is := is.New(t)
+	m, stands := heldUp(3, 0.4)
+	is.Equal(stands, beyondReach)
+	each := m.config.TokensPerSecond * sampleEvery.Seconds()
+	for range inBurst + 1 {
+		m.Count(1, 3*each, 0)
+		m.Count(2, 3*each, 0.48*each)
+		m.now += sampleEvery
+		m.Sample(m.now)
+	}
+	l := m.levels()
+	is.True(m.shares.accounts[1].isBounded(l))
+	is.True(m.standingOf(1, l) != beyondReach)
+	is.True(!m.shares.accounts[2].heldBack())
+	m.Count(1, 0, 2*l.goOn)
+	is.Equal(m.standingOf(1, m.levels()), beyondReach)
+}
+
 // TestAMomentBeyondReachIsntHeldBack lets the account that is held up be beyond reach for one sample, as little
 // has begun of late: the other one is bounded by it all the same.
 func TestAMomentBeyondReachIsntHeldBack(t *testing.T) {
