gateway: callers who are told that a router is behind share a line

Cause: connections turned away unread share one line in 100 ms; requests on connections that had been taken before the router was behind didn't.

The test refuses 1,000 in 100 ms and failed before (1,000 lines; 3 at the most now). Tried with it and left: not making the lines that the log would drop.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -324,7 +324,11 @@
 func (a *attempt) refuse(r *refusal, retryAfter time.Duration) {
 	a.service.metrics.Front.Refusals.WithLabelValues(r.code).Inc()
 	a.count(r.code)
-	if r != crowded { // which has a line for many
+	switch r {
+	case crowded: // which has a line for many
+	case tooMany:
+		a.service.noteShed()
+	default:
 		a.log("answered").Int("status", r.status).Str("code", r.code).Dur("retry_after_ms", retryAfter).Msg("own answer")
 	}
 	if r.write(a.conn, retryAfter, !a.keep) != nil {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -31,7 +31,7 @@
 // up needs for the requests it has.
 func (s *Service) turnAway(c net.Conn) {
 	s.metrics.Front.Refusals.WithLabelValues(tooMany.code).Inc()
-	s.shedNoted.note(s.log, s.scheduler.Late(), s.open.Load())
+	s.noteShed()
 	if _, err := stall.New(c, shedLinger).Write(tooMany.text(startRetryAfter, true)); err != nil {
 		_ = c.Close()
 		return
@@ -39,6 +39,9 @@
 	s.linger(c)
 }
 
+// noteShed counts a caller that is refused as there is too much to do here.
+func (s *Service) noteShed() { s.shedNoted.note(s.log, s.scheduler.Late(), s.open.Load()) }
+
 // linger ends a connection that carries its last answer, and closes it after a while.
 func (s *Service) linger(c net.Conn) {
 	half, ok := c.(interface{ CloseWrite() error })
--- a/gateway/shed_test.go
+++ b/gateway/shed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -188,3 +189,32 @@
 		is.Equal(length, max(want, 0))
 	}
 }
+
+// TestCallersOfABusyRouterShareALine is of a router that came late to everything and wrote a line for each of 650 callers whom it
+// told so within a tenth of a second.
+func TestCallersOfABusyRouterShareALine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		metrics := telemetry.NewMetrics()
+		var lines bytes.Buffer
+		s := New(Settings{MaxRequests: -1}, zerolog.New(&lines), metrics)
+		s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
+		ours, theirs := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, theirs) }()
+		defer func() { _ = ours.Close() }()
+		c := newCallerConn(ours, 4096, time.Second)
+		const refused = 1000
+		for range refused {
+			a := &attempt{service: s, conn: c, req: fasthttp.AcquireRequest()}
+			a.admit()
+			is.Equal(a.refused, tooMany)
+			a.refuse(a.refused, startRetryAfter)
+			a.release()
+			time.Sleep(occasionalEvery / refused)
+		}
+		time.Sleep(occasionalEvery)
+		s.noteShed()
+		is.True(strings.Count(lines.String(), "\n") <= 3)
+		is.Equal(counted(t, metrics, "refusals_total"), float64(refused))
+	})
+}
