gateway, core/prompt: lines tell what the processor is used for, and how accounts stand

An account whose only router is crowded gets a part of what the best served one gets (FAIR).

Once a second a router that uses half of its processor writes what it was used for, by kind; the counters stand for the rest of the time. Each decision's line has the account's standing and what the best served account has begun.

--- a/core/prompt/levels.go
+++ b/core/prompt/levels.go
@@ -158,6 +158,11 @@
 	beyondReach                 // and so far that others which ask for more can't follow
 )
 
+// String returns the standing in a word, as lines have it.
+func (s standing) String() string {
+	return [...]string{within: "within", over: "over", farOver: "far-over", beyondReach: "beyond-reach"}[s]
+}
+
 // goOnPart is the part of its even part of a burst up to which an account goes on, whatever it has begun in the window: users
 // compare accounts second by second, and one that is refused altogether until the window has passed stops for seconds.
 const goOnPart = 0.1
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -271,9 +271,11 @@
 // basis returns what a decision on a request rests on; the place has no backend server
 // where there is none.
 func (m *Machine) basis(r *request, p place, l levels) Basis {
+	stands := m.standingOf(r.Account, l)
 	out := Basis{
+		Stands: stands.String(), Ahead: l.best,
 		Delay: p.delay, Unread: int(p.unread), Backlog: int(p.backlog), Soonest: p.soonest,
-		Over: m.standingOf(r.Account, l) != within, Had: m.had(r.Account, l.owed),
+		Over: stands != within, Had: m.had(r.Account, l.owed),
 		Lately: m.hadLately(r.Account, l), Owed: l.owed, Bound: l.bound, Brief: l.brief, Age: m.oldestReport(),
 	}
 	if l.owed > 0 {
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -50,6 +50,8 @@
 	Slow    float64       // how much slower than its pool's pace it is taken to read
 	Soonest time.Duration // the least delay expected of any backend server looked at
 	Over    bool          // the account was beyond its share
+	Stands  string        // how the account stood to it, in a word
+	Ahead   float64       // what the best served account has begun, in tokens of the window
 	Had     float64       // part of what the account is owed that has begun
 	Asked   float64       // the same of what it has asked for
 	Owed    float64       // what each account is owed, in tokens of the window
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -281,7 +281,7 @@
 func logBasis(line *zerolog.Event, b prompt.Basis) *zerolog.Event {
 	return line.Dur("delay_ms", b.Delay).Dur("soonest_ms", b.Soonest).Int("unread", b.Unread).
 		Int("backlog", b.Backlog).Int("unheard", b.Unheard).Float64("slowness", b.Slow).
-		Bool("over_share", b.Over).Float64("share_had", b.Had).Float64("share_asked", b.Asked).
+		Bool("over_share", b.Over).Str("standing", b.Stands).Float64("best_begun", b.Ahead).Float64("share_had", b.Had).Float64("share_asked", b.Asked).
 		Float64("share_lately", b.Lately).Float64("owed", b.Owed).Float64("bound", b.Bound).Float64("bound_lately", b.Brief).Dur("loads_age_ms", b.Age)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 	sleepers   sleepers
 
 	listener  net.Listener
+	unfollow  context.CancelFunc // ends the counting of work
 	draining  atomic.Bool
 	ending    atomic.Bool // no new requests are taken
 	open      atomic.Int64
@@ -92,6 +93,7 @@
 	shedNoted *occasional
 	pending   *pending
 	memory    *memory
+	work      work
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -100,7 +102,7 @@
 
 // New returns the service.
 func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers(), pending: newPending(settings.Processor, metrics.Front), memory: newMemory(settings.HeldBytes, log, metrics.Front)}
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedNoted: newOccasional(), clock: clock.System, sleepers: newSleepers(), pending: newPending(settings.Processor, metrics.Front), memory: newMemory(settings.HeldBytes, log, metrics.Front), unfollow: func() {}}
 }
 
 // Name implements kernel.Service.
@@ -134,11 +136,15 @@
 	s.listener = socket.Patient{Listener: listener}
 	s.ended.Add(1)
 	go s.accept()
+	following, unfollow := context.WithCancel(context.WithoutCancel(ctx))
+	s.unfollow = unfollow
+	go s.work.follow(following, s.settings.Processor, s.log, s.metrics.Front)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
+	s.unfollow()
 	err := s.listener.Close()
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
@@ -161,6 +167,7 @@
 			turnedAway.pause()
 			continue
 		}
+		s.work.did(workAccepted)
 		s.connected.Add(1)
 		s.ended.Add(1)
 		go s.serve(c)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -168,6 +168,7 @@
 				a.held.Began()
 			}
 			r.parts++
+			a.service.work.did(workParts)
 			if err := r.pass(a, answer, r.events.take(buffer[:n])); err != nil {
 				return err
 			}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -41,6 +41,7 @@
 		return a.unreached(d)
 	}
 	a.sends++
+	s.work.did(workSent)
 	a.tried = append(a.tried, d.Backend)
 	a.countSent(d)
 	if err != nil {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -31,6 +31,7 @@
 // up needs for the requests it has.
 func (s *Service) turnAway(c net.Conn) {
 	s.metrics.Front.Refusals.WithLabelValues(tooMany.code).Inc()
+	s.work.did(workUnread)
 	s.noteShed()
 	if _, err := stall.New(c, shedLinger).Write(tooMany.text(startRetryAfter, true)); err != nil {
 		_ = c.Close()
@@ -71,6 +72,7 @@
 	length, known := bodyLength(&a.req.Header)
 	brief := known && length <= maxDiscarded && !a.req.MayContinue()
 	a.keep = a.keep && brief
+	a.countRefused()
 	a.refuse(a.refused, startRetryAfter)
 	if a.keep {
 		return a.conn.discard(length) == nil
@@ -80,6 +82,15 @@
 	return false
 }
 
+// countRefused counts a request that is refused by its header.
+func (a *attempt) countRefused() {
+	if a.conn.writes.rested > 0 {
+		a.service.work.did(workRefusedKept)
+		return
+	}
+	a.service.work.did(workRefusedNew)
+}
+
 // bodyLength returns how long the body is that follows a header; known is false where the
 // header doesn't tell.
 func bodyLength(h *fasthttp.RequestHeader) (length int, known bool) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -55,7 +55,8 @@
 	Open      prometheus.Gauge
 	Unread    *prometheus.CounterVec // by reason
 	Pending   prometheus.Gauge
-	Window    prometheus.Gauge // requests, infinite where none was late
+	Window    prometheus.Gauge       // requests, infinite where none was late
+	Work      *prometheus.CounterVec // by kind
 }
 
 // Breach is why an answer that had begun isn't whole.
@@ -132,6 +133,7 @@
 			Unread:    f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
 			Pending:   f.gauge("requests_pending", "Requests that were let in and aren't decided on yet."),
 			Window:    f.gauge("requests_pending_limit", "Requests that may wait for a decision as it would else be late."),
+			Work:      f.counters("callers_work_total", "What was done for callers, by kind: what processor time goes into.", "kind"),
 		},
 		Share: &Share{
 			Dispatched: f.counters("dispatched_total", "Requests sent to a backend server.", "account", "backend", "policy"),
