gateway, internal/socket: a crowd is refused before its connections are taken

Cause: receive livelock. What a router refuses cost a connection taken in the ordinary way, that is a goroutine whose stack grows, an entry of the poller, a timer and ten calls of the system; the refused come again on new connections, so that the more are refused, the less is left for those that are served.

While the gate refuses requests by their headers, one goroutine now takes new connections in batches by direct calls, reads once what has come, and answers whoever the gate refuses: accept, read, write, close. All others go on in the ordinary way with what was read, and keep the place that the gate gave them.

The check of TestPlatformCrowdIsRefusedAtTheDoor counted what the core decides on as well, which takes a connection by design.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -52,6 +52,9 @@
 	// pressedFrom is the part of the window that is taken up when a router counts as short
 	// of time.
 	pressedFrom = 0.25
+	// crowdedFor is how long after a refusal a router counts as crowded: callers who are refused come again within some
+	// hundreds of milliseconds.
+	crowdedFor = time.Second
 	// longestHold bounds what one refusal settles: load reports of other routers are about as
 	// old, and what they tell may change it.
 	longestHold = 100 * time.Millisecond
@@ -100,6 +103,8 @@
 	window   float64
 	cutUntil model.Time // when the window may be cut again
 	late     model.Time // when the last decision was late
+	refused  model.Time // when a request was last refused
+	crowded  bool       // one was
 	pending  int
 	accounts map[model.AccountID]int // that have any pending
 	settled  map[subject]model.Time  // until when
@@ -125,6 +130,20 @@
 
 // Arrive decides on a header. The ticket is valid where the reason is Admitted.
 func (g *Gate) Arrive(now model.Time, r Request) (Verdict, Ticket) {
+	v := g.judge(now, r)
+	if v.Reason != Admitted {
+		g.refused, g.crowded = now, true
+		return v, Ticket{}
+	}
+	g.count(r.Account, 1)
+	return v, Ticket{r}
+}
+
+// Crowded tells whether requests were refused of late, so that others are likely to be.
+func (g *Gate) Crowded(now model.Time) bool { return g.crowded && now < g.refused+crowdedFor }
+
+// judge decides on a header.
+func (g *Gate) judge(now model.Time, r Request) Verdict {
 	own := g.accounts[r.Account]
 	window := g.windowFor(r)
 	v := Verdict{Pending: own, Window: int(window)}
@@ -136,11 +155,7 @@
 	case pressed && now < g.settled[subject{r.Account, r.Route}]:
 		v.Reason = Settled
 	}
-	if v.Reason != Admitted {
-		return v, Ticket{}
-	}
-	g.count(r.Account, 1)
-	return v, Ticket{r}
+	return v
 }
 
 // windowFor returns how many requests may wait for a decision where one that is to be decided on
--- /dev/null
+++ b/e2e/door_test.go
@@ -0,0 +1,110 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+const (
+	// oddRounds is how often each odd caller asks while the crowd does.
+	oddRounds = 10
+	// pieceGap is between two parts of what an odd caller sends, longer than a connection waits at the door.
+	pieceGap = 30 * time.Millisecond
+)
+
+// oddCallers are callers whose requests don't come whole with their connections, by what they do. Each sends a number of requests.
+var oddCallers = map[string]struct {
+	requests int
+	send     func(w *world, c *users.Caller) error
+}{
+	"header in pieces": {1, func(w *world, c *users.Caller) error {
+		text := rawRequest(w, "the body")
+		for _, part := range []string{text[:20], text[20:90], text[90:]} {
+			if err := c.Write(part); err != nil {
+				return err
+			}
+			time.Sleep(pieceGap)
+		}
+		return nil
+	}},
+	"body late": {1, func(w *world, c *users.Caller) error {
+		text := rawRequest(w, strings.Repeat("x", streamBody))
+		if err := c.Write(text[:len(text)-streamBody/2]); err != nil {
+			return err
+		}
+		time.Sleep(pieceGap)
+		return c.Write(text[len(text)-streamBody/2:])
+	}},
+	"two at once": {2, func(w *world, c *users.Caller) error {
+		return c.Write(rawRequest(w, "first") + rawRequest(w, "second"))
+	}},
+	"chunked": {1, func(w *world, c *users.Caller) error {
+		r := w.request("POST", "/chat/1")
+		r.Chunked = true
+		return c.Send(r)
+	}},
+	"silent first": {1, func(w *world, c *users.Caller) error {
+		time.Sleep(10 * pieceGap)
+		return c.Send(w.request("POST", "/chat/1"))
+	}},
+}
+
+// rawRequest returns the text of a request with a body.
+func rawRequest(w *world, body string) string {
+	r := w.request("POST", "/chat/1")
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\nTamarindstep-Key: %s\r\n"+
+		"Tamarindstep-Request-Deadline-Ms: 8000\r\nTamarindstep-Token-Counts: 1000,50\r\nContent-Length: %d\r\n\r\n%s",
+		r.Path, users.Host, r.ID, r.Key, len(body), body)
+}
+
+// TestPlatformOddCallersOfACrowdGetWholeAnswers guards against callers that are cut off as a crowd is refused on its new connections:
+// one whose request comes in parts, or with another one, gets an answer or a refusal to each as without a crowd.
+func TestPlatformOddCallersOfACrowdGetWholeAnswers(t *testing.T) {
+	w := shortOfProcessor(t, floodEngines, users.Behaviour{Events: shortEvents, Gap: streamGap})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		flood(w, floodCallers, crowdFor)
+	}()
+	time.Sleep(time.Second)
+	var asking sync.WaitGroup
+	for name, odd := range oddCallers {
+		asking.Go(func() {
+			for range oddRounds {
+				c, err := users.Dial(w.routers[0].callers)
+				if err == nil {
+					err = errors.Join(c.SetDeadline(time.Now().Add(endsSoon)), odd.send(w, c))
+				}
+				if err != nil {
+					t.Errorf("%s: %v", name, err)
+					return
+				}
+				for n := range odd.requests {
+					if !checkOdd(t, fmt.Sprintf("%s, request %d", name, n), c.Read()) {
+						break
+					}
+				}
+				c.Close()
+			}
+		})
+	}
+	asking.Wait()
+	<-ended
+}
+
+// checkOdd checks that an answer is whole, and served or refused with when to come back; it tells whether another follows.
+func checkOdd(t *testing.T, what string, got users.Answer) bool {
+	t.Helper()
+	refused := got.Status == http.StatusServiceUnavailable && got.RetryAfter != ""
+	if got.Err != nil || got.Status != http.StatusOK && !refused {
+		t.Errorf("%s: status %d, %.60q, %v", what, got.Status, got.Body, got.Err)
+	}
+	return !got.Close && got.Err == nil
+}
--- a/e2e/flood_test.go
+++ b/e2e/flood_test.go
@@ -79,13 +79,13 @@
 	served := flood(w, floodCallers, crowdFor)
 	time.Sleep(countedWithin)
 	metrics := metricsOf(t, w.routers[0])
-	accepted := metric(t, metrics, `tamarindstep_callers_work_total{kind="accepted"}`)
+	taken := metric(t, metrics, `tamarindstep_callers_work_total{kind="refused_new"}`)
 	sent := metric(t, metrics, `tamarindstep_callers_work_total{kind="sent"}`)
 	refused := metric(t, metrics, `tamarindstep_refusals_total{code="queue-full"}`)
-	t.Logf("%d served; %.0f connections taken, %.0f requests sent, %.0f refused by their header", served, accepted, sent, refused)
+	t.Logf("%d served; %.0f requests sent, %.0f refused by their header, %.0f of them on connections that were taken for them", served, sent, refused, taken)
 	w.is.True(served > 0)
 	w.is.True(refused > sent)
-	w.is.True(accepted-sent <= ordinaryPart*refused)
+	w.is.True(taken <= ordinaryPart*refused)
 }
 
 // onProcessor runs a function whose new processes run on one processor only.
--- a/e2e/notice_test.go
+++ b/e2e/notice_test.go
@@ -50,7 +50,7 @@
 	}
 	w.behave(pool, users.Behaviour{Gap: 25 * time.Millisecond})
 	await(t, "every server of the pool is used", func() bool {
-		users.Call(w.routers[w.last%routers].callers, w.request("GET", "/look/first"))
+		users.Call(w.routers[w.last.Load()%int64(routers)].callers, w.request("GET", "/look/first"))
 		for _, b := range pool {
 			if len(b.Runs()) == 0 {
 				return false
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	version  int
 	accounts map[string]string
 	idle     time.Duration // that the configuration lets connections rest
-	last     int           // number of the last request
+	last     atomic.Int64  // number of the last request
 	flags    []string      // of the routers, beside the usual ones
 }
 
@@ -122,8 +123,7 @@
 
 // request returns a new request of a path.
 func (w *world) request(method, path string) users.Request {
-	w.last++
-	return users.Request{Method: method, Path: path, Key: callerKey, ID: fmt.Sprintf("request-%d", w.last), Body: "the body"}
+	return users.Request{Method: method, Path: path, Key: callerKey, ID: fmt.Sprintf("request-%d", w.last.Add(1)), Body: "the body"}
 }
 
 func (w *world) behave(backends []*users.Backend, x users.Behaviour) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -321,9 +321,14 @@
 	a.held = nil
 }
 
-func (a *attempt) refuse(r *refusal, retryAfter time.Duration) {
+// countRefusal counts a refusal in the metrics.
+func (a *attempt) countRefusal(r *refusal) {
 	a.service.metrics.Front.Refusals.WithLabelValues(r.code).Inc()
 	a.count(r.code)
+}
+
+func (a *attempt) refuse(r *refusal, retryAfter time.Duration) {
+	a.countRefusal(r)
 	switch r {
 	case crowded: // which has a line for many
 	case tooMany:
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/tamarindstep/tamarindstep/core/admission"
 	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/internal/socket"
 	"github.com/tamarindstep/tamarindstep/internal/stall"
@@ -26,6 +27,8 @@
 	// detached is set where the connection is closed elsewhere.
 	detached bool
 	writes   writes
+	// admitted is the place of its first request, where that was let in before the connection was taken.
+	admitted *admission.Ticket
 }
 
 // writes are what an answer's log line says of the writing of it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 
 	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/blame"
+	"github.com/tamarindstep/tamarindstep/core/admission"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
 	"github.com/tamarindstep/tamarindstep/internal/clock"
@@ -84,6 +85,7 @@
 	sleepers   sleepers
 
 	listener  net.Listener
+	door      *door              // nil where the listener can't have one
 	unfollow  context.CancelFunc // ends the counting of work
 	draining  atomic.Bool
 	ending    atomic.Bool // no new requests are taken
@@ -134,6 +136,9 @@
 		return err
 	}
 	s.listener = socket.Patient{Listener: listener}
+	if s.door, err = newDoor(s, listener); err != nil {
+		return errors.Join(err, listener.Close())
+	}
 	s.ended.Add(1)
 	go s.accept()
 	following, unfollow := context.WithCancel(context.WithoutCancel(ctx))
@@ -145,43 +150,74 @@
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.unfollow()
+	err := s.shut()
+	s.closeConns(false)
+	s.ended.Wait()
+	return err
+}
+
+// shut ends the taking of connections.
+func (s *Service) shut() error {
 	err := s.listener.Close()
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
-	s.closeConns(false)
-	s.ended.Wait()
+	if s.door != nil {
+		err = errors.Join(err, s.door.close())
+	}
 	return err
 }
 
+// accept takes connections until the listener is closed.
 func (s *Service) accept() {
 	defer s.ended.Done()
 	turnedAway := newPacer(s.settings.TurnAways)
 	for {
+		if s.door != nil && !s.overloaded() && s.pending.crowded(s.now()) {
+			if s.door.meet() != nil {
+				return // it is closed
+			}
+			continue
+		}
+		if s.door != nil {
+			s.door.handOnEarly()
+		}
 		c, err := s.listener.Accept()
 		if err != nil {
 			return // it is closed
 		}
-		if s.overloaded() || s.connected.Load() >= int64(s.settings.MaxConns) {
+		if s.isFull() {
 			s.turnAway(c)
 			turnedAway.pause()
 			continue
 		}
-		s.work.did(workAccepted)
-		s.connected.Add(1)
-		s.ended.Add(1)
-		go s.serve(c)
+		s.take(c, nil)
 	}
 }
 
+// isFull tells whether a new connection is turned away unread.
+func (s *Service) isFull() bool {
+	return s.overloaded() || s.connected.Load() >= int64(s.settings.MaxConns)
+}
+
+// take serves a connection, whose first request may have been let in already.
+func (s *Service) take(c net.Conn, admitted *admission.Ticket) {
+	s.work.did(workAccepted)
+	s.connected.Add(1)
+	s.ended.Add(1)
+	go s.serve(c, admitted)
+}
+
 // serve serves one connection until it ends.
-func (s *Service) serve(raw net.Conn) {
+func (s *Service) serve(raw net.Conn, admitted *admission.Ticket) {
 	defer s.ended.Done()
 	c := newCallerConn(raw, limitsOf(s.generation.InForce()).HeaderBytes, s.settings.WriteStall)
+	c.admitted = admitted
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	defer func() {
+		s.giveBack(c.admitted)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
@@ -196,6 +232,13 @@
 	}
 }
 
+// giveBack gives a place back of a request that has never been decided on, nil for none.
+func (s *Service) giveBack(admitted *admission.Ticket) {
+	if admitted != nil {
+		s.pending.left(*admitted)
+	}
+}
+
 // serveOne serves one request, and tells whether the connection may carry
 // another.
 func (s *Service) serveOne(c *callerConn) bool {
@@ -237,7 +280,9 @@
 	case <-linger.C:
 	}
 	s.ending.Store(true)
-	_ = s.listener.Close()
+	if err := s.shut(); err != nil {
+		s.log.Warn().Err(err).Msg("the listener for callers can't be closed")
+	}
 	s.closeConns(true)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -50,6 +50,13 @@
 	return verdict, ticket
 }
 
+// crowded tells whether requests are being refused by their header.
+func (p *pending) crowded(now model.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gate.Crowded(now)
+}
+
 // decided takes the decision on a request that was let in so long ago.
 func (p *pending) decided(now model.Time, account model.AccountID, t admission.Ticket, age time.Duration, d scheduler.Decision) {
 	p.mu.Lock()
@@ -99,16 +106,29 @@
 	return time.Duration(admission.Part * float64(a.left()))
 }
 
+// subject is what the gate decides on.
+func (a *attempt) subject() admission.Request {
+	return admission.Request{Account: a.account, Route: model.HashName(a.route.Name), Within: a.within()}
+}
+
 // letIn decides by its header whether the request is read.
 func (a *attempt) letIn() {
+	if a.conn.admitted != nil {
+		a.ticket, a.conn.admitted = a.conn.admitted, nil
+		return
+	}
 	s := a.service
-	verdict, ticket := s.pending.arrive(s.now(), admission.Request{
-		Account: a.account, Route: model.HashName(a.route.Name), Within: a.within(),
-	})
+	verdict, ticket := s.pending.arrive(s.now(), a.subject())
 	if verdict.Reason == admission.Admitted {
 		a.ticket = &ticket
 		return
 	}
+	a.crowdOut(verdict)
+}
+
+// crowdOut refuses the request by its header, and lets the core count what its account asks for.
+func (a *attempt) crowdOut(verdict admission.Verdict) {
+	s := a.service
 	a.refused, a.shed = crowded, true
 	s.metrics.Front.Unread.WithLabelValues(string(verdict.Reason)).Inc()
 	s.scheduler.TurnAway(core.Unread{
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -37,16 +37,31 @@
 		_ = c.Close()
 		return
 	}
-	s.linger(c)
+	s.lingerConn(c)
 }
 
 // noteShed counts a caller that is refused as there is too much to do here.
 func (s *Service) noteShed() { s.shedNoted.note(s.log, s.scheduler.Late(), s.open.Load()) }
 
+// lingerConn is linger, of a connection that may not be one of TCP.
+func (s *Service) lingerConn(c net.Conn) {
+	half, ok := c.(halfCloser)
+	if !ok {
+		_ = c.Close()
+		return
+	}
+	s.linger(half)
+}
+
+// halfCloser is a connection one side of which can be closed.
+type halfCloser interface {
+	Close() error
+	CloseWrite() error
+}
+
 // linger ends a connection that carries its last answer, and closes it after a while.
-func (s *Service) linger(c net.Conn) {
-	half, ok := c.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil || s.shed.Load() >= maxShed {
+func (s *Service) linger(c halfCloser) {
+	if c.CloseWrite() != nil || s.shed.Load() >= maxShed {
 		_ = c.Close()
 		return
 	}
@@ -78,7 +93,7 @@
 		return a.conn.discard(length) == nil
 	}
 	a.conn.detached = true
-	a.service.linger(a.conn.Conn)
+	a.service.linger(a.conn)
 	return false
 }
 
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -35,13 +35,14 @@
 	workRefusedNew                    // requests refused by their header, the first of their connection
 	workRefusedKept                   // the same, a later one
 	workUnread                        // connections refused unread
+	workAtDoor                        // requests refused before their connection was taken
 	kindsOfWork
 )
 
 // namesOfWork are the kinds' names in metrics and lines.
 var namesOfWork = [kindsOfWork]string{
 	workAccepted: "accepted", workSent: "sent", workParts: "parts", workRefusedNew: "refused_new",
-	workRefusedKept: "refused_kept", workUnread: "refused_unread",
+	workRefusedKept: "refused_kept", workUnread: "refused_unread", workAtDoor: "refused_at_door",
 }
 
 // did counts one.
