core/admission, gateway: a router carries no more streams than it can pass on in time

Cause: the gate's window bounds what waits for a decision, and nothing what is carried after it. A stream needs some eight turns of the process until its first part is passed on, each of which comes late. The gate now counts the streams that it has let in until they end, and bounds them by how late the process comes to its turns: eight of them may take a quarter of the objective. Accounts share the bound evenly; plain requests aren't bound by it.

Ruled out: decisions (15 ms), engines (the other routers' streams began as expected).

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -15,6 +15,8 @@
 //     time. A burst at a router that has time is let in whole. From the first decision that is late
 //     on, a window holds, as for congestion of a network: it grows by one where as many as it
 //     holds are decided on in time, and halves where one isn't. Accounts share it evenly.
+//   - Laden: the router carries as many streams as it can pass on in time. Turns that come late make all
+//     of them late; from then on a bound holds, which moves by how late turns come. Accounts share it evenly.
 //   - Settled: the router is short of time, and the scheduler has just refused a request of
 //     this account and route, for a reason that isn't over.
 //
@@ -68,6 +70,7 @@
 	Admitted Reason = ""        // it isn't
 	Busy     Reason = "busy"    // it couldn't be decided on in time
 	Settled  Reason = "settled" // what was decided a moment ago holds for it
+	Laden    Reason = "laden"   // as many streams are carried as can be passed on in time
 )
 
 // Request is what the header tells of a request.
@@ -75,6 +78,10 @@
 	Account model.AccountID
 	Route   uint32        // hash of the route's name
 	Within  time.Duration // the time in which it is to be decided on
+	// Stream tells that its answer is passed on part by part, the first of them within Objective.
+	Stream    bool
+	Objective time.Duration
+	Late      time.Duration // how late the router's process comes to what is due, in the mean
 }
 
 // Decision is what the scheduler decided on a request that was let in.
@@ -91,6 +98,8 @@
 	Reason  Reason
 	Pending int // requests of the account that wait for a decision
 	Window  int // requests of all accounts that may wait for one
+	Carried int // streams that are carried
+	Bound   int // streams that may be, 0 for any number
 }
 
 // Ticket is a request that was let in. It is given back exactly once, by Decided or Left.
@@ -108,6 +117,7 @@
 	pending  int
 	accounts map[model.AccountID]int // that have any pending
 	settled  map[subject]model.Time  // until when
+	carry    carry
 }
 
 // subject is what a refusal of the scheduler speaks of.
@@ -124,18 +134,24 @@
 	}
 	return &Gate{
 		quick: quick, window: math.Inf(1),
-		accounts: map[model.AccountID]int{}, settled: map[subject]model.Time{},
+		accounts: map[model.AccountID]int{}, settled: map[subject]model.Time{}, carry: newCarry(),
 	}
 }
 
 // Arrive decides on a header. The ticket is valid where the reason is Admitted.
 func (g *Gate) Arrive(now model.Time, r Request) (Verdict, Ticket) {
+	if r.Stream {
+		g.carry.move(now, r.Late, r.Objective)
+	}
 	v := g.judge(now, r)
 	if v.Reason != Admitted {
 		g.refused, g.crowded = now, true
 		return v, Ticket{}
 	}
 	g.count(r.Account, 1)
+	if r.Stream {
+		g.carry.add(r.Account, 1)
+	}
 	return v, Ticket{r}
 }
 
@@ -146,9 +162,11 @@
 func (g *Gate) judge(now model.Time, r Request) Verdict {
 	own := g.accounts[r.Account]
 	window := g.windowFor(r)
-	v := Verdict{Pending: own, Window: int(window)}
+	v := Verdict{Pending: own, Window: int(window), Carried: g.carry.carried, Bound: g.carry.bound()}
 	pressed := float64(g.pending) >= pressedFrom*window
 	switch {
+	case r.Stream && !g.carry.allows(now, r.Account):
+		v.Reason = Laden
 	case own == 0:
 	case float64(own) >= window/float64(len(g.accounts)):
 		v.Reason = Busy
@@ -195,6 +213,17 @@
 	}
 }
 
+// Ended takes that a request which was let in has ended, and carries no stream any more. It is told exactly once of each, after
+// Decided or Left.
+func (g *Gate) Ended(t Ticket) {
+	if t.request.Stream {
+		g.carry.add(t.request.Account, -1)
+	}
+}
+
+// Carried returns how many streams are carried, and how many may be; infinite where turns come in time.
+func (g *Gate) Carried() (carried int, limit float64) { return g.carry.carried, g.carry.limit }
+
 // Left takes back a request that has ended without a decision.
 func (g *Gate) Left(t Ticket) { g.count(t.request.Account, -1) }
 
--- /dev/null
+++ b/core/admission/carry.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+const (
+	// turns is about how often a router's process has its turn for one request until the first part of its answer is passed on: to
+	// take it, to decide, to connect, to write, to read the answer's head and its first part. As each turn comes late, so
+	// does the answer, that many times over.
+	turns = 8
+	// latePart is the part of a request's objective that the router's turns may take of it together. A caller who is refused within a
+	// quarter can still be served in time when it returns; one whose answer is late by as much mostly isn't.
+	latePart = 0.25
+	// carryEvery is how often the bound moves: a few times in the time that a stream takes.
+	carryEvery = 100 * time.Millisecond
+	// carryCut is the most that is left of the bound where turns come late, as late as what is carried makes them, and carryMostCut
+	// the least. carryGrowth is how much it grows by where they don't.
+	carryCut     = 0.9
+	carryMostCut = 0.5
+	carryGrowth  = 1.03
+	// leastCarried keeps some streams coming, as only they tell that there is time again.
+	leastCarried = 4
+	// carryOpenAfter is how long nobody must have been refused by the bound for there to be none any more.
+	carryOpenAfter = 2 * time.Second
+)
+
+// carry bounds how many streams a router carries at once, by how late its turns come. It says what the gate's window can't: requests
+// may be decided on at once and their answers passed on late.
+type carry struct {
+	limit    float64
+	moved    model.Time
+	refused  model.Time // when somebody was last refused by it
+	carried  int
+	accounts map[model.AccountID]int // that have any carried
+}
+
+func newCarry() carry {
+	return carry{limit: math.Inf(1), accounts: map[model.AccountID]int{}}
+}
+
+// allows tells whether another stream of an account may be carried. Accounts share the bound evenly.
+func (c *carry) allows(now model.Time, account model.AccountID) bool {
+	if math.IsInf(c.limit, 1) {
+		return true
+	}
+	own := c.accounts[account]
+	sharing := len(c.accounts)
+	if own == 0 {
+		sharing++
+	}
+	if float64(own) < max(c.limit/float64(sharing), 1) {
+		return true
+	}
+	c.refused = now
+	return false
+}
+
+// bound returns how many streams may be carried, 0 for any number.
+func (c *carry) bound() int {
+	if math.IsInf(c.limit, 1) {
+		return 0
+	}
+	return int(c.limit)
+}
+
+// add counts a stream that begins, or with -1 one that has ended.
+func (c *carry) add(account model.AccountID, n int) {
+	c.carried += n
+	c.accounts[account] += n
+	if c.accounts[account] == 0 {
+		delete(c.accounts, account)
+	}
+}
+
+// move moves the bound by how late turns come, as a request with an objective comes.
+func (c *carry) move(now model.Time, late, objective time.Duration) {
+	if objective <= 0 || now < c.moved+carryEvery {
+		return
+	}
+	c.moved = now
+	part := latePart * float64(objective) / (turns * float64(max(late, 1))) // of what turns take that they may
+	isLate := part < 1
+	switch {
+	case isLate && float64(c.carried) > math.Ceil(c.limit): // what is beyond the bound ends by itself
+	case isLate:
+		c.limit = max(min(max(part, carryMostCut), carryCut)*float64(c.carried), leastCarried)
+		c.refused = now
+	case math.IsInf(c.limit, 1):
+	case now > c.refused+carryOpenAfter:
+		c.limit = math.Inf(1)
+	case float64(c.carried) >= carryCut*c.limit:
+		c.limit *= carryGrowth
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,7 @@
 	refused    *refusal          // found by its header
 	shed       bool              // it is refused for what there is to do here
 	ticket     *admission.Ticket // its place among those that wait for a decision, until there is one
+	carried    *admission.Ticket // its place among those that are carried, until it has ended
 	began      time.Duration     // by the clock that counts sleep, as the deadline is
 	deadline   time.Duration
 	ctx        context.Context // ends when the caller has left, or its time is over
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// doorBatch is how many new connections are looked at in one turn, before whatever else can run has its own.
+	// doorBatch is how many new connections are taken at once.
 	doorBatch = 16
+	// doorTurn is how long new connections are looked at before whatever else can run has its turn. The runtime would
+	// end a turn after 10 ms; a router has many for each request.
+	doorTurn = 2 * time.Millisecond
 	// doorBuffer is how much is read of what comes on a new connection, in bytes: as much as is read of the body of a request
 	// that is refused.
 	doorBuffer = maxDiscarded
@@ -48,7 +51,8 @@
 	reader   *bufio.Reader
 	request  fasthttp.Request
 	answer   []byte
-	early    []early // by age
+	early    []early   // by age
+	turn     time.Time // when the present turn began
 }
 
 func newDoor(s *Service, l net.Listener) (*door, error) {
@@ -89,10 +93,19 @@
 			d.early = append(d.early, early{c, now})
 		}
 	}
-	runtime.Gosched()
+	d.yield()
 	return nil
 }
 
+// yield lets all others have their turn, once the door's is over.
+func (d *door) yield() {
+	if time.Since(d.turn) < doorTurn {
+		return
+	}
+	runtime.Gosched()
+	d.turn = time.Now()
+}
+
 // leave closes the connections that wait.
 func (d *door) leave() {
 	for _, e := range d.early {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -236,6 +236,7 @@
 func (s *Service) giveBack(admitted *admission.Ticket) {
 	if admitted != nil {
 		s.pending.left(*admitted)
+		s.pending.ended(*admitted)
 	}
 }
 
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -74,10 +74,21 @@
 	p.note()
 }
 
+// ended takes that a request that was let in has ended.
+func (p *pending) ended(t admission.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gate.Ended(t)
+	p.note()
+}
+
 // note shows operators how much waits for a decision, and how much may.
 func (p *pending) note() {
 	p.metrics.Pending.Set(float64(p.gate.Pending()))
 	p.metrics.Window.Set(p.gate.Window())
+	carried, limit := p.gate.Carried()
+	p.metrics.Carried.Set(float64(carried))
+	p.metrics.CarriedLimit.Set(limit)
 }
 
 // crowd counts a request of an account that is refused by its header. It returns how many
@@ -108,19 +119,23 @@
 
 // subject is what the gate decides on.
 func (a *attempt) subject() admission.Request {
-	return admission.Request{Account: a.account, Route: model.HashName(a.route.Name), Within: a.within()}
+	return admission.Request{
+		Account: a.account, Route: model.HashName(a.route.Name), Within: a.within(),
+		Stream: a.route.Through.Streaming, Objective: a.route.Through.Objective, Late: a.service.scheduler.Late(),
+	}
 }
 
 // letIn decides by its header whether the request is read.
 func (a *attempt) letIn() {
 	if a.conn.admitted != nil {
 		a.ticket, a.conn.admitted = a.conn.admitted, nil
+		a.carried = a.ticket
 		return
 	}
 	s := a.service
 	verdict, ticket := s.pending.arrive(s.now(), a.subject())
 	if verdict.Reason == admission.Admitted {
-		a.ticket = &ticket
+		a.ticket, a.carried = &ticket, &ticket
 		return
 	}
 	a.crowdOut(verdict)
@@ -140,12 +155,16 @@
 	}
 }
 
-// letGo gives the request's place among those that wait for a decision back, where it has one.
+// letGo gives the request's places back, where it has any: among those that wait for a decision, and among those that are carried.
 func (a *attempt) letGo() {
 	if a.ticket != nil {
 		a.service.pending.left(*a.ticket)
 		a.ticket = nil
 	}
+	if a.carried != nil {
+		a.service.pending.ended(*a.carried)
+		a.carried = nil
+	}
 }
 
 // noteDecision takes the first decision on the request.
@@ -165,7 +184,7 @@
 // one was, and what the last decision on one of them was.
 func (a *attempt) logCrowded(refused int64, v admission.Verdict, last scheduler.Decision) {
 	logBasis(a.log("crowded"), last.Basis).Int64("refused", refused).Str("reason", string(v.Reason)).
-		Int("waiting", v.Pending).Int("window", v.Window).
+		Int("waiting", v.Pending).Int("window", v.Window).Int("carried", v.Carried).Int("carried_limit", v.Bound).
 		Bool("last_dispatched", last.Dispatched).Str("last_reason", string(last.Refusal)).
 		Msg("request refused by its header")
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -42,21 +42,23 @@
 
 // Front counts the callers' requests.
 type Front struct {
-	Requests  *prometheus.CounterVec   // by account, route, outcome
-	Refusals  *prometheus.CounterVec   // by code
-	Wait      *prometheus.HistogramVec // seconds, by account, class, policy
-	First     *prometheus.HistogramVec // seconds to the first byte, by route
-	Held      *prometheus.GaugeVec     // bytes, by what
-	HeldLimit prometheus.Gauge
-	GaveWay   *prometheus.CounterVec // by what
-	Ended     prometheus.Counter
-	Breaches  *prometheus.CounterVec // answers broken off towards their callers, by Breach
-	Notices   *prometheus.CounterVec // by what they say
-	Open      prometheus.Gauge
-	Unread    *prometheus.CounterVec // by reason
-	Pending   prometheus.Gauge
-	Window    prometheus.Gauge       // requests, infinite where none was late
-	Work      *prometheus.CounterVec // by kind
+	Requests     *prometheus.CounterVec   // by account, route, outcome
+	Refusals     *prometheus.CounterVec   // by code
+	Wait         *prometheus.HistogramVec // seconds, by account, class, policy
+	First        *prometheus.HistogramVec // seconds to the first byte, by route
+	Held         *prometheus.GaugeVec     // bytes, by what
+	HeldLimit    prometheus.Gauge
+	GaveWay      *prometheus.CounterVec // by what
+	Ended        prometheus.Counter
+	Breaches     *prometheus.CounterVec // answers broken off towards their callers, by Breach
+	Notices      *prometheus.CounterVec // by what they say
+	Open         prometheus.Gauge
+	Unread       *prometheus.CounterVec // by reason
+	Pending      prometheus.Gauge
+	Window       prometheus.Gauge // requests, infinite where none was late
+	Carried      prometheus.Gauge
+	CarriedLimit prometheus.Gauge       // streams, infinite where the router's turns come in time
+	Work         *prometheus.CounterVec // by kind
 }
 
 // Breach is why an answer that had begun isn't whole.
@@ -119,21 +121,23 @@
 			Copied: f.counter("between_halls_copied_tokens_total", "Tokens of prompts that backend servers were told to copy from another data hall."),
 		},
 		Front: &Front{
-			Requests:  f.counters("requests_total", "Requests by their end.", "account", "route", "outcome"),
-			Refusals:  f.counters("refusals_total", "Requests refused, by reason.", "code"),
-			Wait:      f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
-			First:     f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
-			Ended:     f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
-			Held:      f.gauges("held_bytes", "Bytes that are held for callers.", "what"),
-			HeldLimit: f.gauge("held_bytes_limit", "Bytes that may be held for callers."),
-			GaveWay:   f.counters("gave_way_total", "Requests refused unread and answers passed on in parts, as there was no room to hold them.", "what"),
-			Breaches:  f.counters("broken_answers_total", "Answers broken off towards their callers, by cause.", "cause"),
-			Notices:   f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
-			Open:      f.gauge("requests_open", "Requests being served."),
-			Unread:    f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
-			Pending:   f.gauge("requests_pending", "Requests that were let in and aren't decided on yet."),
-			Window:    f.gauge("requests_pending_limit", "Requests that may wait for a decision as it would else be late."),
-			Work:      f.counters("callers_work_total", "What was done for callers, by kind: what processor time goes into.", "kind"),
+			Requests:     f.counters("requests_total", "Requests by their end.", "account", "route", "outcome"),
+			Refusals:     f.counters("refusals_total", "Requests refused, by reason.", "code"),
+			Wait:         f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
+			First:        f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
+			Ended:        f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
+			Held:         f.gauges("held_bytes", "Bytes that are held for callers.", "what"),
+			HeldLimit:    f.gauge("held_bytes_limit", "Bytes that may be held for callers."),
+			GaveWay:      f.counters("gave_way_total", "Requests refused unread and answers passed on in parts, as there was no room to hold them.", "what"),
+			Breaches:     f.counters("broken_answers_total", "Answers broken off towards their callers, by cause.", "cause"),
+			Notices:      f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
+			Open:         f.gauge("requests_open", "Requests being served."),
+			Unread:       f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
+			Pending:      f.gauge("requests_pending", "Requests that were let in and aren't decided on yet."),
+			Window:       f.gauge("requests_pending_limit", "Requests that may wait for a decision as it would else be late."),
+			Carried:      f.gauge("streams_carried", "Streams that were let in and haven't ended."),
+			CarriedLimit: f.gauge("streams_carried_limit", "Streams that may be carried, as more would be passed on late."),
+			Work:         f.counters("callers_work_total", "What was done for callers, by kind: what processor time goes into.", "kind"),
 		},
 		Share: &Share{
 			Dispatched: f.counters("dispatched_total", "Requests sent to a backend server.", "account", "backend", "policy"),
