core/admission: the bound of streams opens only where it doesn't bind, and grows by a tenth

Opened two seconds after the last late turn, the bound lets in all that comes while it binds, as with 20 streams that the processor is enough for and streams of 728 ms: 29 and more were carried in the mean.

The bound now opens once neither a turn was late nor as many were carried as may be for two seconds, and grows by a tenth, so that one that was cut to the least is back within seconds.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -162,7 +162,7 @@
 func (g *Gate) judge(now model.Time, r Request) Verdict {
 	own := g.accounts[r.Account]
 	window := g.windowFor(r)
-	v := Verdict{Pending: own, Window: int(window), Carried: g.carry.carried, Bound: g.carry.bound()}
+	v := Verdict{Pending: own, Window: int(window), Carried: g.carry.carried, Bound: g.carry.most()}
 	pressed := float64(g.pending) >= pressedFrom*window
 	switch {
 	case r.Stream && !g.carry.allows(r.Account):
--- a/core/admission/carry.go
+++ b/core/admission/carry.go
@@ -19,10 +19,10 @@
 	carryEvery = 100 * time.Millisecond
 	// carryCut is what is left of the bound where turns come late, and carryGrowth how much it grows by where they don't.
 	carryCut    = 0.9
-	carryGrowth = 1.03
+	carryGrowth = 1.1
 	// leastCarried keeps some streams coming, as only they tell that there is time again.
 	leastCarried = 4
-	// carryOpenAfter is how long no turn must be late for there to be no bound any more.
+	// carryOpenAfter is how long no turn must be late, and less be carried than may be, for there to be no bound any more.
 	carryOpenAfter = 2 * time.Second
 )
 
@@ -31,7 +31,7 @@
 type carry struct {
 	limit    float64
 	moved    model.Time
-	late     model.Time // when turns last came late
+	bound    model.Time // when turns last came late, or as many were carried as may be
 	carried  int
 	accounts map[model.AccountID]int // that have any carried
 }
@@ -53,8 +53,8 @@
 	return float64(own) < max(c.limit/float64(sharing), 1)
 }
 
-// bound returns how many streams may be carried, 0 for any number.
-func (c *carry) bound() int {
+// most returns how many streams may be carried, 0 for any number.
+func (c *carry) most() int {
 	if math.IsInf(c.limit, 1) {
 		return 0
 	}
@@ -79,12 +79,13 @@
 	isLate := float64(late)*turns > latePart*float64(objective)
 	switch {
 	case isLate:
-		c.late = now
+		c.bound = now
 		c.limit = max(carryCut*min(c.limit, float64(c.carried)), leastCarried)
 	case math.IsInf(c.limit, 1):
-	case now > c.late+carryOpenAfter:
-		c.limit = math.Inf(1)
 	case float64(c.carried) >= carryCut*c.limit:
+		c.bound = now
 		c.limit *= carryGrowth
+	case now > c.bound+carryOpenAfter:
+		c.limit = math.Inf(1)
 	}
 }
