gateway: a router that was told to stop ends without an error

A planned stop ended with exit status 1, found by TestPlatformPlannedStop before any landing: the door is closed as the router stops taking requests and once more at its end, and a file that is closed twice says so with an error of package os, not net.

--- a/gateway/door.go
+++ b/gateway/door.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"net"
+	"os"
 	"runtime"
 	"time"
 
@@ -69,7 +69,7 @@
 // close ends the door, and a call of meet that waits.
 func (d *door) close() error {
 	err := d.acceptor.Close()
-	if errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, os.ErrClosed) {
 		return nil
 	}
 	return err
