--- a/gateway/door.go
+++ b/gateway/door.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"net"
 	"os"
 	"runtime"
 	"time"
