--- a/e2e/crowd_bench_test.go
+++ b/e2e/crowd_bench_test.go
@@ -24,6 +24,17 @@
 	b.ReportMetric(float64(refused)/float64(b.N), "refused/req")
 }
 
+// BenchmarkPlatformRefusalOfNewConnections measures the same where each request has a connection of its own.
+func BenchmarkPlatformRefusalOfNewConnections(b *testing.B) {
+	w := newWorld(b, 1, "--processor", "0.01")
+	w.behave(w.engines, users.Behaviour{Events: streamEvents, Gap: time.Second})
+	before := processorTime(b, w.routers[0])
+	served := callMany(w, "/chat/1", b.N)
+	spent := processorTime(b, w.routers[0]) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us-processor/req")
+	b.ReportMetric(1-float64(served)/float64(b.N), "refused/req")
+}
+
 // pressOn makes so many requests of a path, on as many connections as there are callers, and returns how many were refused.
 func pressOn(w *world, path string, requests int) int64 {
 	var callers sync.WaitGroup
