core/admission: an even part binds only where the bound does, and the door opens to crowds

Callers were refused in calm seconds (1,172 for 817 of some 2,080).

An account was refused beyond its even part of the bound while far fewer streams were carried than might be: now any account's are let in up to the bound, and beyond it those of accounts with less than an even part. And the door was used wherever one request had been refused within the second, though who is let in costs more there: now most new connections must have brought requests that were refused. A router also carries a tenth of its processor's worth of streams in any case, as it is late for other reasons when it starts.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -57,6 +57,10 @@
 	// crowdedFor is how long after a refusal a router counts as crowded: callers who are refused come again within some
 	// hundreds of milliseconds.
 	crowdedFor = time.Second
+	// crowdedFrom is the part of new connections that must bring a request which is refused, and newWeight the weight of the newest
+	// one: refusing a request before its connection is taken saves about as much as it costs more to take one afterwards.
+	crowdedFrom = 0.5
+	newWeight   = 1.0 / 32
 	// longestHold bounds what one refusal settles: load reports of other routers are about as
 	// old, and what they tell may change it.
 	longestHold = 100 * time.Millisecond
@@ -81,6 +85,7 @@
 	// Stream tells that its answer is passed on part by part, the first of them within Objective.
 	Stream    bool
 	Objective time.Duration
+	First     bool          // it is the first one of its connection
 	Late      time.Duration // how late the router's process comes to what is due, in the mean
 }
 
@@ -108,16 +113,16 @@
 // Gate is the state machine. It does no I/O and reads no clock; it isn't safe for use by
 // several goroutines at once.
 type Gate struct {
-	quick    time.Duration // quickTake with this router's part of a core
-	window   float64
-	cutUntil model.Time // when the window may be cut again
-	late     model.Time // when the last decision was late
-	refused  model.Time // when a request was last refused
-	crowded  bool       // one was
-	pending  int
-	accounts map[model.AccountID]int // that have any pending
-	settled  map[subject]model.Time  // until when
-	carry    carry
+	quick     time.Duration // quickTake with this router's part of a core
+	window    float64
+	cutUntil  model.Time // when the window may be cut again
+	late      model.Time // when the last decision was late
+	refused   model.Time // when a request was last refused
+	newcomers float64    // mean of new connections whose requests are refused
+	pending   int
+	accounts  map[model.AccountID]int // that have any pending
+	settled   map[subject]model.Time  // until when
+	carry     carry
 }
 
 // subject is what a refusal of the scheduler speaks of.
@@ -134,7 +139,7 @@
 	}
 	return &Gate{
 		quick: quick, window: math.Inf(1),
-		accounts: map[model.AccountID]int{}, settled: map[subject]model.Time{}, carry: newCarry(),
+		accounts: map[model.AccountID]int{}, settled: map[subject]model.Time{}, carry: newCarry(processor),
 	}
 }
 
@@ -144,8 +149,11 @@
 		g.carry.move(now, r.Late, r.Objective)
 	}
 	v := g.judge(now, r)
+	if r.First {
+		g.noteNewcomer(v.Reason != Admitted)
+	}
 	if v.Reason != Admitted {
-		g.refused, g.crowded = now, true
+		g.refused = now
 		return v, Ticket{}
 	}
 	g.count(r.Account, 1)
@@ -155,8 +163,18 @@
 	return v, Ticket{r}
 }
 
-// Crowded tells whether requests were refused of late, so that others are likely to be.
-func (g *Gate) Crowded(now model.Time) bool { return g.crowded && now < g.refused+crowdedFor }
+// Crowded tells whether most new connections have brought requests that were refused, of late.
+func (g *Gate) Crowded(now model.Time) bool {
+	return g.newcomers >= crowdedFrom && now < g.refused+crowdedFor
+}
+
+// noteNewcomer counts a new connection, and whether its request is refused.
+func (g *Gate) noteNewcomer(refused bool) {
+	g.newcomers *= 1 - newWeight
+	if refused {
+		g.newcomers += newWeight
+	}
+}
 
 // judge decides on a header.
 func (g *Gate) judge(now model.Time, r Request) Verdict {
--- a/core/admission/carry.go
+++ b/core/admission/carry.go
@@ -20,8 +20,10 @@
 	// carryCut is what is left of the bound where turns come late, and carryGrowth how much it grows by where they don't.
 	carryCut    = 0.9
 	carryGrowth = 1.1
-	// leastCarried keeps some streams coming, as only they tell that there is time again.
-	leastCarried = 4
+	// leastCarried is how many streams a whole core carries at the least: a stream takes about a millisecond of it in each second, so
+	// that these take a tenth, and turns that come late while no more are carried aren't late for them. A router that
+	// has just started is late for seconds, whatever it carries.
+	leastCarried = 100
 	// carryOpenAfter is how long no turn must be late, and less be carried than may be, for there to be no bound any more.
 	carryOpenAfter = 2 * time.Second
 )
@@ -29,6 +31,7 @@
 // carry bounds how many streams a router carries at once, by how late its turns come. It says what the gate's window can't: requests
 // may be decided on at once and their answers passed on late.
 type carry struct {
+	least    float64 // streams that are carried in any case
 	limit    float64
 	moved    model.Time
 	bound    model.Time // when turns last came late, or as many were carried as may be
@@ -36,13 +39,18 @@
 	accounts map[model.AccountID]int // that have any carried
 }
 
-func newCarry() carry {
-	return carry{limit: math.Inf(1), accounts: map[model.AccountID]int{}}
+// newCarry returns the bound of a router that has a part of a core, 0 for as many as it needs.
+func newCarry(processor float64) carry {
+	if processor <= 0 {
+		processor = 1
+	}
+	return carry{least: max(leastCarried*processor, 1), limit: math.Inf(1), accounts: map[model.AccountID]int{}}
 }
 
-// allows tells whether another stream of an account may be carried. Accounts share the bound evenly.
+// allows tells whether another stream of an account may be carried: of any account while less is carried than may be, and beyond that of
+// one that has less than an even part.
 func (c *carry) allows(account model.AccountID) bool {
-	if math.IsInf(c.limit, 1) {
+	if float64(c.carried) < c.limit {
 		return true
 	}
 	own := c.accounts[account]
@@ -80,7 +88,7 @@
 	switch {
 	case isLate:
 		c.bound = now
-		c.limit = max(carryCut*min(c.limit, float64(c.carried)), leastCarried)
+		c.limit = max(carryCut*min(c.limit, float64(c.carried)), c.least)
 	case math.IsInf(c.limit, 1):
 	case float64(c.carried) >= carryCut*c.limit:
 		c.bound = now
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -122,6 +122,7 @@
 	return admission.Request{
 		Account: a.account, Route: model.HashName(a.route.Name), Within: a.within(),
 		Stream: a.route.Through.Streaming, Objective: a.route.Through.Objective, Late: a.service.scheduler.Late(),
+		First: a.conn.writes.rested == 0,
 	}
 }
 
