gateway: a place given at the door is the first request's, whatever becomes of it

A request that was let in at the door, and whose connection was taken, could find its router behind, or its route gone: its place among those that wait then stayed with the connection until a later request of it took it, of another account perhaps, or its end. The place now goes to the request as its header is read, which gives it back as it ends. Found by reading; no run showed it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,13 +65,15 @@
 	s := a.service
 	a.began = s.clock.Now()
 	a.keep = !a.req.Header.ConnectionClose() && !s.draining.Load() && !s.crowdedOut()
+	a.ticket, a.conn.admitted = a.conn.admitted, nil
+	a.carried = a.ticket
 	if s.overloaded() {
 		a.keep = false // the next one is turned away unread, or goes to another router
 		a.refused, a.shed = tooMany, true
 		return
 	}
 	a.refused = a.understand()
-	if a.refused == nil {
+	if a.refused == nil && a.ticket == nil {
 		a.letIn()
 	}
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -27,7 +27,7 @@
 	// detached is set where the connection is closed elsewhere.
 	detached bool
 	writes   writes
-	// admitted is the place of its first request, where that was let in before the connection was taken.
+	// admitted is the place of its first request, where that was let in before the connection was taken, until it is read.
 	admitted *admission.Ticket
 }
 
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -128,11 +128,6 @@
 
 // letIn decides by its header whether the request is read.
 func (a *attempt) letIn() {
-	if a.conn.admitted != nil {
-		a.ticket, a.conn.admitted = a.conn.admitted, nil
-		a.carried = a.ticket
-		return
-	}
 	s := a.service
 	verdict, ticket := s.pending.arrive(s.now(), a.subject())
 	if verdict.Reason == admission.Admitted {
