platform, gateway: read software versions of backend servers and log them

Callers got streams with events of two software versions. The log couldn't tell the hypotheses apart: a dispatch named neither its server's version nor which stream it goes on with. Announcements and the operators' file now have the version, the catalog carries it to the other routers, and the line `request dispatched` names it, with the last event and the request that a caller names. Nothing is decided by it yet.

--- a/config/compile.go
+++ b/config/compile.go
@@ -85,7 +85,8 @@
 	DataHall string
 	Slots    int
 	Leaving  bool
-	Cold     bool // started recently and still slow
+	Cold     bool   // started recently and still slow
+	Version  string // of its software, "" if not announced
 }
 
 // Compile compiles a file that has passed all checks.
@@ -198,7 +199,7 @@
 		for _, b := range p.Backends {
 			id := model.Backend(b.Name)
 			c.Core.Backends[id] = core.Backend{
-				Name: b.Name, Pool: model.Pool(p.Name), DataHall: b.DataHall, Slots: b.Slots,
+				Name: b.Name, Pool: model.Pool(p.Name), DataHall: b.DataHall, Slots: b.Slots, Version: b.Version,
 			}
 			c.addresses[id] = b.Address
 		}
@@ -216,7 +217,7 @@
 		id := d.Backend()
 		c.Core.Backends[id] = core.Backend{
 			Name: d.Name, Born: d.Born, Pool: pool, DataHall: d.DataHall, Slots: d.Slots, Leaving: d.Leaving,
-			Cold: d.Cold,
+			Cold: d.Cold, Version: d.Version,
 		}
 		c.addresses[id] = d.Address
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -100,6 +100,8 @@
 	Address  string `yaml:"address,required" json:"address"` // IP and port
 	DataHall string `yaml:"data-hall,required" json:"data-hall"`
 	Slots    int    `yaml:"slots,required" json:"slots"` // concurrent requests
+	// Version is the version of its software. A stream is resumed only by a backend server of the version that began it.
+	Version string `yaml:"version" json:"version,omitempty"`
 }
 
 // The ways to handle keyed requests while the store is unavailable.
--- a/core/config.go
+++ b/core/config.go
@@ -41,6 +41,8 @@
 	Evacuated bool
 	// Cold reports that it has announced a slow start.
 	Cold bool
+	// Version is the version of its software, "" if it announces none.
+	Version string
 }
 
 // Pool is a pool's configuration.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -272,13 +273,22 @@
 }
 
 // logDispatch logs a dispatch with the basis of the decision.
-func (a *attempt) logDispatch(d scheduler.Decision, backend string, inForce *config.Compiled) {
-	logBasis(a.log("dispatched"), d.Basis).Str("backend", backend).Int("send", a.sends+1).
+func (a *attempt) logDispatch(d scheduler.Decision, backend core.Backend, inForce *config.Compiled) {
+	logBasis(a.logResumed(a.log("dispatched")), d.Basis).Str("backend", backend.Name).Str("version", backend.Version).Int("send", a.sends+1).
 		Dur("waited_ms", d.Waited).Int("copied", d.Copied).
 		Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).Uint64("halls", inForce.Halls).
 		Msg("request dispatched")
 }
 
+// logResumed adds to a log line which stream the request resumes, if it does.
+func (a *attempt) logResumed(line *zerolog.Event) *zerolog.Event {
+	after := cmp.Or(a.relay.lastEventID(), a.meta.LastEvent)
+	if after == "" {
+		return line
+	}
+	return line.Str("after_event", after).Str("resumes", a.meta.Resumes)
+}
+
 // logBasis adds the basis of a decision to a log line.
 func logBasis(line *zerolog.Event, b prompt.Basis) *zerolog.Event {
 	return line.Dur("delay_ms", b.Delay).Dur("soonest_ms", b.MinDelay).Int("unread", b.PrefillTokens).
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -28,6 +28,8 @@
 	Prompt   model.Prompt
 	// LastEvent is the identifier of the last event received of a stream that the caller resumes, "" for none.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of that stream, "" if the caller doesn't name it.
+	Resumes string
 }
 
 // Forward is the metadata sent to a backend server with a request.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -20,7 +20,7 @@
 	s := a.service
 	inForce := s.generation.InForce()
 	backend := inForce.Core.Backends[d.Backend]
-	a.logDispatch(d, backend.Name, inForce)
+	a.logDispatch(d, backend, inForce)
 	a.bodyShared = true
 	a.sentAt = time.Now()
 	req := &fasthttp.Request{}
--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -238,7 +238,7 @@
 func entryOf(d *config.Discovered) *wire.CatalogEntry {
 	return &wire.CatalogEntry{
 		Name: d.Name, BornMs: d.Born, Pool: d.Pool, Address: d.Address, DataHall: d.DataHall,
-		Slots: uint32(d.Slots), Leaving: d.Leaving, Cold: d.Cold,
+		Slots: uint32(d.Slots), Leaving: d.Leaving, Cold: d.Cold, Version: d.Version,
 	}
 }
 
@@ -249,7 +249,7 @@
 		out = append(out, config.Discovered{
 			Incarnation: incarnationOf(e),
 			Pool:        e.Pool, Address: e.Address, DataHall: e.DataHall,
-			Slots: int(e.Slots), Leaving: e.Leaving, Cold: e.Cold,
+			Slots: int(e.Slots), Leaving: e.Leaving, Cold: e.Cold, Version: e.Version,
 		})
 	}
 	return out
