--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -19,6 +19,7 @@
 	HoldUntil          chan struct{} // a plain answer is delayed until this is closed, nil for no delay
 	AbortAfter         int           // events after which the answer is aborted, 0 for never
 	AbortWithinEvent   bool          // it is aborted within the next event
+	AbortEvery         int           // only every nth run is aborted, and none that resumes a stream; 0 for all runs
 	NoLength           bool          // the answer has no length and ends with its connection
 	Reset              bool          // the connection is reset instead of closed
 	Drop               bool          // the connection is closed without an answer once the request is read
@@ -46,6 +47,7 @@
 type Backend struct {
 	Name, Pool, DataHall string
 	ColdFor              time.Duration // announced remaining duration of the cold start
+	Version              string        // announced version of its software, which its events name if it isn't DefaultVersion
 
 	startedMS int64 // announced start, in Unix milliseconds; 0 if not announced
 	listener  net.Listener
@@ -62,28 +64,42 @@
 	conns     map[net.Conn]bool
 }
 
+// DefaultVersion is the software version of backend servers for which none is given.
+const DefaultVersion = "v1"
+
 // NewBackend starts a backend server on loopback and announces it.
 func NewBackend(store *Store, name, pool, dataHall string) (*Backend, error) {
-	return newBackendAt("127.0.0.1:0", store, announcement{name: name, pool: pool, dataHall: dataHall})
+	return NewBackendOf(DefaultVersion, store, name, pool, dataHall)
+}
+
+// NewBackendOf is NewBackend for a version of the backend server's software.
+func NewBackendOf(version string, store *Store, name, pool, dataHall string) (*Backend, error) {
+	return newBackendAt("127.0.0.1:0", store, announcement{name: name, pool: pool, dataHall: dataHall, version: version})
 }
 
 // RestartAs stops a backend server, removes its entry and starts another one at its address under another name.
 func (b *Backend) RestartAs(name string) (*Backend, error) {
 	b.Close()
 	b.store.Remove("servers/" + b.Name)
-	return newBackendAt(b.listener.Addr().String(), b.store, announcement{name: name, pool: b.Pool, dataHall: b.DataHall})
+	return newBackendAt(b.listener.Addr().String(), b.store, announcement{name: name, pool: b.Pool, dataHall: b.DataHall, version: b.Version})
 }
 
 // Restart stops a backend server and starts it again at its address and under its name. Its entry remains in the store
 // and receives the new start time.
 func (b *Backend) Restart(startedMS int64) (*Backend, error) {
+	return b.RestartAt(b.Version, startedMS)
+}
+
+// RestartAt is Restart at another version of the backend server's software.
+func (b *Backend) RestartAt(version string, startedMS int64) (*Backend, error) {
 	b.Close()
-	return newBackendAt(b.listener.Addr().String(), b.store, announcement{name: b.Name, pool: b.Pool, dataHall: b.DataHall, startedMS: startedMS})
+	return newBackendAt(b.listener.Addr().String(), b.store, announcement{name: b.Name, pool: b.Pool, dataHall: b.DataHall, version: version, startedMS: startedMS})
 }
 
 // announcement holds what a backend server process announces in its entry.
 type announcement struct {
 	name, pool, dataHall string
+	version              string
 	startedMS            int64 // 0 if the start isn't announced
 }
 
@@ -94,7 +110,7 @@
 	}
 	b := &Backend{
 		Name: announced.name, Pool: announced.pool, DataHall: announced.dataHall, startedMS: announced.startedMS,
-		listener: listener, store: store, conns: map[net.Conn]bool{}, closed: make(chan struct{}),
+		Version: announced.version, listener: listener, store: store, conns: map[net.Conn]bool{}, closed: make(chan struct{}),
 	}
 	b.Announce("ready")
 	b.wg.Add(1)
@@ -105,7 +121,7 @@
 // Announce writes the backend server's entry, with a state, to the store.
 func (b *Backend) Announce(state string) {
 	entry := map[string]any{
-		"service": b.Pool, "address": b.listener.Addr().String(), "zone": b.DataHall, "version": "v1",
+		"service": b.Pool, "address": b.listener.Addr().String(), "zone": b.DataHall, "version": b.Version,
 		"slots": 8, "state": state, "cold_remaining_ms": b.ColdFor.Milliseconds(), "call_seq": 0,
 	}
 	if b.startedMS > 0 {
@@ -318,7 +334,20 @@
 }
 
 // Event returns the nth event of a stream.
-func Event(n int) string { return fmt.Sprintf("id: %d\ndata: word-%d\n\n", n, n) }
+func Event(n int) string { return EventOf(DefaultVersion, n) }
+
+// aborts reports whether a run, the number of which is given, is aborted if it began after the given event.
+func (x Behaviour) aborts(run, from int) bool {
+	return x.AbortEvery == 0 || from == 0 && run%x.AbortEvery == 0
+}
+
+// EventOf returns the nth event of a stream of a software version.
+func EventOf(version string, n int) string {
+	if version == DefaultVersion {
+		return fmt.Sprintf("id: %d\ndata: word-%d\n\n", n, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: word-%d of %s\n\n", n, n, version)
+}
 
 func (b *Backend) stream(c net.Conn, x Behaviour, id string, run int) bool {
 	b.mu.Lock()
@@ -330,8 +359,8 @@
 	}
 	for n := from + 1; n <= x.Events; n++ {
 		b.sleep(x.Gap)
-		event := Event(n)
-		cut := x.AbortAfter > 0 && n > x.AbortAfter
+		event := EventOf(b.Version, n)
+		cut := x.AbortAfter > 0 && n > x.AbortAfter && x.aborts(run, from)
 		if cut && x.AbortWithinEvent {
 			event = event[:len(event)/2]
 		}
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -82,8 +82,18 @@
 // Request is a caller's request.
 type Request struct {
 	Method, Path, Key, ID, Body, LastEvent string
+	Resumes                                string // ID of the request whose stream LastEvent is of
 	TimeLeft                               time.Duration
 	Chunked                                bool
+	Subject                                int // of its prompt: requests of one subject share a part of it
+}
+
+// subjectDigits returns the hexadecimal digits that distinguish the shared part of the prompt, "" for subject 0.
+func (r Request) subjectDigits() string {
+	if r.Subject == 0 {
+		return ""
+	}
+	return strconv.FormatInt(int64(r.Subject), 16)
 }
 
 // Answer is an answer as received by a caller.
@@ -117,11 +127,14 @@
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\nTamarindstep-Key: %s\r\n"+
 		"Tamarindstep-Request-Deadline-Ms: %d\r\nTamarindstep-Token-Counts: 1000,50\r\n"+
-		"Tamarindstep-Prompt-Prefix-Hash: a1:600,b2%s:400\r\nTamarindstep-Tenant-Id: forged\r\n",
-		r.Method, r.Path, Host, r.ID, r.Key, left.Milliseconds(), strconv.FormatInt(int64(len(r.ID)), 16))
+		"Tamarindstep-Prompt-Prefix-Hash: a1%s:600,b2%s:400\r\nTamarindstep-Tenant-Id: forged\r\n",
+		r.Method, r.Path, Host, r.ID, r.Key, left.Milliseconds(), r.subjectDigits(), strconv.FormatInt(int64(len(r.ID)), 16))
 	if r.LastEvent != "" {
 		head += "Last-Event-Id: " + r.LastEvent + "\r\n"
 	}
+	if r.Resumes != "" {
+		head += "Resumes: " + r.Resumes + "\r\n"
+	}
 	body := r.Body
 	switch {
 	case r.Chunked:
@@ -154,6 +167,25 @@
 	}
 }
 
+// ReadEvents reads the head of a stream and its first events, and returns the events.
+func (c *Caller) ReadEvents(n int) (string, error) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return "", err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("status %d instead of a stream", resp.StatusCode)
+	}
+	var out []byte
+	for part := make([]byte, 1); strings.Count(string(out), "\n\n") < n; {
+		if _, err := io.ReadFull(resp.Body, part); err != nil {
+			return string(out), err
+		}
+		out = append(out, part...)
+	}
+	return string(out), nil
+}
+
 // callTimeout limits a call that a router never answers.
 const callTimeout = 30 * time.Second
 
