core: resume a stream only at the software version that began it

What callers saw: answers with events of two software versions of an engine, within one answer and over two tries; what two versions write doesn't fit together.

Cause: no router knew of versions. A broken-off answer was sent on to any server not yet tried, and a request that takes a stream up was placed like a new one. Class: a decision that depends on what began a piece of work was made without it, as nothing carried it from the first decision to the later ones.

The design: the lineage (pool and version) of a stream is fixed as the decision to dispatch is made and goes with it; an answer of which events were relayed, and a stream that is taken up, only go to servers of that lineage, among all of the pool, before new requests, and to a failing one rather than to none. Other routers get the records while a pool has, or lately had, several versions: two holders each, one in another data hall, sent at the dispatch and so before the first event. Whoever lacks a record asks all routers. With one version nothing is sent, and nobody is asked. What nobody knows, and what no server can go on with, is refused at once as not run.

Weighed: records to holders chosen by the stream need a datagram each, 37 KB/s at 520 routers with 102 streams a second each; a version derived from the request's identifier binds new prompts to half of the servers and is wrong around each change of the shares.

--- a/config/compile.go
+++ b/config/compile.go
@@ -77,6 +77,20 @@
 	return r.Pool
 }
 
+// Pools returns the pools that serve the route.
+func (r *CompiledRoute) Pools() []model.PoolID {
+	if len(r.Split) == 0 {
+		return []model.PoolID{r.Pool}
+	}
+	out := make([]model.PoolID, 0, len(r.Split))
+	for _, share := range r.Split {
+		if !slices.Contains(out, share.Pool) {
+			out = append(out, share.Pool)
+		}
+	}
+	return out
+}
+
 // Discovered is a process of a backend server that has registered itself.
 type Discovered struct {
 	model.Incarnation
--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -12,6 +12,13 @@
 	retryBudgetPause = 300 * time.Millisecond
 )
 
+// byPromptRequest is a request that package prompt decides on.
+type byPromptRequest struct {
+	key    model.Key
+	stream model.StreamID
+	pools  []model.PoolID // of its route
+}
+
 // byPrompt reports whether the policy in force decides by prompt.
 func (c *Core) byPrompt() bool { return c.config.Policy != nil && c.config.Policy.ByPrompt != nil }
 
@@ -43,7 +50,7 @@
 	for id, b := range c.config.Backends {
 		out.Backends[id] = prompt.Backend{
 			Name: b.Name, Pool: b.Pool, Near: b.DataHall == hall, Hall: b.DataHall, Slots: b.Slots, Leaving: b.Leaving,
-			Evacuated: b.Evacuated, Cold: b.Cold,
+			Evacuated: b.Evacuated, Cold: b.Cold, Build: b.Lineage().Build,
 		}
 	}
 	for id, a := range c.config.Accounts {
@@ -61,10 +68,11 @@
 		return
 	}
 	key := model.Key{Pool: e.Pool, Account: e.Account}
-	c.promptKeys[e.ID] = key
+	c.byPromptRequests[e.ID] = byPromptRequest{key: key, stream: e.Stream, pools: e.Pools}
 	in := prompt.Request{
 		ID: e.ID, Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt,
 		Objective: e.Objective, Wait: e.Wait, Priority: e.Priority, Exclude: e.Exclude, Lag: e.Lag,
+		Bound: e.Bound, Build: e.Lineage.Build,
 	}
 	if cost := c.prompt.CostOf(&in); cost > 0 && len(e.Exclude) == 0 {
 		c.countByPrompt(key, cost, 0)
@@ -110,7 +118,7 @@
 		case prompt.Dispatch:
 			c.dispatchedByPrompt(a)
 		case prompt.Refuse:
-			delete(c.promptKeys, a.ID)
+			delete(c.byPromptRequests, a.ID)
 			c.emit(Refuse{
 				ID: a.ID, Reason: Refusal(a.Reason), RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis,
 				ValidFor: a.ValidFor,
@@ -120,14 +128,15 @@
 }
 
 func (c *Core) dispatchedByPrompt(a prompt.Dispatch) {
-	key := c.promptKeys[a.ID]
+	r := c.byPromptRequests[a.ID]
 	if cost := c.prompt.Cost(a.ID); cost > 0 {
-		c.countByPrompt(key, 0, cost)
+		c.countByPrompt(r.key, 0, cost)
 	}
 	c.loads.changed = true
+	c.recordStream(r.stream, r.pools, a.Backend)
 	c.emit(Dispatch{
 		ID: a.ID, Backend: a.Backend, Waited: a.Waited, Basis: a.Basis,
-		CopyFrom: a.CopyFrom, Copied: a.Copied,
+		CopyFrom: a.CopyFrom, Copied: a.Copied, Lineage: c.config.Backends[a.Backend].Lineage(),
 	})
 }
 
@@ -141,9 +150,9 @@
 func (c *Core) finishByPrompt(e Finish) {
 	notRun := e.Ending == NotSent || e.Ending == Rejected || e.Ending == Cancelled
 	if cost := c.prompt.Cost(e.ID); cost > 0 && notRun && c.prompt.Dispatched(e.ID) {
-		c.countByPrompt(c.promptKeys[e.ID], 0, -cost)
+		c.countByPrompt(c.byPromptRequests[e.ID].key, 0, -cost)
 	}
-	delete(c.promptKeys, e.ID)
+	delete(c.byPromptRequests, e.ID)
 	c.prompt.Finish(c.now, e.ID, promptEndings[e.Ending], e.Output)
 	c.loads.changed = true
 }
--- a/core/config.go
+++ b/core/config.go
@@ -45,6 +45,11 @@
 	Version string
 }
 
+// Lineage returns the lineage of the streams that the backend server begins.
+func (b Backend) Lineage() model.Lineage {
+	return model.Lineage{Pool: b.Pool, Build: model.BuildOf(b.Version)}
+}
+
 // Pool is a pool's configuration.
 type Pool struct {
 	Name string
--- a/core/core.go
+++ b/core/core.go
@@ -61,11 +61,11 @@
 	outbox   map[string]*wire.Datagram
 
 	// For policies that decide by prompt.
-	promptKeys map[RequestID]model.Key
-	loads      loadExchange
-	overdue    overdue
-	coldLimits cold.Limits
-	hallHomes  bool
+	byPromptRequests map[RequestID]byPromptRequest
+	loads            loadExchange
+	overdue          overdue
+	coldLimits       cold.Limits
+	hallHomes        bool
 
 	// As ingress router.
 	requests  map[RequestID]*request
@@ -89,6 +89,7 @@
 	grants    uint64
 
 	suspicions suspicions
+	streams    streamState
 	notices    *notice.Registry
 
 	placement placement
@@ -100,37 +101,38 @@
 func New(now model.Time, self member.Member, seed uint64) *Core {
 	random := rand.New(rand.NewPCG(seed, self.Boot))
 	c := &Core{
-		placement:  placement{stale: true},
-		now:        now,
-		config:     &Config{},
-		random:     random,
-		members:    member.New(self, random),
-		outbox:     map[string]*wire.Datagram{},
-		loads:      newLoadExchange(DefaultLoadsBytes),
-		overdue:    newOverdue(),
-		coldLimits: cold.Limits{Overshoot: 1},
-		promptKeys: map[RequestID]model.Key{},
-		requests:   map[RequestID]*request{},
-		queues:     map[model.Key]*queue{},
-		running:    map[model.BackendID]int{},
-		excluded:   map[model.BackendID]*exclusion{},
-		owners:     map[string]*ownerLink{},
-		asks:       map[model.PoolID]*ask{},
-		estimates:  map[estimateKey]*estimate.Lengths{},
-		budget:     bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
-		backends:   map[model.BackendID]*backend{},
-		sources:    map[string]*source{},
-		demands:    map[model.Key]*demand{},
-		poolOrder:  map[model.PoolID][]model.BackendID{},
-		dirty:      map[model.PoolID]bool{},
-		lastGrant:  map[model.Key]uint64{},
-		watch:      watch{reached: now},
+		placement:        placement{stale: true},
+		now:              now,
+		config:           &Config{},
+		random:           random,
+		members:          member.New(self, random),
+		outbox:           map[string]*wire.Datagram{},
+		loads:            newLoadExchange(DefaultLoadsBytes),
+		overdue:          newOverdue(),
+		coldLimits:       cold.Limits{Overshoot: 1},
+		byPromptRequests: map[RequestID]byPromptRequest{},
+		requests:         map[RequestID]*request{},
+		queues:           map[model.Key]*queue{},
+		running:          map[model.BackendID]int{},
+		excluded:         map[model.BackendID]*exclusion{},
+		owners:           map[string]*ownerLink{},
+		asks:             map[model.PoolID]*ask{},
+		estimates:        map[estimateKey]*estimate.Lengths{},
+		budget:           bucket{rate: reportBytesPerSecond, size: reportBytesPerSecond, level: reportBytesPerSecond},
+		backends:         map[model.BackendID]*backend{},
+		sources:          map[string]*source{},
+		demands:          map[model.Key]*demand{},
+		poolOrder:        map[model.PoolID][]model.BackendID{},
+		dirty:            map[model.PoolID]bool{},
+		lastGrant:        map[model.Key]uint64{},
+		watch:            watch{reached: now},
 	}
 	c.notices = notice.New()
 	c.prompt = prompt.New(now, random)
 	c.prompt.SetNotices(c.notices)
 	c.retries = retry.New(retry.Limits{})
 	c.suspicions = newSuspicions(self.Boot)
+	c.streams = newStreamState(now)
 	c.ledger = ledger.New(self.Name, now, random.Uint64, c.lookAheadOf)
 	return c
 }
@@ -169,6 +171,7 @@
 	c.reportSuspicionChanges()
 	c.requestMissingReports()
 	c.flushLoads()
+	c.flushStreams()
 	c.checkOverdue()
 	c.flushOutbox()
 	return c.actions
@@ -227,6 +230,13 @@
 
 // processArrival processes a request that isn't held back.
 func (c *Core) processArrival(e Arrive) {
+	if bound, ok := c.bindStream(e); ok {
+		c.schedule(bound)
+	}
+}
+
+// schedule lets the policy decide on a request.
+func (c *Core) schedule(e Arrive) {
 	if c.byPrompt() {
 		c.arriveByPrompt(e)
 		return
@@ -236,7 +246,7 @@
 
 // Wake returns when the next Tick is due.
 func (c *Core) Wake() model.Time {
-	wake := min(c.prompt.Wake(), c.nextLoads(), c.members.NextTick(), c.ledger.NextWake(c.now), c.nextReport(), c.nextDeadline(), c.nextReady(), c.nextWatch(), c.suspicions.tracker.NextSend())
+	wake := min(c.prompt.Wake(), c.nextLoads(), c.members.NextTick(), c.ledger.NextWake(c.now), c.nextReport(), c.nextDeadline(), c.nextReady(), c.nextWatch(), c.nextStreams(), c.suspicions.tracker.NextSend())
 	return max(wake, c.now+minWake)
 }
 
@@ -254,7 +264,7 @@
 
 // Idle reports whether no request waits or runs at this router.
 func (c *Core) Idle() bool {
-	return len(c.requests)+len(c.suspicions.pendingTries) == 0 && c.prompt.Idle()
+	return len(c.requests)+len(c.suspicions.pendingTries)+len(c.streams.lookups) == 0 && c.prompt.Idle()
 }
 
 func (c *Core) probe() {
@@ -278,6 +288,7 @@
 
 func (c *Core) memberChanged(change member.Change) {
 	c.loads.planCurrent = false
+	c.streamMemberChanged(change)
 	if change.Restarted || change.Status == wire.Status_STATUS_DEAD {
 		c.removeSource(change.Name)
 		c.forgetLoads(change)
@@ -314,6 +325,7 @@
 	c.config = config
 	c.placement.stale = true
 	c.configurePrompt()
+	c.configureStreams()
 	c.refuseWithdrawn()
 	c.announce()
 }
--- a/core/datagram.go
+++ b/core/datagram.go
@@ -47,6 +47,7 @@
 		c.ledger.ReceiveDown(c.now, d.From, d.Down)
 		c.markAllDirty()
 	}
+	c.receiveStreams(d)
 	theirs := Versions{Generation: d.Generation, Catalog: d.Catalog, Halls: d.Halls}
 	if theirs.Exceed(c.config.Versions()) {
 		from := c.members.Get(d.From)
--- a/core/event.go
+++ b/core/event.go
@@ -6,6 +6,7 @@
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/core/notice"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
+	"github.com/tamarindstep/tamarindstep/core/streams"
 	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/wire"
 )
@@ -40,6 +41,20 @@
 	Lag time.Duration
 	// Fingerprint identifies a request that may be held back, 0 if no request of its account is under suspicion.
 	Fingerprint model.Fingerprint
+
+	// The fields below are set for streams that may be resumed.
+
+	// Stream is the stream that the request begins, 0 if it can't be resumed.
+	Stream model.StreamID
+	// Pools are the pools of its route.
+	Pools []model.PoolID
+	// Continues reports that the caller has received a part of the stream already. Resumes is the stream that it was
+	// received as, 0 if the caller doesn't name it.
+	Continues bool
+	Resumes   model.StreamID
+	// Bound reports that the stream can be resumed only at Lineage, which this router has determined before.
+	Bound   bool
+	Lineage model.Lineage
 }
 
 // RefusedUnread lists requests that were refused before they reached the core; they count towards their accounts'
@@ -177,6 +192,18 @@
 	// Copied is their number of tokens.
 	CopyFrom model.BackendID
 	Copied   int
+	// Lineage is that of the backend server.
+	Lineage model.Lineage
+}
+
+// StreamBound reports that a request can only be sent to backend servers of the lineage that began the stream which it
+// resumes.
+type StreamBound struct {
+	ID      RequestID
+	Lineage model.Lineage
+	Source  streams.Source
+	// Age is that of the record, or how long other routers took to answer.
+	Age time.Duration
 }
 
 // Refusal is the reason for which a request is refused.
@@ -193,6 +220,10 @@
 	RetryBudget      Refusal = "retry-budget"
 	// HeldBack is for a request during which backend servers have terminated.
 	HeldBack Refusal = "held-back"
+	// UnknownStream is for a request that resumes a stream begun by unknown software.
+	UnknownStream Refusal = "unknown-stream"
+	// VersionRetired is for a request that resumes a stream begun by software that no backend server has any more.
+	VersionRetired Refusal = "version-retired"
 )
 
 // Refuse refuses a request of which nothing was sent to a backend server.
@@ -278,6 +309,7 @@
 }
 
 func (Dispatch) action()          {}
+func (StreamBound) action()       {}
 func (SuspectedAccounts) action() {}
 func (HeldChanged) action()       {}
 func (Tried) action()             {}
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -37,6 +37,9 @@
 	running   bool
 	charged   model.Service
 	expected  float64 // output in tokens, estimated at the dispatch
+	resumed   *Arrive // the request if it resumes a stream and goes only to backend servers of its lineage, otherwise nil
+	stream    model.StreamID
+	pools     []model.PoolID // of its route
 }
 
 // queue holds the waiting requests of one account in one pool.
@@ -80,9 +83,14 @@
 	}
 	r := &request{
 		id: e.ID, key: key, class: e.Class, input: e.Input,
-		arrived: c.now, deadline: c.now + e.Wait,
+		arrived: c.now, deadline: c.now + e.Wait, stream: e.Stream, pools: e.Pools, heapIndex: -1,
 	}
 	c.requests[r.id] = r
+	if e.Bound {
+		r.resumed = &e
+		c.dispatchResumed(r, q)
+		return
+	}
 	heap.Push(&c.deadlines, r)
 	q.waiting[r.class] = append(q.waiting[r.class], r)
 	c.demandIncreased(key, q)
@@ -141,6 +149,7 @@
 
 func (c *Core) abandon(id RequestID) {
 	delete(c.suspicions.pendingTries, id)
+	delete(c.streams.lookups, id)
 	if c.prompt.Has(id) {
 		c.prompt.Finish(c.now, id, prompt.Disconnected, 0)
 		return
@@ -202,6 +211,12 @@
 		return false
 	}
 	c.removeWaiting(r)
+	c.start(r, q, backend)
+	return true
+}
+
+// start dispatches a request that doesn't wait in a queue.
+func (c *Core) start(r *request, q *queue, backend model.BackendID) {
 	r.running = true
 	r.attempts++
 	r.backend = backend
@@ -210,8 +225,30 @@
 	q.recordDispatch(c.now)
 	r.expected = c.lengths(r).Remaining(0)
 	c.charge(r, 0)
-	c.emit(Dispatch{ID: r.id, Backend: backend, Waited: c.now - r.arrived})
-	return true
+	c.recordStream(r.stream, r.pools, backend)
+	c.emit(Dispatch{ID: r.id, Backend: backend, Waited: c.now - r.arrived, Lineage: c.config.Backends[backend].Lineage()})
+}
+
+// dispatchResumed dispatches a request that resumes a stream to the backend server of its lineage where this router runs
+// the fewest requests, without a grant: owners grant slots of any backend server, and few may be of the lineage. The
+// owner counts the slot as occupied.
+func (c *Core) dispatchResumed(r *request, q *queue) {
+	var best model.BackendID
+	for _, id := range sortedKeys(c.config.Backends) {
+		if c.config.Backends[id].Lineage() != r.resumed.Lineage || c.excludes(id) || slices.Contains(r.resumed.Exclude, id) {
+			continue
+		}
+		if best == 0 || c.running[id] < c.running[best] {
+			best = id
+		}
+	}
+	if best == 0 {
+		delete(c.requests, r.id)
+		c.emit(Refuse{ID: r.id, Reason: Unreachable, RetryAfter: c.retryAfter(q)})
+		return
+	}
+	c.start(r, q, best)
+	c.holdChanged(best)
 }
 
 // intervalWeight is the weight of the newest interval in the smoothed one.
@@ -240,7 +277,7 @@
 	if c.running[r.backend]--; c.running[r.backend] == 0 {
 		delete(c.running, r.backend)
 	}
-	c.slotFreed(r.backend)
+	c.holdChanged(r.backend)
 	c.recordBusy(r.key, q)
 	if e.Ending == NotSent {
 		c.requeue(r, q)
@@ -268,6 +305,10 @@
 		c.emit(Refuse{ID: r.id, Reason: Unreachable, RetryAfter: c.retryAfter(q)})
 		return
 	}
+	if r.resumed != nil {
+		c.dispatchResumed(r, q)
+		return
+	}
 	heap.Push(&c.deadlines, r)
 	q.waiting[r.class] = slices.Insert(q.waiting[r.class], 0, r)
 	c.demandIncreased(r.key, q)
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -31,14 +31,23 @@
 		r.candidates = m.candidates(r)
 		r.candidatesVersion = m.version
 	}
-	var best place
-	var minDelay time.Duration
-	found := false
 	r.home = m.homeOf(r)
 	holder := m.holderOf(r)
+	best, found := m.bestOf(r, holder, func(s *server) bool {
+		return m.accepts(s) && !slices.Contains(r.Exclude, s.id)
+	})
+	if !found && r.Bound {
+		return m.bestOf(r, holder, m.acceptsLastResort)
+	}
+	return best, found
+}
+
+// bestOf returns the best place for a request at those candidates that accept it.
+func (m *Machine) bestOf(r *request, holder *server, accepts func(*server) bool) (best place, found bool) {
+	var minDelay time.Duration
 	for rank, id := range r.candidates {
 		s := m.servers[id]
-		if s == nil || !m.accepts(s) || slices.Contains(r.Exclude, id) {
+		if s == nil || !r.mayGoTo(s) || !accepts(s) {
 			continue
 		}
 		p := m.placeAt(s, r, holder)
@@ -137,7 +146,7 @@
 // candidates returns the backend servers to evaluate for a request, in the order of rendezvous hashing over its
 // shared parts.
 func (m *Machine) candidates(r *request) []model.BackendID {
-	all := m.byPool[r.Pool]
+	all := m.eligible(r)
 	shared, ok := sharedKey(&r.Prompt)
 	var order []weightedBackend
 	if ok {
@@ -163,6 +172,15 @@
 	return out
 }
 
+// eligible returns the backend servers of a request's pool that it can be sent to.
+func (m *Machine) eligible(r *request) []model.BackendID {
+	all := m.byPool[r.Pool]
+	if !r.Bound {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(id model.BackendID) bool { return !r.mayGoTo(m.servers[id]) })
+}
+
 // weightedBackend is a backend server with its rendezvous hashing weight for a prompt.
 type weightedBackend struct {
 	id     model.BackendID
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -91,6 +91,8 @@
 	Evacuated bool
 	// Cold reports whether it has announced that it is slow after its start.
 	Cold bool
+	// Build is the version of its software.
+	Build model.Build
 }
 
 // Machine is the state machine of the decisions. It does no I/O and reads no clock.
--- a/core/prompt/queue.go
+++ b/core/prompt/queue.go
@@ -31,14 +31,15 @@
 )
 
 // makeRoom makes queue space for a request and reports whether the request may wait. If the queue is full, it refuses
-// either that request or the newest one of the account that has the most requests waiting.
+// either that request or the newest one of the account that has the most requests waiting, but prefers to keep those that
+// resume a stream.
 func (m *Machine) makeRoom(r *request) bool {
 	waiting := map[model.AccountID]int{}
 	for _, o := range m.waiting {
 		waiting[o.Account]++
 	}
 	own := waiting[r.Account]
-	if own >= maxWaitingPerAccount {
+	if own >= maxWaitingPerAccount && !r.Bound {
 		m.refuseQueueFull(r)
 		return false
 	}
@@ -47,11 +48,11 @@
 	}
 	var last *request
 	for _, o := range m.waiting {
-		if last == nil || waiting[o.Account] >= waiting[last.Account] {
+		if !o.Bound && (last == nil || waiting[o.Account] >= waiting[last.Account]) {
 			last = o
 		}
 	}
-	if waiting[last.Account] <= own+1 {
+	if last == nil || !r.Bound && waiting[last.Account] <= own+1 {
 		last = r
 	}
 	m.refuseQueueFull(last)
@@ -73,12 +74,13 @@
 	delete(m.requests, r.ID)
 }
 
-// inServiceOrder returns the waiting requests by priority, then by the fraction of the share that the account has
-// started, then by arrival.
+// inServiceOrder returns the waiting requests: first those that resume a stream, as few backend servers may be able to go
+// on with it, then by priority, then by the fraction of the share that the account has started, then by arrival.
 func (m *Machine) inServiceOrder(share float64) []*request {
 	out := slices.Clone(m.waiting)
 	slices.SortStableFunc(out, func(a, b *request) int {
 		return cmp.Or(
+			compareBound(a, b),
 			cmp.Compare(m.priority(a), m.priority(b)),
 			cmp.Compare(m.startedFraction(a.Account, share), m.startedFraction(b.Account, share)),
 		)
@@ -86,6 +88,18 @@
 	return out
 }
 
+// compareBound orders the requests that resume a stream before the others.
+func compareBound(a, b *request) int {
+	switch {
+	case a.Bound == b.Bound:
+		return 0
+	case a.Bound:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // accountPriorityFactor is the weight of an account's priority relative to a route's.
 const accountPriorityFactor = 1000
 
@@ -105,8 +119,8 @@
 		return
 	}
 	p, ok := m.best(r)
-	status := statusWithin // shares do not apply to plain services
-	if m.config.Pools[r.Pool].Engine {
+	status := statusWithin // shares do not apply to plain services, and were applied when a stream began
+	if m.config.Pools[r.Pool].Engine && !r.Bound {
 		status = m.shareStatusOf(r.Account, l)
 	}
 	if ok && m.mayDispatch(r, p, status) {
@@ -129,12 +143,13 @@
 	}
 }
 
-// mayDispatch reports whether a request may be dispatched to the given place now. A request whose own prompt takes so
+// mayDispatch reports whether a request may be dispatched to the given place now. One that resumes a stream may be late:
+// a part of the answer has been received, and a late rest is better than none. A request whose own prompt takes so
 // long to prefill that it can hardly meet its objective is dispatched if almost nothing is queued ahead of it;
 // otherwise it would be refused on every retry.
 func (m *Machine) mayDispatch(r *request, p place, status shareStatus) bool {
 	t := &m.config.Tuning
-	if r.Objective <= 0 {
+	if r.Objective <= 0 || r.Bound && p.delay <= (r.deadline-m.now)/2 {
 		return true
 	}
 	if !p.server.engine {
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -21,6 +21,14 @@
 	Lag time.Duration
 	// Exclude lists the backend servers that the request was dispatched to before.
 	Exclude []model.BackendID
+	// Bound reports that the request resumes a stream, which only backend servers of Build can go on with.
+	Bound bool
+	Build model.Build
+}
+
+// mayGoTo reports whether a request can be sent to a backend server at all.
+func (r *Request) mayGoTo(s *server) bool {
+	return !r.Bound || s.Build == r.Build
 }
 
 // Action is an action for the caller to carry out: a Dispatch or a Refuse.
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -70,6 +70,13 @@
 	return s.inService() && m.notices.Accepts(m.now, s.id) && !s.health.excluded(m.now) && s.cold.accepts(m.now)
 }
 
+// acceptsLastResort reports whether a request that resumes a stream may be dispatched to a backend server if no other of
+// its version accepts it. A recent failure, even of the request itself, doesn't exclude the server then: it may have
+// ended a single answer only.
+func (m *Machine) acceptsLastResort(s *server) bool {
+	return s.inService() && m.notices.Accepts(m.now, s.id) && s.cold.accepts(m.now)
+}
+
 // inService reports whether the backend server is neither leaving nor evacuated, whatever its current state.
 func (s *server) inService() bool { return !s.Leaving && !s.Evacuated }
 
--- a/core/prompt/service.go
+++ b/core/prompt/service.go
@@ -27,7 +27,7 @@
 	sum := 0.0
 	for _, id := range m.byPool[r.Pool] {
 		s := m.servers[id]
-		if !m.accepts(s) || slices.Contains(r.Exclude, id) {
+		if !r.mayGoTo(s) || !m.accepts(s) || slices.Contains(r.Exclude, id) {
 			continue
 		}
 		p := m.placeAtService(s)
--- a/core/report.go
+++ b/core/report.go
@@ -194,8 +194,8 @@
 	c.ledger.SetBacklog(c.now, key, q.length() > 0, q.running)
 }
 
-// slotFreed reports to the owner of a backend server that a request there has ended.
-func (c *Core) slotFreed(id model.BackendID) {
+// holdChanged reports to the owner of a backend server that another number of requests runs there.
+func (c *Core) holdChanged(id model.BackendID) {
 	owner := c.placement.owner[id]
 	if owner == c.members.Self().Name {
 		c.markBackendDirty(id)
--- /dev/null
+++ b/core/streams/history.go
@@ -0,0 +1,109 @@
+package streams
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarindstep/tamarindstep/model"
+)
+
+// history records which lineages the backend servers of each pool have had lately.
+type history struct {
+	served   []model.Lineage
+	lastSeen map[model.Lineage]model.Time // of those that are served no more
+	byPool   map[model.PoolID][]model.Lineage
+	mixed    bool       // any pool has several
+	valid    model.Time // until when byPool and mixed apply
+}
+
+// Seen is a lineage and how long ago a backend server last had it.
+type Seen struct {
+	Lineage model.Lineage
+	Age     time.Duration
+}
+
+func newHistory() history {
+	return history{lastSeen: map[model.Lineage]model.Time{}, valid: never}
+}
+
+// never is later than any time that occurs.
+const never = model.Time(1<<63 - 1)
+
+// setServed sets the lineages that backend servers have.
+func (h *history) setServed(now model.Time, served []model.Lineage) {
+	for _, l := range h.served {
+		h.lastSeen[l] = now
+	}
+	h.served = slices.Clone(served)
+	slices.SortFunc(h.served, compareLineages)
+	h.served = slices.Compact(h.served)
+	for _, l := range h.served {
+		delete(h.lastSeen, l)
+	}
+	h.index(now)
+}
+
+// index deletes the lineages that no stream can be of any more, and arranges the others by pool.
+func (h *history) index(now model.Time) {
+	h.byPool, h.mixed, h.valid = map[model.PoolID][]model.Lineage{}, false, never
+	for _, s := range h.seen(now) {
+		pool := s.Lineage.Pool
+		h.byPool[pool] = append(h.byPool[pool], s.Lineage)
+		h.mixed = h.mixed || len(h.byPool[pool]) > 1
+	}
+	for l, at := range h.lastSeen {
+		if now > at+Retention {
+			delete(h.lastSeen, l)
+			continue
+		}
+		h.valid = min(h.valid, at+Retention)
+	}
+}
+
+// refresh updates what index derives if a lineage has expired since.
+func (h *history) refresh(now model.Time) {
+	if now > h.valid {
+		h.index(now)
+	}
+}
+
+// lineages returns the lineages of a pool that streams may be of.
+func (h *history) lineages(now model.Time, pool model.PoolID) []model.Lineage {
+	h.refresh(now)
+	return h.byPool[pool]
+}
+
+// anyMixed reports whether streams of any pool may be of several lineages.
+func (h *history) anyMixed(now model.Time) bool {
+	h.refresh(now)
+	return h.mixed
+}
+
+// seen returns all lineages of which streams may be.
+func (h *history) seen(now model.Time) []Seen {
+	var out []Seen
+	for _, l := range h.served {
+		out = append(out, Seen{Lineage: l})
+	}
+	for l, at := range h.lastSeen {
+		if now <= at+Retention {
+			out = append(out, Seen{Lineage: l, Age: now - at})
+		}
+	}
+	slices.SortFunc(out, func(a, b Seen) int { return compareLineages(a.Lineage, b.Lineage) })
+	return out
+}
+
+// merge adds lineages that another router has seen.
+func (h *history) merge(now model.Time, seen []Seen) {
+	for _, s := range seen {
+		if slices.Contains(h.served, s.Lineage) {
+			continue
+		}
+		at := now - s.Age
+		if before, has := h.lastSeen[s.Lineage]; !has || at > before {
+			h.lastSeen[s.Lineage] = at
+		}
+	}
+	h.index(now)
+}
--- /dev/null
+++ b/core/streams_test.go
@@ -0,0 +1,275 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/policy"
+	"github.com/tamarindstep/tamarindstep/policy/fleetfair"
+	"github.com/tamarindstep/tamarindstep/policy/promptaffinity"
+	"github.com/tamarindstep/tamarindstep/wire"
+)
+
+// streamFleet is a fleet whose engines are of two software versions, and what became of its streams.
+type streamFleet struct {
+	*fleet
+	requests int
+	builds   map[model.StreamID]model.Lineage // where the last request of a stream was dispatched
+	of       map[RequestID]model.StreamID
+}
+
+// withVersions returns a configuration whose backend servers are of the given versions by turns.
+func withVersions(c *Config, generation uint64, versions ...string) *Config {
+	out := *c
+	out.Generation = generation
+	out.Backends = map[model.BackendID]Backend{}
+	for i, id := range sortedKeys(c.Backends) {
+		b := c.Backends[id]
+		b.Version = versions[i%len(versions)]
+		out.Backends[id] = b
+	}
+	return &out
+}
+
+// newStreamFleet starts a fleet of routers in three data halls.
+func newStreamFleet(p *policy.Policy, routers int, versions ...string) *streamFleet {
+	var halls []string
+	for i := range routers {
+		halls = append(halls, fmt.Sprintf("hall-%d", i%3))
+	}
+	f := &streamFleet{
+		fleet:  newFleet(1, withVersions(nineRouterConfig(p), 1, versions...), halls),
+		builds: map[model.StreamID]model.Lineage{}, of: map[RequestID]model.StreamID{},
+	}
+	f.dispatched = func(j *job) { f.builds[f.of[j.id]] = f.config.Backends[j.backend].Lineage() }
+	f.runUntil(3 * time.Second)
+	return f
+}
+
+// submit sends a request for a stream to a router. It resumes the given stream if that isn't 0.
+func (f *streamFleet) submit(n *testRouter, resumes model.StreamID) model.StreamID {
+	f.nextID++
+	f.requests++
+	stream := model.Stream("account", fmt.Sprint(f.requests))
+	account := model.Account(accountNames(10)[f.requests%10])
+	pool := model.Pool(assistant)
+	f.of[f.nextID] = stream
+	f.jobs[f.nextID] = &job{id: f.nextID, account: account, pool: pool, output: 20, node: n, arrived: f.time.Now()}
+	f.step(n, Arrive{
+		ID: f.nextID, Account: account, Pool: pool, Wait: 5 * time.Second, Prompt: model.Prompt{Tokens: 100, Hint: 20},
+		Stream: stream, Pools: []model.PoolID{pool}, Continues: resumes != 0, Resumes: resumes,
+	})
+	return stream
+}
+
+// beginStreams begins a number of streams at each router.
+func (f *streamFleet) beginStreams(each int) []model.StreamID {
+	var out []model.StreamID
+	for range each {
+		for _, n := range f.routers {
+			out = append(out, f.submit(n, 0))
+		}
+		f.runUntil(f.time.Now() + 20*time.Millisecond)
+	}
+	f.runUntil(f.time.Now() + 500*time.Millisecond)
+	return out
+}
+
+// resumeStreams resumes each stream at a live router, and returns how many go on. It fails if one goes on at another
+// lineage.
+func (f *streamFleet) resumeStreams(t *testing.T, begun []model.StreamID) int {
+	t.Helper()
+	var live []*testRouter
+	for _, n := range f.routers {
+		if !n.down {
+			live = append(live, n)
+		}
+	}
+	resumed := map[model.StreamID]model.StreamID{}
+	for i, stream := range begun {
+		resumed[stream] = f.submit(live[(i*7+3)%len(live)], stream)
+	}
+	f.runUntil(f.time.Now() + 5*time.Second)
+	n := 0
+	for stream, by := range resumed {
+		went, ok := f.builds[by]
+		if !ok {
+			continue
+		}
+		n++
+		if want := f.builds[stream]; went != want {
+			t.Errorf("a stream of %v goes on at %v", want, went)
+		}
+	}
+	return n
+}
+
+// nearlyAll is the part of the streams whose router has failed that must go on.
+const nearlyAll = 0.95
+
+// TestStreamsGoOnAtTheirLineageAfterFailures guards against streams that go on at another software version, or are
+// refused, at routers that didn't begin them: all routers live, one is killed, and a whole data hall is.
+func TestStreamsGoOnAtTheirLineageAfterFailures(t *testing.T) {
+	t.Parallel()
+	failures := map[string]func(*streamFleet){
+		"none":       func(*streamFleet) {},
+		"one router": func(f *streamFleet) { f.kill(f.routers[1]) },
+		"data hall": func(f *streamFleet) {
+			for _, n := range f.routers {
+				if n.hall == "hall-1" {
+					f.kill(n)
+				}
+			}
+		},
+	}
+	for _, p := range []*policy.Policy{promptaffinity.Policy, fleetfair.Policy} {
+		for _, routers := range []int{3, 9, 60} {
+			for name, fail := range failures {
+				t.Run(fmt.Sprintf("%s %d %s", p.Name, routers, name), func(t *testing.T) {
+					f := newStreamFleet(p, routers, "v1", "v2")
+					f.loss = 0.01
+					begun := f.beginStreams(max(60/routers, 1))
+					fail(f)
+					went := f.resumeStreams(t, begun)
+					if float64(went) < nearlyAll*float64(len(begun)) {
+						t.Errorf("%d of %d streams go on", went, len(begun))
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestStreamsBegunBeforeAReleaseGoOnAfterARestart guards against streams that are known to no router because only one
+// version was served when they were begun: a release begins, their router is killed, and the others restart by turns.
+func TestStreamsBegunBeforeAReleaseGoOnAfterARestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newStreamFleet(promptaffinity.Policy, 9, "v1")
+	begun := f.beginStreams(4)
+	f.config = withVersions(f.config, 2, "v1", "v2")
+	for _, n := range f.routers {
+		f.step(n, Configure{Config: f.config})
+	}
+	f.runUntil(f.time.Now() + time.Second)
+	for _, n := range f.routers[1:] {
+		f.kill(n)
+		f.runUntil(f.time.Now() + time.Second)
+		f.start(n)
+		f.runUntil(f.time.Now() + time.Second)
+	}
+	f.kill(f.routers[0])
+	is.True(float64(f.resumeStreams(t, begun)) >= nearlyAll*float64(len(begun)))
+}
+
+// TestARestartedRouterKnowsOfARetiredVersion guards against a router that takes the version that it finds for the one
+// that began a stream: the version before was retired while it was down.
+func TestARestartedRouterKnowsOfARetiredVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newStreamFleet(promptaffinity.Policy, 3, "v1")
+	begun := f.beginStreams(4)
+	f.kill(f.routers[0])
+	f.config = withVersions(f.config, 2, "v2")
+	for _, n := range f.routers[1:] {
+		f.step(n, Configure{Config: f.config})
+	}
+	f.start(f.routers[0])
+	f.runUntil(f.time.Now() + time.Second)
+	is.Equal(f.resumeStreams(t, begun), 0)
+}
+
+// TestCutRouterRefusesStreamsThatItDoesNotKnow guards against guessing: a router that reaches no other resumes only the
+// streams that it has a record of.
+func TestCutRouterRefusesStreamsThatItDoesNotKnow(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newStreamFleet(promptaffinity.Policy, 9, "v1", "v2")
+	isolated := f.routers[4]
+	f.cut = func(a, b *testRouter) bool { return (a == isolated) != (b == isolated) }
+	f.runUntil(f.time.Now() + 3*time.Second)
+	own := f.submit(isolated, 0)
+	other := f.submit(f.routers[0], 0)
+	f.runUntil(f.time.Now() + time.Second)
+	var refused []Refusal
+	f.onRefuse = func(j *job) { refused = append(refused, j.refused) }
+	f.submit(isolated, other)
+	resumed := f.submit(isolated, own)
+	f.runUntil(f.time.Now() + time.Second)
+	is.Equal(refused, []Refusal{UnknownStream})
+	is.Equal(f.builds[resumed], f.builds[own])
+}
+
+// TestQuestionsAreBoundedByTheFleet guards against a fleet that is busy with questions after the failure of a data hall:
+// whatever a router has to look up, it asks the others so rarely that all together ask each one at most 2,000 times a
+// second.
+func TestQuestionsAreBoundedByTheFleet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const routers = 520
+	c := New(0, member.Member{Name: "router-0", DataHall: "hall-0", Boot: 1}, 1)
+	var listed []member.Listed
+	for i := range routers {
+		listed = append(listed, member.Listed{Name: fmt.Sprintf("router-%d", i), Address: "10.0.0.1:1", DataHall: fmt.Sprintf("hall-%d", i%13)})
+	}
+	c.Step(0, Configure{Config: withVersions(nineRouterConfig(promptaffinity.Policy), 1, "v1", "v2")})
+	c.Step(0, Routers{Listed: listed})
+	questions := map[string]int{}
+	for now := time.Millisecond; now <= time.Second; now += time.Millisecond {
+		id := RequestID(now / time.Millisecond)
+		pool := model.Pool(assistant)
+		for _, a := range c.Step(now, Arrive{ID: id, Pool: pool, Wait: time.Second, Pools: []model.PoolID{pool}, Continues: true, Resumes: model.StreamID(id)}) {
+			if s, ok := a.(Send); ok && len(s.Datagram.Wanted) > 0 {
+				questions[s.To]++
+				is.True(len(s.Datagram.Wanted) <= maxLookups)
+			}
+		}
+	}
+	is.Equal(len(questions), routers-1)
+	for _, n := range questions {
+		is.True(n*routers <= 2000+routers) // one more by the phase
+	}
+}
+
+// BenchmarkStreamRecords measures what the records of streams add to a router's traffic, with one and with two software
+// versions, by the streams a second of each router.
+func BenchmarkStreamRecords(_ *testing.B) {
+	fmt.Printf("%9s %9s %8s | %9s %9s\n", "routers", "streams/s", "versions", "B/s", "msg/s")
+	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
+		for _, perSecond := range []int{10, 25, 50, 102} {
+			bytes, messages := measureStreamRecords(20, perSecond, versions)
+			fmt.Printf("%9d %9d %8d | %9.0f %9.1f\n", 20, perSecond, len(versions), bytes, messages)
+		}
+	}
+}
+
+// measureStreamRecords returns the bytes and messages a second of a router that are due to records of streams.
+func measureStreamRecords(routers, perSecond int, versions []string) (bytes, messages float64) {
+	const seconds = 5
+	f := newStreamFleet(promptaffinity.Policy, routers, versions...)
+	f.modify = func(d *wire.Datagram) *wire.Datagram {
+		if d.Began != nil {
+			messages++
+			without := proto.Clone(d).(*wire.Datagram)
+			without.Began = nil
+			bytes += float64(proto.Size(d) - proto.Size(without))
+			if d.Loads == nil && d.Probe == nil {
+				bytes += float64(proto.Size(without) + wireOverhead)
+			}
+		}
+		return d
+	}
+	begin := f.time.Now()
+	every := time.Second / time.Duration(routers*perSecond)
+	for i := range seconds * routers * perSecond {
+		f.runUntil(begin + time.Duration(i)*every)
+		f.submit(f.routers[i%routers], 0)
+	}
+	return bytes / float64(routers*seconds), messages / float64(routers*seconds)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,9 +50,10 @@
 	sentAt              time.Time     // of the last send
 	firstPartAfter      time.Duration // until the first part of a stream was received, 0 for none yet
 	sends               int
-	bodyShared          bool // an exchange may still read the request's body
-	mayHaveRun          bool // it may have run on a backend server
-	sendFailures        int  // backend servers that nothing could be sent to
+	lineage             model.Lineage // of the last send
+	bodyShared          bool          // an exchange may still read the request's body
+	mayHaveRun          bool          // it may have run on a backend server
+	sendFailures        int           // backend servers that nothing could be sent to
 	tried               []model.BackendID
 	relay               relay
 	reserved            reservation
@@ -204,7 +205,7 @@
 // without being dispatched.
 func (a *attempt) decide() (scheduler.Decision, bool) {
 	if a.scheduled == nil {
-		a.scheduled = a.service.scheduler.Submit(core.Arrive{
+		arrive := core.Arrive{
 			Account: a.account,
 			Pool:    a.route.PoolFor(rand.Float64()),
 			Class:   a.route.Class,
@@ -219,7 +220,9 @@
 			Retry:     a.sends > 0,
 
 			Fingerprint: a.blame.Suspect(),
-		})
+		}
+		a.describeStream(&arrive)
+		a.scheduled = a.service.scheduler.Submit(arrive)
 	}
 	select {
 	case d := <-a.scheduled.Decisions:
@@ -236,16 +239,35 @@
 	return scheduler.Decision{}, false
 }
 
+// describeStream adds the stream that a request begins or resumes. What the caller has received of it, here or before,
+// can only be followed by what the same software writes.
+func (a *attempt) describeStream(arrive *core.Arrive) {
+	if !a.route.Through.Resumable {
+		return
+	}
+	arrive.Stream = model.Stream(a.accountName, a.meta.ID)
+	arrive.Pools = a.route.Pools()
+	arrive.Continues = a.meta.LastEvent != ""
+	if a.meta.Resumes != "" {
+		arrive.Resumes = model.Stream(a.accountName, a.meta.Resumes)
+	}
+	arrive.Bound = a.relay.begun || arrive.Continues && a.sends > 0
+	arrive.Lineage = a.lineage
+	if arrive.Bound {
+		arrive.Pool = a.lineage.Pool
+	}
+}
+
 // handleRefusal answers a request that the core refuses: as not admitted if it has never run, otherwise with the
 // outcome of its last send.
 func (a *attempt) handleRefusal(d scheduler.Decision) {
 	best := a.service.generation.InForce().Core.Backends[d.Basis.Backend] // the zero value for none
-	logBasis(a.log("refused"), d.Basis).Str("reason", string(d.Refusal)).Str("backend", best.Name).
+	logBasis(a.logResumed(a.log("refused"), d), d.Basis).Str("reason", string(d.Refusal)).Str("backend", best.Name).
 		Dur("waited_ms", d.Waited).Dur("retry_after_ms", d.RetryAfter).Int("sends", a.sends).
 		Msg("request refused")
-	why := notAdmitted
-	if d.Refusal == core.HeldBack {
-		why = heldBack
+	why, special := refusalsByReason[d.Refusal]
+	if !special {
+		why = notAdmitted
 	}
 	if a.mayHaveRun || a.relay.begun {
 		a.giveUp(why)
@@ -274,19 +296,23 @@
 
 // logDispatch logs a dispatch with the basis of the decision.
 func (a *attempt) logDispatch(d scheduler.Decision, backend core.Backend, inForce *config.Compiled) {
-	logBasis(a.logResumed(a.log("dispatched")), d.Basis).Str("backend", backend.Name).Str("version", backend.Version).Int("send", a.sends+1).
+	logBasis(a.logResumed(a.log("dispatched"), d), d.Basis).Str("backend", backend.Name).Str("version", backend.Version).Int("send", a.sends+1).
 		Dur("waited_ms", d.Waited).Int("copied", d.Copied).
 		Uint64("generation", inForce.Generation).Uint64("catalog", inForce.Catalog).Uint64("halls", inForce.Halls).
 		Msg("request dispatched")
 }
 
 // logResumed adds to a log line which stream the request resumes, if it does.
-func (a *attempt) logResumed(line *zerolog.Event) *zerolog.Event {
+func (a *attempt) logResumed(line *zerolog.Event, d scheduler.Decision) *zerolog.Event {
 	after := cmp.Or(a.relay.lastEventID(), a.meta.LastEvent)
 	if after == "" {
 		return line
 	}
-	return line.Str("after_event", after).Str("resumes", a.meta.Resumes)
+	line = line.Str("after_event", after).Str("resumes", a.meta.Resumes)
+	if d.LineageFrom == "" {
+		return line
+	}
+	return line.Str("lineage_from", string(d.LineageFrom)).Dur("lineage_ms", d.LineageAge)
 }
 
 // logBasis adds the basis of a decision to a log line.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,7 +21,11 @@
 	inForce := s.generation.InForce()
 	backend := inForce.Core.Backends[d.Backend]
 	a.logDispatch(d, backend, inForce)
+	if a.route.Through.Resumable && backend.Lineage() != d.Lineage {
+		return a.handleNotSent(d) // it has started again with other software since the decision
+	}
 	a.bodyShared = true
+	a.lineage = d.Lineage
 	a.sentAt = time.Now()
 	req := &fasthttp.Request{}
 	a.req.Header.CopyTo(&req.Header)
--- /dev/null
+++ b/model/stream.go
@@ -0,0 +1,32 @@
+package model
+
+import "github.com/cespare/xxhash/v2"
+
+// Build identifies the software version of a backend server, by the hash of its name. It is 0 for backend servers that
+// announce no version, which count as one version.
+type Build uint32
+
+// BuildOf returns the identity of a software version.
+func BuildOf(version string) Build {
+	if version == "" {
+		return 0
+	}
+	return Build(max(NameHash(version), 1))
+}
+
+// Lineage identifies the software that writes a stream. What different lineages write doesn't fit together: a stream
+// can only be resumed by a backend server of the lineage that began it.
+type Lineage struct {
+	Pool  PoolID
+	Build Build
+}
+
+// StreamID identifies a stream in the fleet, by the hash of the request that began it. It is 0 for answers that can't be
+// resumed.
+type StreamID uint64
+
+// Stream returns the identity of the stream that a request of a client account begins. Two accounts may use the same
+// request identifier.
+func Stream(account, request string) StreamID {
+	return StreamID(max(xxhash.Sum64String(account+"\x00"+request), 1))
+}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -58,4 +58,5 @@
 	defer r.service.mu.Unlock()
 	delete(r.service.waiters, r.id)
 	delete(r.service.tryRequested, r.id)
+	delete(r.service.resumed, r.id)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/core/prompt"
 	"github.com/tamarindstep/tamarindstep/core/retry"
+	"github.com/tamarindstep/tamarindstep/core/streams"
 	"github.com/tamarindstep/tamarindstep/internal/clock"
 	"github.com/tamarindstep/tamarindstep/kernel"
 	"github.com/tamarindstep/tamarindstep/model"
@@ -46,6 +47,11 @@
 	// CopyFrom is the backend server to copy parts of the prompt from, 0 for none.
 	CopyFrom model.BackendID
 	Copied   int // tokens
+	// Lineage is that of the backend server. LineageFrom is where the lineage of a resumed stream is from, "" if none is
+	// resumed, and LineageAge the age of that record or how long other routers took to answer.
+	Lineage     model.Lineage
+	LineageFrom streams.Source
+	LineageAge  time.Duration
 }
 
 // queuedEvent is an event for the core, and when it was queued.
@@ -69,6 +75,7 @@
 	nextID       core.RequestID
 	waiters      map[core.RequestID]chan Decision
 	tryRequested map[core.RequestID]model.Time // when a try was requested
+	resumed      map[core.RequestID]core.StreamBound
 	observers    []Observer
 
 	unread unreadBatch
@@ -115,6 +122,7 @@
 		epoch:        clock.System.Now(),
 		waiters:      map[core.RequestID]chan Decision{},
 		tryRequested: map[core.RequestID]model.Time{},
+		resumed:      map[core.RequestID]core.StreamBound{},
 		done:         make(chan struct{}),
 
 		loadsBytes: core.DefaultLoadsBytes,
@@ -286,9 +294,12 @@
 		s.deliver(a.ID, Decision{
 			Dispatched: true, Backend: a.Backend, Waited: a.Waited,
 			Basis:    a.Basis,
-			CopyFrom: a.CopyFrom, Copied: a.Copied,
+			CopyFrom: a.CopyFrom, Copied: a.Copied, Lineage: a.Lineage,
 		})
+	case core.StreamBound:
+		s.recordResumed(a)
 	case core.Refuse:
+		s.countUnresumed(a.Reason)
 		s.deliver(a.ID, Decision{Refusal: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited, Basis: a.Basis, ValidFor: a.ValidFor})
 	case core.Send:
 		s.send(a)
@@ -365,6 +376,23 @@
 		Bool("restarted", change.Restarted).Msg("router changed")
 }
 
+// recordResumed keeps where the lineage of a resumed stream is from until the decision on its request.
+func (s *Service) recordResumed(a core.StreamBound) {
+	s.metrics.Scheduler.ResumedStreams.WithLabelValues(string(a.Source)).Inc()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiters[a.ID] != nil {
+		s.resumed[a.ID] = a
+	}
+}
+
+// countUnresumed counts a stream that couldn't be resumed.
+func (s *Service) countUnresumed(why core.Refusal) {
+	if why == core.UnknownStream || why == core.VersionRetired {
+		s.metrics.Scheduler.ResumedStreams.WithLabelValues(string(why)).Inc()
+	}
+}
+
 func (s *Service) deliver(id core.RequestID, d Decision) {
 	s.mu.Lock()
 	waiter := s.waiters[id]
@@ -372,6 +400,10 @@
 		d.Waited = s.now() - at // for the store's answer, and then for a decision
 		delete(s.tryRequested, id)
 	}
+	if bound, resumed := s.resumed[id]; resumed {
+		d.LineageFrom, d.LineageAge = bound.Source, bound.Age
+		delete(s.resumed, id)
+	}
 	if !d.Dispatched {
 		delete(s.waiters, id)
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -84,6 +84,7 @@
 	OwnedBackends  prometheus.Gauge
 	HeldRequests   prometheus.Gauge
 	OverdueReports prometheus.Gauge
+	ResumedStreams *prometheus.CounterVec // by the source of the lineage, or the reason of the refusal
 }
 
 // Platform contains the metrics of the platform's services.
@@ -149,6 +150,7 @@
 			Members:        f.gauge("members", "Live routers, this one included."),
 			OwnedBackends:  f.gauge("owned_backends", "Backend servers whose slots this router grants."),
 			HeldRequests:   f.gauge("held_requests", "Requests that are held back, as backend servers ended under them."),
+			ResumedStreams: f.counters("resumed_streams_total", "Streams taken up by callers, by where the software that began them is known from, or why they were refused.", "outcome"),
 			OverdueReports: f.gauge("load_reports_overdue", "Live routers of which no load reports arrive."),
 		},
 		Platform: &Platform{
