core/prompt: copy cached parts of prompts only within a software version

Found by looking for the cause of the mixed streams elsewhere: a request could tell its engine to copy cached parts from an engine of another version. Nothing says that versions store them in the same format. The best holder is now found per version. The test fails before: a copy from version 2 to version 1.

--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -32,25 +32,25 @@
 		r.candidatesVersion = m.version
 	}
 	r.home = m.homeOf(r)
-	holder := m.holderOf(r)
-	best, found := m.bestOf(r, holder, func(s *server) bool {
+	holders := m.holdersOf(r)
+	best, found := m.bestOf(r, holders, func(s *server) bool {
 		return m.accepts(s) && !slices.Contains(r.Exclude, s.id)
 	})
 	if !found && r.Bound {
-		return m.bestOf(r, holder, m.acceptsLastResort)
+		return m.bestOf(r, holders, m.acceptsLastResort)
 	}
 	return best, found
 }
 
 // bestOf returns the best place for a request at those candidates that accept it.
-func (m *Machine) bestOf(r *request, holder *server, accepts func(*server) bool) (best place, found bool) {
+func (m *Machine) bestOf(r *request, holders map[model.Build]*server, accepts func(*server) bool) (best place, found bool) {
 	var minDelay time.Duration
 	for rank, id := range r.candidates {
 		s := m.servers[id]
 		if s == nil || !r.mayGoTo(s) || !accepts(s) {
 			continue
 		}
-		p := m.placeAt(s, r, holder)
+		p := m.placeAt(s, r, holders[s.Build])
 		p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
 		if !found || p.delay < minDelay {
 			minDelay = p.delay
@@ -88,21 +88,25 @@
 	crossHallCopyFactor = 2
 )
 
-// holderOf returns the candidate that caches most of a request's prompt, nil if the pool does not support copies. It
-// may be a backend server that is leaving.
-func (m *Machine) holderOf(r *request) *server {
+// holdersOf returns, for each software version, the candidate that caches most of a request's prompt; none if the pool
+// does not support copies. It may be a backend server that is leaving. Versions may cache a prompt in different formats.
+func (m *Machine) holdersOf(r *request) map[model.Build]*server {
 	if m.config.Pools[r.Pool].CopyRate <= 0 {
 		return nil
 	}
-	var best *server
-	minUncached := float64(r.Prompt.Tokens)
+	best := map[model.Build]*server{}
+	minUncached := map[model.Build]float64{}
 	for _, id := range r.candidates {
 		s := m.servers[id]
 		if s == nil || s.health.excluded(m.now) {
 			continue
 		}
-		if uncached := m.expectedPrefill(s, r); uncached < minUncached {
-			best, minUncached = s, uncached
+		least, found := minUncached[s.Build]
+		if !found {
+			least = float64(r.Prompt.Tokens)
+		}
+		if uncached := m.expectedPrefill(s, r); uncached < least {
+			best[s.Build], minUncached[s.Build] = s, uncached
 		}
 	}
 	return best
--- a/core/prompt/versions_test.go
+++ b/core/prompt/versions_test.go
@@ -112,3 +112,28 @@
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].(Refuse).Reason, NoBackend)
 }
+
+// TestCachedPartsAreNotCopiedBetweenVersions guards against an engine that gets parts of a prompt from the cache of
+// another software version, which may store them in another format.
+func TestCachedPartsAreNotCopiedBetweenVersions(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(1)
+	c := versionedConfig(6, 3)
+	c.Pools[pool] = Pool{Engine: true, CacheTokens: 500_000, CopyRate: 400_000}
+	m.Configure(0, c)
+	copies := 0
+	for id := range model.RequestID(40) {
+		m.Arrive(time.Duration(id)*10*time.Millisecond, newRequest(id+1, model.AccountID(id%8), 7, 12_000))
+		for _, a := range m.TakeActions() {
+			d, dispatched := a.(Dispatch)
+			if !dispatched {
+				continue
+			}
+			if d.CopyFrom != 0 {
+				copies++
+				is.Equal(c.Backends[d.CopyFrom].Build, c.Backends[d.Backend].Build)
+			}
+		}
+	}
+	is.True(copies > 0)
+}
