generation: keep a server's known version when a catalog has none

Suspected, not seen: while routers of a build that doesn't read versions publish the catalog too, each server's version would come and go, and streams that were begun in between could not go on. The test is of the function; a fleet of two builds was not run.

--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -207,6 +207,7 @@
 	if held != nil && next.Revision <= held.Revision {
 		return
 	}
+	keepVersions(held, next)
 	same := held != nil && proto.Equal(&wire.Catalog{Entries: next.Entries}, &wire.Catalog{Entries: held.Entries})
 	if same {
 		return
