ctl, admin: an apply builds on the last accepted configuration

What operators saw: an apply through another router than the last one ended with code 3, another came first, though none had. TestConfigurationNeverReverts failed so once.

Both now ask the router for the configuration that the store has; while the store is out, they end with code 4, as applies did.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -43,12 +43,15 @@
 	writeStall = 10 * time.Second
 )
 
-// The headers of the API.
+// The headers and query parameters of the API.
 const (
 	GenerationHeader = "Tamarindstep-Generation"
 	BaseHeader       = "Tamarindstep-Base"     // the generation that an apply is based on
 	ApplyHeader      = "Tamarindstep-Apply-Id" // the same for every attempt of an apply
 	FileHeader       = "Tamarindstep-File"     // the file name used in findings
+	// CurrentQuery is the query parameter that requests the configuration in the store instead of the one in force at
+	// the router, which may not have received the last one yet.
+	CurrentQuery = "current"
 )
 
 // The error codes.
@@ -242,6 +245,13 @@
 
 func (s *Service) getConfiguration(ctx *fasthttp.RequestCtx) {
 	d := s.generations.Document()
+	if ctx.QueryArgs().Has(CurrentQuery) {
+		var err error
+		if d, err = s.generations.ReadCurrent(context.Background()); err != nil {
+			writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: CodeUnavailable, Message: err.Error()})
+			return
+		}
+	}
 	if d == nil {
 		writeError(ctx, fasthttp.StatusNotFound, Error{Code: CodeNoConfiguration, Message: "no configuration is in force"})
 		return
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/admin"
 	"github.com/tamarindstep/tamarindstep/config"
@@ -217,7 +218,7 @@
 			return err
 		}
 		if base < 0 {
-			r, err := client.call("GET", "/admin/v1/configuration", nil)
+			r, err := client.currentConfiguration()
 			if err != nil {
 				return err
 			}
@@ -238,6 +239,17 @@
 	return c
 }
 
+// currentConfiguration returns the configuration that an apply builds on: the last one that was accepted, which the router
+// may not have received yet. Its generation is 0 if there is none.
+func (c *client) currentConfiguration() (*response, error) {
+	r, err := c.call("GET", "/admin/v1/configuration?"+admin.CurrentQuery, nil)
+	if err != nil || r.status == fasthttp.StatusNotFound {
+		return r, err
+	}
+	_, err = r.decode(nil)
+	return r, err
+}
+
 // applyAttempts is the maximum number of attempts of an apply whose response is lost.
 const applyAttempts = 3
 
--- a/ctl/evacuate.go
+++ b/ctl/evacuate.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return err
 		}
-		r, err := client.call("GET", "/admin/v1/configuration", nil)
+		r, err := client.currentConfiguration()
 		if err != nil {
 			return err
 		}
--- a/e2e/guarantees_test.go
+++ b/e2e/guarantees_test.go
@@ -351,6 +351,19 @@
 	f.awaitGeneration(3)
 }
 
+// TestAppliesAtDifferentRoutersFollowEachOther guards against an apply that ends as a conflict though no other one came
+// between: the router hadn't received the configuration that another one had just accepted, and named an old base.
+func TestAppliesAtDifferentRoutersFollowEachOther(t *testing.T) {
+	is := check(t)
+	f := newFleet(t, 3)
+	for i := range 30 {
+		file := f.write(fmt.Sprintf("next-%d.yaml", i), f.configuration(fmt.Sprintf("    limits: {queue: %d}\n", 1000+i)))
+		code, out := f.ctl(f.routers[i%3], "apply", file)
+		is.Equal(code, 0)
+		is.True(strings.Contains(out, fmt.Sprintf("generation %d ", i+2)))
+	}
+}
+
 func (f *fleet) awaitGeneration(generation uint64) {
 	f.t.Helper()
 	f.await(fmt.Sprint("generation ", generation, " at all routers"), func() bool {
--- a/generation/apply.go
+++ b/generation/apply.go
@@ -43,17 +43,48 @@
 		if done {
 			return generation, err
 		}
-		select {
-		case <-ctx.Done():
-			if sent {
-				return 0, OutcomeUnknown.New("the store's answer is lost and it can't be read back")
-			}
+		switch {
+		case s.sleepUnlessDone(ctx):
+		case sent:
+			return 0, OutcomeUnknown.New("the store's answer is lost and it can't be read back")
+		default:
 			return 0, store.Unavailable.Wrap(err, "nothing was applied")
-		case <-time.After(retryPause):
 		}
 	}
 }
 
+// ReadCurrent returns the document that the store has, nil if it has none. The router may not have received it yet. The
+// error is of type store.Unavailable.
+func (s *Service) ReadCurrent(ctx context.Context) (*wire.Document, error) {
+	if s.readOnly {
+		return s.Document(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	for {
+		s.metrics.StoreCalls.WithLabelValues("get").Inc()
+		v, err := s.store.Get(ctx, Key)
+		if err == nil {
+			s.installValue(v)
+			return s.Document(), nil
+		}
+		s.metrics.StoreFailures.WithLabelValues("get").Inc()
+		if !s.sleepUnlessDone(ctx) {
+			return nil, store.Unavailable.Wrap(err, "the store doesn't answer")
+		}
+	}
+}
+
+// sleepUnlessDone pauses before the next attempt, and reports whether there is time for it.
+func (s *Service) sleepUnlessDone(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(retryPause):
+		return true
+	}
+}
+
 // tryApply reads the store and swaps. done reports whether the outcome is determined. The next attempt resolves a
 // swap whose response was lost: either the document contains the apply's identifier, or the swap is made again on the
 // same revision, and only one of the two can succeed.
