scheduler: log events that waited long, and what for

Sight for the listed TestPlatformEventLoopIsNotDelayedUnderOverload, which failed once: one of 5,990 events waited more than 0.256 s, and nothing tells whether a step was long or the process had no processor.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -53,6 +53,7 @@
 	name, callers, admin, peers string
 	noStore                     bool // whether it can't reach the store
 	cmd                         *exec.Cmd
+	logFile                     string // "" if its log isn't kept
 	exited                      chan error
 }
 
--- a/e2e/platform_harness_test.go
+++ b/e2e/platform_harness_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -89,12 +91,32 @@
 		"--drain-seconds", "8",
 	}, p.flags...)
 	r.cmd = exec.Command(binary, args...)
+	r.logFile = filepath.Join(p.t.TempDir(), r.name+".log")
+	log, err := os.Create(r.logFile)
+	p.is.NoErr(err)
+	r.cmd.Stdout = log
 	p.is.NoErr(r.cmd.Start())
+	p.is.NoErr(log.Close())
 	go func() { r.exited <- r.cmd.Wait() }()
 	p.t.Cleanup(func() { _ = r.cmd.Process.Kill() })
 	return r
 }
 
+// linesOf returns the lines of a router's log that contain a text.
+func linesOf(r *router, text string) string {
+	log, err := os.ReadFile(r.logFile)
+	if err != nil {
+		return err.Error()
+	}
+	var out strings.Builder
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, text) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
 func isReady(r *router) bool {
 	resp, err := http.Get("http://" + r.admin + "/readyz")
 	if err != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,6 +88,7 @@
 	loadsBytes  float64
 	homePerHall bool
 	lag         lag
+	delays      delayLog
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -123,6 +124,7 @@
 		waiters:      map[core.RequestID]chan Decision{},
 		tryRequested: map[core.RequestID]model.Time{},
 		resumed:      map[core.RequestID]core.StreamBound{},
+		delays:       delayLog{log: log},
 		done:         make(chan struct{}),
 
 		loadsBytes: core.DefaultLoadsBytes,
@@ -252,6 +254,7 @@
 			s.checkSuspension()
 			s.recordLag(c, s.now()-e.queuedAt)
 			s.metrics.Scheduler.EventWait.Observe((s.now() - e.queuedAt).Seconds())
+			s.delays.recordWait(s.now(), e.queuedAt, e.event, len(s.events))
 			s.step(c, e.event)
 		case read := <-s.reads:
 			read(c)
@@ -275,7 +278,11 @@
 
 func (s *Service) step(c *core.Core, e core.Event) {
 	start := time.Now()
-	defer func() { s.metrics.Scheduler.Step.Observe(time.Since(start).Seconds()) }()
+	began := s.now()
+	defer func() {
+		s.delays.recordStep(began, s.now())
+		s.metrics.Scheduler.Step.Observe(time.Since(start).Seconds())
+	}()
 	actions := c.Step(s.now(), e)
 	s.metrics.Scheduler.StepTime.Add(time.Since(start).Seconds())
 	s.metrics.Scheduler.Steps.Inc()
