--- a/core/ingress.go
+++ b/core/ingress.go
@@ -235,7 +235,7 @@
 func (c *Core) dispatchResumed(r *request, q *queue) {
 	var best model.BackendID
 	for _, id := range sortedKeys(c.config.Backends) {
-		if c.config.Backends[id].Lineage() != r.resumed.Lineage || c.excludes(id) || slices.Contains(r.resumed.Exclude, id) {
+		if c.config.Backends[id].Lineage() != r.resumed.Lineage || c.unusable(id) || slices.Contains(r.resumed.Exclude, id) {
 			continue
 		}
 		if best == 0 || c.running[id] < c.running[best] {
@@ -324,17 +324,21 @@
 	f.until = c.now + f.pause
 }
 
-// excludes reports whether this router currently sends no new requests to a backend server.
+// excludes reports whether this router currently uses no grants for a backend server: it is unusable, or its version
+// begins no streams yet, which a request of any kind may be.
 func (c *Core) excludes(id model.BackendID) bool {
+	l := c.config.Backends[id].Lineage()
+	return c.unusable(id) || slices.Contains(c.unsettled(l.Pool), l.Build)
+}
+
+// unusable reports whether this router currently sends no new requests to a backend server.
+func (c *Core) unusable(id model.BackendID) bool {
 	if !c.config.Backends[id].inService() {
 		return true
 	}
 	if !c.notices.Accepts(c.now, id) {
 		return true
 	}
-	if l := c.config.Backends[id].Lineage(); slices.Contains(c.unsettled(l.Pool), l.Build) {
-		return true // a request of any kind may be sent there with a grant
-	}
 	f := c.excluded[id]
 	return f != nil && (f.leaving || c.now < f.until)
 }
--- a/core/streams.go
+++ b/core/streams.go
@@ -16,9 +16,10 @@
 	// usually gets the first event later than this after the dispatch.
 	recordInterval = 100 * time.Millisecond
 	// lookupWait is how long after a question the routers that have a record may take to answer.
-	lookupWait = 100 * time.Millisecond
-	// lookupRounds is how often routers are asked for a stream, as datagrams are lost.
-	lookupRounds = 2
+	lookupWait = 150 * time.Millisecond
+	// lookupRounds is how often routers are asked for a stream, as datagrams are lost and routers may be busy. If all
+	// have answered, the lookup ends at once.
+	lookupRounds = 3
 	// minLookupInterval is the shortest time between two questions of this router, and lookupIntervalPerRouter its
 	// growth with the fleet: each router is asked at most 1,000 times a second, even if every router has streams to
 	// look up, as after the failure of a data hall.
--- a/core/streams_test.go
+++ b/core/streams_test.go
@@ -370,3 +370,20 @@
 	}
 	return bytes / float64(routers*seconds), messages / float64(routers*seconds)
 }
+
+// TestStreamsOfAVersionThatBeginsNoneGoOn guards against refusing a stream because its version begins no streams: it was
+// begun by a router that had no other.
+func TestStreamsOfAVersionThatBeginsNoneGoOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, p := range []*policy.Policy{promptaffinity.Policy, fleetfair.Policy} {
+		f := newStreamFleet(p, 3, "v1")
+		next := released(f.config, 2, "v2")
+		f.config = next
+		f.configureAt(f.routers, next)
+		fresh := model.Lineage{Pool: model.Pool(assistant), Build: model.BuildOf("v2")}
+		f.routers[0].core.streams.tracker.Begin(f.time.Now(), 7, fresh, []model.PoolID{fresh.Pool})
+		f.builds[7] = fresh
+		is.Equal(f.resumeAt(t, []model.StreamID{7}, 300*time.Millisecond), 1)
+	}
+}
--- a/core/view.go
+++ b/core/view.go
@@ -56,9 +56,9 @@
 			slots = c.config.Backends[id].Slots
 		}
 		out.Backends = append(out.Backends, &wire.BackendStatus{
-			Name: c.config.Backends[id].Name, BornMs: c.config.Backends[id].Born, Pool: c.config.Pools[b.pool].Name,
+			Name: c.config.Backends[id].Name, BornMs: c.config.Backends[id].Born, Version: c.config.Backends[id].Version, Pool: c.config.Pools[b.pool].Name,
 			Slots: uint32(slots), Limit: uint32(min(b.limit, slots)), Occupied: uint32(c.occupied(b)),
-			Leaving: b.load.Leaving || b.load.Failed || c.excludes(id), Evacuated: c.config.Backends[id].Evacuated,
+			Leaving: b.load.Leaving || b.load.Failed || c.unusable(id), Evacuated: c.config.Backends[id].Evacuated,
 		})
 	}
 	out.Evacuated = c.evacuated()
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -78,9 +78,9 @@
 	}
 	table(w, rows)
 	fmt.Fprintln(w)
-	rows = [][]any{{"BACKEND SERVER", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING", "EVACUATED", "STARTED"}}
+	rows = [][]any{{"BACKEND SERVER", "VERSION", "POOL", "OWNER", "SLOTS", "LIMIT", "OCCUPIED", "LEAVING", "EVACUATED", "STARTED"}}
 	for _, b := range f.Backends {
-		rows = append(rows, []any{b.Name, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving, b.Evacuated, formatStart(b.BornMS)})
+		rows = append(rows, []any{b.Name, b.Version, b.Pool, b.Owner, b.Slots, b.Limit, b.Occupied, b.Leaving, b.Evacuated, formatStart(b.BornMS)})
 	}
 	table(w, rows)
 	fmt.Fprintln(w)
--- a/status/status.go
+++ b/status/status.go
@@ -164,6 +164,7 @@
 type Backend struct {
 	Name     string `json:"name"`
 	BornMS   uint64 `json:"born_ms,omitempty"` // start time of its process by its own clock, in Unix ms; 0 if not reported
+	Version  string `json:"version,omitempty"` // of its software
 	Pool     string `json:"pool"`
 	Owner    string `json:"owner"`
 	Slots    uint32 `json:"slots"`
@@ -252,7 +253,7 @@
 		f.Evacuated = append(f.Evacuated, a.Evacuated...)
 		for _, b := range a.Backends {
 			f.Backends = append(f.Backends, Backend{
-				Name: b.Name, BornMS: b.BornMs, Pool: b.Pool, Owner: a.Name, Slots: b.Slots, Limit: b.Limit,
+				Name: b.Name, BornMS: b.BornMs, Version: b.Version, Pool: b.Pool, Owner: a.Name, Slots: b.Slots, Limit: b.Limit,
 				Occupied: b.Occupied, Leaving: b.Leaving, Evacuated: b.Evacuated,
 			})
 		}
