internal/socket: report a message that was sent in part

What a caller could see: a refusal cut off in the middle that looks sent, where its connection's send buffer is nearly full. send returns how much it took, and unix.Send drops that.

--- a/internal/socket/acceptor.go
+++ b/internal/socket/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -117,9 +118,13 @@
 	return n, nil
 }
 
-// Write sends a short message whole, or fails.
+// Write sends a short message whole, or fails. A part of it may have been sent then.
 func (c FDConn) Write(b []byte) error {
-	return unix.Send(int(c), b, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	n, err := unix.SendmsgN(int(c), b, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	if err == nil && n < len(b) {
+		err = io.ErrShortWrite
+	}
+	return err
 }
 
 // CloseWrite closes the write side of the connection.
--- a/internal/socket/acceptor_test.go
+++ b/internal/socket/acceptor_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // newTestAcceptor returns an acceptor and a function that connects to its listener.
@@ -44,6 +45,34 @@
 	}
 }
 
+// TestFDConnWritesWholeMessagesOrFails guards against a message of which a part is sent without an error: the other side
+// reads nothing until the send buffer is full.
+func TestFDConnWritesWholeMessagesOrFails(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	file, err := accepted.(*net.TCPConn).File()
+	is.NoErr(err)
+	is.NoErr(accepted.Close())
+	defer func() { _ = file.Close() }()
+	message := make([]byte, 100_003) // no divisor of a buffer's size
+	whole := 0
+	for FDConn(file.Fd()).Write(message) == nil {
+		whole++
+	}
+	is.NoErr(unix.Shutdown(int(file.Fd()), unix.SHUT_WR))
+	read, err := io.Copy(io.Discard, client)
+	is.NoErr(err)
+	is.True(whole > 0)
+	is.True(read >= int64(whole*len(message)))
+}
+
 // TestFDConnsAnswer answers a request on each of several connections and closes them: each caller must receive the
 // whole response and an orderly end of the connection.
 func TestFDConnsAnswer(t *testing.T) {
