peer: release the port after a start that failed

What operators would see: a router whose start failed, as its port for datagrams was in use, can't be started again in the same process: the listener for calls stayed open. Suspected by reading; the test fails before.

--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -46,6 +46,19 @@
 	return s
 }
 
+// TestFailedStartReleasesThePort guards against a router that can't start again on its port after a start that failed
+// because the port for datagrams was in use.
+func TestFailedStartReleasesThePort(t *testing.T) {
+	is := is.New(t)
+	address := freeAddress(is)
+	taken, err := net.ListenPacket("udp", address)
+	is.NoErr(err)
+	settings := Settings{Name: "a", Boot: 1, Listen: address, Key: []byte("one key for both")}
+	is.True(New(settings, telemetry.NewMetrics().Peer).Start(context.Background(), nil) != nil)
+	is.NoErr(taken.Close())
+	startAt(t, is, settings)
+}
+
 func TestCallsCarryTheTrace(t *testing.T) {
 	is := is.New(t)
 	a, b := startPeer(t, is, "a", "one key for both"), startPeer(t, is, "b", "one key for both")
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -121,6 +121,7 @@
 	}
 	s.sendConn, err = net.ListenUDP("udp", &net.UDPAddr{})
 	if err != nil {
+		_ = s.callListener.Close()
 		return err
 	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -128,7 +129,19 @@
 	s.ended.Add(2)
 	go s.listenDatagrams()
 	go s.acceptCalls(run)
-	return <-s.listening
+	if err := <-s.listening; err != nil {
+		s.close()
+		return err
+	}
+	return nil
+}
+
+// close closes the sockets, apart from that for received datagrams, and waits until the goroutines have ended.
+func (s *Service) close() {
+	s.cancel()
+	_ = s.callListener.Close()
+	_ = s.sendConn.Close()
+	s.ended.Wait()
 }
 
 func (s *Service) listenDatagrams() {
@@ -140,9 +153,7 @@
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	err := s.receiver.stop(ctx)
-	_ = s.callListener.Close()
-	_ = s.sendConn.Close()
-	s.ended.Wait()
+	s.close()
 	return err
 }
 
