status: list every router while some are dead

What operators would see: a status table that lacks routers, where some are dead and others answer at the same time: the list was extended by the dead ones without the lock.

--- a/status/status.go
+++ b/status/status.go
@@ -192,17 +192,23 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	own, _ := s.Status(ctx, nil)
-	answers := []*wire.StatusResponse{own}
-	routers := []Router{routerOf(own, wire.Status_STATUS_ALIVE)}
+	routers, answers := gather(ctx, own.Members[1:], s.fetchStatus)
+	return merge(append(routers, routerOf(own, wire.Status_STATUS_ALIVE)), append(answers, own))
+}
+
+// gather asks the live ones of some routers for their status, and returns the state of all and the answers.
+func gather(ctx context.Context, members []*wire.Rumour, fetch func(context.Context, string) (*wire.StatusResponse, error)) (routers []Router, answers []*wire.StatusResponse) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, m := range own.Members[1:] {
+	for _, m := range members {
 		if m.Status == wire.Status_STATUS_DEAD {
+			mu.Lock()
 			routers = append(routers, Router{Name: m.Name, DataHall: m.DataHall, Status: statusName(m.Status)})
+			mu.Unlock()
 			continue
 		}
 		wg.Go(func() {
-			answer, err := s.fetchStatus(ctx, m.Address)
+			answer, err := fetch(ctx, m.Address)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -214,7 +220,7 @@
 		})
 	}
 	wg.Wait()
-	return merge(routers, answers)
+	return routers, answers
 }
 
 func (s *Service) fetchStatus(ctx context.Context, address string) (*wire.StatusResponse, error) {
