--- a/claim/claim.go
+++ b/claim/claim.go
@@ -138,7 +138,7 @@
 
 // Release releases a key of a request that was not sent. It does not wait for the result.
 func (s *Service) Release(key Key, holder Holder) {
-	s.shards[shardOf(key)].submit(claims.Op{Key: key, Holder: holder, Release: true}, nil)
+	s.shards[shardOf(key)].submit(s.run, claims.Op{Key: key, Holder: holder, Release: true}, nil)
 }
 
 // forward forwards a claim to the router that commits the shard of the key. ok is false if that is this router, or if
@@ -173,7 +173,7 @@
 // Commit commits a claim to the store from this router.
 func (s *Service) Commit(ctx context.Context, key Key, holder Holder) claims.Result {
 	result := make(chan claims.Result, 1)
-	s.shards[shardOf(key)].submit(claims.Op{Key: key, Holder: holder}, result)
+	s.shards[shardOf(key)].submit(ctx, claims.Op{Key: key, Holder: holder}, result)
 	select {
 	case r := <-result:
 		return r
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -39,10 +39,12 @@
 	}
 }
 
-// submit queues an operation. The result channel, if any, must have capacity for one result.
-func (r *runner) submit(op claims.Op, result chan claims.Result) {
+// submit queues an operation, unless ctx ends before there is room for it. The result channel, if any, must have capacity
+// for one result.
+func (r *runner) submit(ctx context.Context, op claims.Op, result chan claims.Result) {
 	select {
 	case r.requests <- request{op: op, result: result}:
+	case <-ctx.Done():
 	case <-r.service.run.Done():
 	}
 }
