config/check: TS2004 covers every number

What operators would see: a file with a negative rate, size, priority or pause is accepted, and fails later or does something else.

--- a/config/check/ts2004/ts2004.go
+++ b/config/check/ts2004/ts2004.go
@@ -13,7 +13,7 @@
 	Code: "TS2004",
 	Doc: check.Doc{
 		Title:    "a number is out of its range",
-		Text:     "Weights lie between 0.01 and 1000, slots between 1 and 4096, and limits, costs and waits are not negative.",
+		Text:     "Weights lie between 0.01 and 1000, slots between 1 and 4096, and no other number is negative.",
 		Since:    "0.1",
 		Severity: finding.Error,
 	},
@@ -27,11 +27,13 @@
 )
 
 func run(p *check.Pass) {
+	notNegative(p, "tokens-per-second", p.File.TokensPerSecond)
 	for i, a := range p.File.Accounts {
 		path := fmt.Sprintf("accounts[%d]", i)
 		if a.Weight != 0 && (a.Weight < minWeight || a.Weight > maxWeight) {
 			p.Report(path+".weight", "weight %v is not between %v and %v", a.Weight, minWeight, maxWeight)
 		}
+		notNegative(p, path+".priority", float64(a.Priority))
 		notNegative(p, path+".limits.concurrent", float64(a.Limits.Concurrent))
 		notNegative(p, path+".limits.queue", float64(a.Limits.Queue))
 		notNegative(p, path+".limits.requests-per-minute", a.Limits.RequestsPerMinute)
@@ -40,6 +42,9 @@
 		path := fmt.Sprintf("pools[%d]", i)
 		notNegative(p, path+".expected-output", pool.ExpectedOutput)
 		notNegative(p, path+".call-cost", pool.CallCost)
+		notNegative(p, path+".memory-tokens", float64(pool.MemoryTokens))
+		notNegative(p, path+".copy-rate", pool.CopyRate)
+		notNegative(p, path+".connections", float64(pool.Connections))
 		notNegative(p, path+".cold-rate", pool.ColdRate)
 		notNegative(p, path+".cold-for", float64(pool.ColdFor))
 		for j, b := range pool.Backends {
@@ -53,6 +58,8 @@
 		notNegative(p, path+".wait", float64(r.Wait))
 		notNegative(p, path+".through.timeout", float64(r.Through.Timeout))
 		notNegative(p, path+".through.objective", float64(r.Through.Objective))
+		notNegative(p, path+".through.pause-objective", float64(r.Through.PauseObjective))
+		notNegative(p, path+".through.priority", float64(r.Through.Priority))
 		notNegative(p, path+".through.attempts", float64(r.Through.Attempts))
 		for j, share := range r.Split {
 			notNegative(p, fmt.Sprintf("%s.split[%d].weight", path, j), share.Weight)
