--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -134,7 +134,6 @@
 	segments    map[uint64]segment
 	slots       map[int]int64 // last known revision of each slot's value
 	slotWritten bool          // the slot for the current head has been written
-	slotKnown   bool
 }
 
 // segment is a sealed segment that has been read.
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -164,7 +164,6 @@
 	m.config.Tuning = c.Tuning.withDefaults()
 	for id := range m.servers {
 		if _, known := c.Backends[id]; !known {
-			m.servers[id].removed = true
 			delete(m.servers, id)
 		}
 	}
--- a/core/prompt/server.go
+++ b/core/prompt/server.go
@@ -19,7 +19,6 @@
 	cacheTokens float64       // tokens prefilled after which an unused part is considered evicted
 	latency     *latencyModel // latency model of its pool
 	copyRate    float64       // tokens copied from another backend server per second, 0 if not supported
-	removed     bool
 
 	// sentTokens counts the tokens to prefill sent by all routers, as far as reported; prefilledTokens estimates how
 	// many of these have been prefilled.
