core: four holders of stream records in small fleets

What callers would see: with more than half of the routers killed at the same moment, a fifth to a tenth of their streams is refused, as their router and both holders are gone.

Up to 100 routers, four routers hold each record, two of them in other data halls.

--- a/core/streams.go
+++ b/core/streams.go
@@ -12,6 +12,11 @@
 )
 
 const (
+	// holders is the number of routers to which a router sends its records of streams, and holdersOfSmallFleet that in
+	// fleets of up to smallFleet routers: there, a few failures are a large part of the fleet, and the messages are few.
+	holders             = 2
+	holdersOfSmallFleet = 4
+	smallFleet          = 100
 	// recordInterval is the shortest time between two messages with records of streams to the same router. A caller
 	// usually gets the first event later than this after the dispatch.
 	recordInterval = 100 * time.Millisecond
@@ -196,8 +201,8 @@
 	}
 }
 
-// refreshHolders selects the routers that hold this router's records: one in its data hall, whose messages cost little,
-// and one in another, in case the data hall fails; if there is no other data hall, both in its own.
+// refreshHolders selects the routers that hold this router's records: half of them in its data hall, whose messages cost
+// little, and the others in different data halls, in case its own fails.
 func (c *Core) refreshHolders() {
 	s := &c.streams
 	if s.holdersSet {
@@ -205,19 +210,19 @@
 	}
 	s.holdersSet = true
 	near, far := c.holderCandidates()
-	chosen := slices.Concat(near[:min(1, len(near))], far[:min(1, len(far))])
-	switch {
-	case len(far) == 0:
-		chosen = near[:min(2, len(near))]
-	case len(near) == 0:
-		chosen = far[:min(2, len(far))]
+	count := holders
+	if len(c.members.Names()) < smallFleet {
+		count = holdersOfSmallFleet
 	}
-	s.holders = chosen
-	s.tracker.SetHolders(chosen)
+	chosen := slices.Clone(near[:min(count/2, len(near))])
+	rest := slices.Concat(far, near[len(chosen):])
+	s.holders = append(chosen, rest[:min(count-len(chosen), len(rest))]...)
+	s.tracker.SetHolders(s.holders)
 }
 
 // holderCandidates returns the live routers in this router's data hall and the others, in the order in which they are
-// preferred as holders. The order differs between routers, so that all have about as many records to hold.
+// preferred as holders: one of each other data hall first. The order differs between routers, so that all have about as
+// many records to hold.
 func (c *Core) holderCandidates() (near, far []string) {
 	self := c.members.Self()
 	for _, name := range c.members.Names() {
@@ -235,7 +240,23 @@
 	}
 	slices.SortFunc(near, preference)
 	slices.SortFunc(far, preference)
-	return near, far
+	return near, c.oneOfEachHallFirst(far)
+}
+
+// oneOfEachHallFirst moves the first router of each data hall to the front.
+func (c *Core) oneOfEachHallFirst(names []string) []string {
+	var first, others []string
+	seen := map[string]bool{}
+	for _, name := range names {
+		hall := c.members.Get(name).DataHall
+		if seen[hall] {
+			others = append(others, name)
+			continue
+		}
+		seen[hall] = true
+		first = append(first, name)
+	}
+	return append(first, others...)
 }
 
 // nextStreams returns when flushStreams is due next.
--- a/core/streams_test.go
+++ b/core/streams_test.go
@@ -140,6 +140,13 @@
 	failures := map[string]func(*streamFleet){
 		"none":       func(*streamFleet) {},
 		"one router": func(f *streamFleet) { f.kill(f.routers[1]) },
+		"more than half": func(f *streamFleet) {
+			for i, n := range f.routers {
+				if i%9 < 5 {
+					f.kill(n)
+				}
+			}
+		},
 		"data hall": func(f *streamFleet) {
 			for _, n := range f.routers {
 				if n.hall == "hall-1" {
@@ -151,6 +158,9 @@
 	for _, p := range []*policy.Policy{promptaffinity.Policy, fleetfair.Policy} {
 		for _, routers := range []int{3, 9, 60} {
 			for name, fail := range failures {
+				if routers == 3 && name == "more than half" {
+					continue // these are all routers
+				}
 				t.Run(fmt.Sprintf("%s %d %s", p.Name, routers, name), func(t *testing.T) {
 					f := newStreamFleet(p, routers, "v1", "v2")
 					f.loss = 0.01
@@ -339,16 +349,16 @@
 func BenchmarkStreamRecords(_ *testing.B) {
 	fmt.Printf("%9s %9s %8s | %9s %9s\n", "routers", "streams/s", "versions", "B/s", "msg/s")
 	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
-		for _, perSecond := range []int{10, 25, 50, 102} {
-			bytes, messages := measureStreamRecords(20, perSecond, versions)
-			fmt.Printf("%9d %9d %8d | %9.0f %9.1f\n", 20, perSecond, len(versions), bytes, messages)
+		for _, row := range []struct{ routers, perSecond int }{{20, 10}, {20, 25}, {20, 102}, {smallFleet + 10, 10}, {smallFleet + 10, 102}} {
+			bytes, messages := measureStreamRecords(row.routers, row.perSecond, versions)
+			fmt.Printf("%9d %9d %8d | %9.0f %9.1f\n", row.routers, row.perSecond, len(versions), bytes, messages)
 		}
 	}
 }
 
 // measureStreamRecords returns the bytes and messages a second of a router that are due to records of streams.
 func measureStreamRecords(routers, perSecond int, versions []string) (bytes, messages float64) {
-	const seconds = 5
+	const seconds = 2
 	f := newStreamFleet(promptaffinity.Policy, routers, versions...)
 	f.modify = func(d *wire.Datagram) *wire.Datagram {
 		if d.Began != nil {
