--- a/core/streams_test.go
+++ b/core/streams_test.go
@@ -133,31 +133,33 @@
 // nearlyAll is the part of the streams whose router has failed that must go on.
 const nearlyAll = 0.95
 
+// streamFailures are failures of a fleet by name; each kills some routers.
+var streamFailures = map[string]func(*streamFleet){
+	"none":       func(*streamFleet) {},
+	"one router": func(f *streamFleet) { f.kill(f.routers[1]) },
+	"more than half": func(f *streamFleet) {
+		f.killWhere(func(i int, _ *testRouter) bool { return i%9 < 5 })
+	},
+	"data hall": func(f *streamFleet) {
+		f.killWhere(func(_ int, n *testRouter) bool { return n.hall == "hall-1" })
+	},
+}
+
+func (f *streamFleet) killWhere(fails func(int, *testRouter) bool) {
+	for i, n := range f.routers {
+		if fails(i, n) {
+			f.kill(n)
+		}
+	}
+}
+
 // TestStreamsGoOnAtTheirLineageAfterFailures guards against streams that go on at another software version, or are
-// refused, at routers that didn't begin them: all routers live, one is killed, and a whole data hall is.
+// refused, at routers that didn't begin them: all routers live, one is killed, more than half are, and a data hall is.
 func TestStreamsGoOnAtTheirLineageAfterFailures(t *testing.T) {
 	t.Parallel()
-	failures := map[string]func(*streamFleet){
-		"none":       func(*streamFleet) {},
-		"one router": func(f *streamFleet) { f.kill(f.routers[1]) },
-		"more than half": func(f *streamFleet) {
-			for i, n := range f.routers {
-				if i%9 < 5 {
-					f.kill(n)
-				}
-			}
-		},
-		"data hall": func(f *streamFleet) {
-			for _, n := range f.routers {
-				if n.hall == "hall-1" {
-					f.kill(n)
-				}
-			}
-		},
-	}
 	for _, p := range []*policy.Policy{promptaffinity.Policy, fleetfair.Policy} {
 		for _, routers := range []int{3, 9, 60} {
-			for name, fail := range failures {
+			for name, fail := range streamFailures {
 				if routers == 3 && name == "more than half" {
 					continue // these are all routers
 				}
