--- a/core/streams.go
+++ b/core/streams.go
@@ -146,10 +146,11 @@
 	return false
 }
 
-// unsettled returns the versions of a pool that begin no streams yet, unless all others are leaving.
+// unsettled returns the versions of a pool that begin no streams yet, unless all others are leaving or there is no other
+// router that might not know of them.
 func (c *Core) unsettled(pool model.PoolID) []model.Build {
 	fresh := c.streams.tracker.Fresh(c.now, pool)
-	if len(fresh) == 0 {
+	if len(fresh) == 0 || len(c.members.Names()) == 0 {
 		return nil
 	}
 	for _, b := range c.config.Backends {
--- a/core/streams_test.go
+++ b/core/streams_test.go
@@ -294,6 +294,25 @@
 	resume()
 }
 
+// TestASingleRouterUsesANewVersionAtOnce guards against servers that stay idle after a release for routers that don't
+// exist.
+func TestASingleRouterUsesANewVersionAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, p := range []*policy.Policy{promptaffinity.Policy, fleetfair.Policy} {
+		f := newStreamFleet(p, 1, "v1")
+		f.config = released(f.config, 2, "v2")
+		f.configureAt(f.routers, f.config)
+		f.runUntil(f.time.Now() + 100*time.Millisecond)
+		used := map[model.Lineage]bool{}
+		for range 100 {
+			used[f.builds[f.submit(f.routers[0], 0)]] = true
+			f.runUntil(f.time.Now() + time.Millisecond)
+		}
+		is.Equal(len(used), 2)
+	}
+}
+
 // TestCutRouterRefusesStreamsThatItDoesNotKnow guards against guessing: a router that reaches no other resumes only the
 // streams that it has a record of.
 func TestCutRouterRefusesStreamsThatItDoesNotKnow(t *testing.T) {
