core/claims: seal segments only when they are full

What callers would see: a keyed request that runs twice, if it is repeated after some 16,000 other claims of its shard: with batches of more than half a segment, each segment was sealed half empty, and half as many claims were kept as promised. Suspected by reading; the test fails before. The promise itself was too high by one segment (MinKept). The same slots are used, so that routers of both builds work on one store.

A message that can't be encoded was swapped in as an empty head. It can't happen, as these messages hold numbers and bytes only; the code now says so and ends the process instead.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -13,7 +13,7 @@
 // The head contains the newest claims. When it is full they are sealed: written to a slot, after which the next head
 // omits them and refers to the slot by its number and the head revision that they were sealed from. Slots are reused
 // in turn, so that the store holds a bounded number of values and the oldest claims are discarded: at least the last
-// Segments*SegmentSize claims of a shard are kept.
+// MinKept claims of a shard are kept.
 //
 // A swap whose response is lost is resolved by reading the head back. If it contains the claims, the swap took effect.
 // If not, the same claims are swapped in again on the revision read; should the lost swap still arrive, only one of
@@ -33,8 +33,10 @@
 const (
 	// SegmentSize is the number of claims in a segment.
 	SegmentSize = 512
-	// Segments is the number of full segments that are kept.
+	// Segments is the number of slots for full segments. One of them is being written or next in turn.
 	Segments = 64
+	// MinKept is the number of claims of a shard that are kept at least.
+	MinKept = (Segments - 1) * SegmentSize
 	// maxAttempts is how often a claim is attempted while the store fails.
 	maxAttempts = 3
 	// retryDelay is the delay after a failed store call.
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -204,6 +204,18 @@
 
 // TestSealedClaimsAreFound checks that a new router finds claims whose segment has been sealed.
 func TestSealedClaimsAreFound(t *testing.T) {
+	checkClaimsAreKept(t, 5*SegmentSize, 100, 5*SegmentSize)
+}
+
+// TestClaimsInLargeBatchesAreKept guards against keys that are claimed twice, as segments were sealed while they were half
+// empty, and fewer claims were kept than promised.
+func TestClaimsInLargeBatchesAreKept(t *testing.T) {
+	checkClaimsAreKept(t, 2*MinKept, SegmentSize/2+1, MinKept)
+}
+
+// checkClaimsAreKept makes a number of claims in batches, and checks that a new router finds the last ones.
+func checkClaimsAreKept(t *testing.T, claims, batch, kept int) {
+	t.Helper()
 	is := is.New(t)
 	s := &store{values: map[string]CallResult{}}
 	first := NewShard(SwapRate{PerSecond: 1e6, Burst: 1e6})
@@ -220,24 +232,28 @@
 		}
 		return out
 	}
-	const claims = 5 * SegmentSize
+	keyOf := func(i int) Key { return Key{byte(i), byte(i >> 8), byte(i >> 16), 9} }
 	for i := range claims {
-		first.Submit(Op{ID: uint64(i + 1), Key: Key{byte(i), byte(i >> 8), 9}, Holder: Holder{1}})
-		if i%100 == 99 || i == claims-1 {
+		first.Submit(Op{ID: uint64(i + 1), Key: keyOf(i), Holder: Holder{1}})
+		if i%batch == batch-1 || i == claims-1 {
 			for _, a := range run(first) {
 				is.Equal(a.Result, Held)
 			}
 		}
 	}
 	second := NewShard(SwapRate{PerSecond: 1e6, Burst: 1e6})
-	for i := range claims {
-		second.Submit(Op{ID: uint64(i + 1), Key: Key{byte(i), byte(i >> 8), 9}, Holder: Holder{2}})
-	}
-	answers := run(second)
-	is.Equal(len(answers), claims)
-	for _, a := range answers {
-		is.Equal(a.Result, Taken)
+	answered := 0
+	for i := claims - kept; i < claims; i++ {
+		second.Submit(Op{ID: uint64(i + 1), Key: keyOf(i), Holder: Holder{2}})
+		if i%maxPending != maxPending-1 && i != claims-1 {
+			continue
+		}
+		for _, a := range run(second) {
+			is.Equal(a.Result, Taken)
+			answered++
+		}
 	}
+	is.Equal(answered, kept)
 }
 
 // TestClaimsAreBatched checks that pending claims are committed by one swap.
--- a/core/claims/commit.go
+++ b/core/claims/commit.go
@@ -24,24 +24,26 @@
 // commit returns the swap that commits the batch, or the write of the slot that must precede it.
 func (s *Shard) commit() *Call {
 	s.tokens--
-	if len(s.head.Entries)+len(s.batch) > SegmentSize && len(s.head.Entries) > 0 && !s.slotWritten {
+	if len(s.head.Entries) >= SegmentSize && !s.slotWritten {
 		return s.startCall(s.sealCall())
 	}
-	next := s.nextHead()
-	data, err := proto.Marshal(next)
+	return s.startCall(&Call{Kind: SwapHead, Revision: s.revision, Data: encode(s.nextHead())})
+}
+
+// encode encodes a message of numbers and bytes, which cannot fail. It panics rather than return an empty value, which
+// would discard every claim of the shard.
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
 	if err != nil {
-		data = nil
+		panic("claims can't be encoded: " + err.Error())
 	}
-	return s.startCall(&Call{Kind: SwapHead, Revision: s.revision, Data: data})
+	return data
 }
 
 func (s *Shard) sealCall() *Call {
-	data, err := proto.Marshal(&wire.ClaimSegment{
+	data := encode(&wire.ClaimSegment{
 		Number: s.head.Number, Revision: s.revision, Entries: s.head.Entries,
 	})
-	if err != nil {
-		data = nil
-	}
 	slot := slotOf(s.head.Number)
 	return &Call{Kind: SwapSlot, Slot: slot, Revision: s.slots[slot], Data: data}
 }
