--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -160,6 +160,7 @@
 // TestPlatformBrokenStreamsGoOnAtTheirVersion guards against answers with events of two software versions: runs end
 // after some events, and the router goes on with the answer at another engine.
 func TestPlatformBrokenStreamsGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	x := steady
 	x.AbortAfter, x.AbortWithinEvent, x.AbortEvery = eventsRead, true, 6
@@ -177,6 +178,7 @@
 // TestPlatformLostStreamsGoOnAtTheirVersion guards against streams of two software versions over a caller's tries: it
 // loses its stream and takes it up at other routers, twice in a row. Half of each version's engines are leaving then.
 func TestPlatformLostStreamsGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	p.release(2, slow)
 	streams := p.beginAll(p.routers[0], 24)
@@ -200,6 +202,7 @@
 // TestPlatformStreamsOfAKilledRouterGoOnAtTheirVersion guards against streams that are refused, or go on at another
 // software version, when the router that began them is gone.
 func TestPlatformStreamsOfAKilledRouterGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 4)
 	p.release(2, slow)
 	streams := p.beginAll(p.routers[0], 24)
@@ -228,6 +231,7 @@
 // software version served, and that go on at the next one: one engine of the first version is left when they are taken
 // up, at routers that didn't begin them.
 func TestPlatformStreamsBegunBeforeAReleaseGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	p.behave(p.engines, slow)
 	streams := p.beginAll(p.routers[0], 12)
@@ -239,6 +243,7 @@
 // TestPlatformStreamsOfARetiredVersionAreRefused guards against streams that go on at another software version because
 // theirs is served no more: they are refused, and nothing is run.
 func TestPlatformStreamsOfARetiredVersionAreRefused(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 2)
 	p.behave(p.engines, slow)
 	streams := p.beginAll(p.routers[0], 6)
@@ -281,6 +286,7 @@
 
 // TestPlatformUnknownStreamsAreRefused guards against guessing the software version of a stream that no router knows.
 func TestPlatformUnknownStreamsAreRefused(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 2)
 	p.release(2, steady)
 	for i := range 6 {
@@ -294,6 +300,7 @@
 // TestPlatformStreamsStayAtTheirVersionWhenTheirServerChangesIt guards against software versions looked up by a server's
 // name: the server of a stream starts again under its name at another version.
 func TestPlatformStreamsStayAtTheirVersionWhenTheirServerChangesIt(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 2)
 	p.behave(p.engines, slow)
 	streams := p.beginAll(p.routers[0], 8)
@@ -311,6 +318,7 @@
 // TestPlatformStreamsOfOneVersionGoOnAfterAllRoutersRestart guards against refusing streams whose routers are all gone
 // though only one software version serves.
 func TestPlatformStreamsOfOneVersionGoOnAfterAllRoutersRestart(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	p.behave(p.engines, slow)
 	streams := p.beginAll(p.routers[0], 6)
