core/prompt: find the holders of a prompt without maps

A decision where engines copy cached parts has two allocations less, as before versions (BenchmarkDecideWithCopies: 10, with maps 12); its time, some 20 us on a busy machine, shows no difference.

--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -43,14 +43,14 @@
 }
 
 // bestOf returns the best place for a request at those candidates that accept it.
-func (m *Machine) bestOf(r *request, holders map[model.Build]*server, accepts func(*server) bool) (best place, found bool) {
+func (m *Machine) bestOf(r *request, holders []holder, accepts func(*server) bool) (best place, found bool) {
 	var minDelay time.Duration
 	for rank, id := range r.candidates {
 		s := m.servers[id]
 		if s == nil || !r.mayGoTo(s) || !accepts(s) {
 			continue
 		}
-		p := m.placeAt(s, r, holders[s.Build])
+		p := m.placeAt(s, r, holderOf(holders, s.Build))
 		p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
 		if !found || p.delay < minDelay {
 			minDelay = p.delay
@@ -88,28 +88,45 @@
 	crossHallCopyFactor = 2
 )
 
+// holder is the candidate of a software version that caches most of a request's prompt.
+type holder struct {
+	server   *server
+	uncached float64 // tokens of the prompt that it doesn't cache
+}
+
 // holdersOf returns, for each software version, the candidate that caches most of a request's prompt; none if the pool
 // does not support copies. It may be a backend server that is leaving. Versions may cache a prompt in different formats.
-func (m *Machine) holdersOf(r *request) map[model.Build]*server {
+// The result is valid until the next call.
+func (m *Machine) holdersOf(r *request) []holder {
+	m.holders = m.holders[:0]
 	if m.config.Pools[r.Pool].CopyRate <= 0 {
 		return nil
 	}
-	best := map[model.Build]*server{}
-	minUncached := map[model.Build]float64{}
 	for _, id := range r.candidates {
 		s := m.servers[id]
 		if s == nil || s.health.excluded(m.now) {
 			continue
 		}
-		least, found := minUncached[s.Build]
-		if !found {
-			least = float64(r.Prompt.Tokens)
+		uncached := m.expectedPrefill(s, r)
+		known := slices.IndexFunc(m.holders, func(h holder) bool { return h.server.Build == s.Build })
+		switch {
+		case known < 0 && uncached < float64(r.Prompt.Tokens):
+			m.holders = append(m.holders, holder{server: s, uncached: uncached})
+		case known >= 0 && uncached < m.holders[known].uncached:
+			m.holders[known] = holder{server: s, uncached: uncached}
 		}
-		if uncached := m.expectedPrefill(s, r); uncached < least {
-			best[s.Build], minUncached[s.Build] = s, uncached
+	}
+	return m.holders
+}
+
+// holderOf returns the holder of a software version, nil if there is none.
+func holderOf(holders []holder, build model.Build) *server {
+	for _, h := range holders {
+		if h.server.Build == build {
+			return h.server
 		}
 	}
-	return best
+	return nil
 }
 
 // planCopy makes a place copy the parts of a prompt that another backend server caches.
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -120,6 +120,7 @@
 	coldAssignment coldAssignment
 	usableFraction float64 // fraction of the engines that are not evacuated
 	notices        *notice.Registry
+	holders        []holder                    // result of holdersOf, reused
 	nextRetry      map[model.PoolID]model.Time // earliest retry time for the next caller refused with Resting
 }
 
