core: keep who hasn't answered once a question, not once a stream

At the size aimed for, each answer went over every stream that was looked up and every router that was asked. Suspected by reading, not measured; the tests of the lookups pass as before.

--- a/core/streamlookups.go
+++ b/core/streamlookups.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"slices"
+	"maps"
 	"time"
 
 	"github.com/tamarindstep/tamarindstep/core/streams"
@@ -32,11 +32,21 @@
 	asked   model.Time // last time
 	rounds  int
 
-	question   uint32   // the last one
-	unanswered []string // routers asked that haven't answered
-	answered   int      // answers to all questions
+	question *question // the last one, nil for none
+	heard    bool      // a router has answered an earlier one
 }
 
+// question is a question to all routers, for the streams of one or more lookups.
+type question struct {
+	asked      model.Time
+	lookups    []RequestID
+	unanswered map[string]bool // routers that haven't answered
+	answers    int
+}
+
+// wasHeard reports whether any router has answered.
+func (l *lookup) wasHeard() bool { return l.heard || l.question != nil && l.question.answers > 0 }
+
 // lookupInterval returns the shortest time between two questions of this router.
 func (c *Core) lookupInterval() time.Duration {
 	return max(minLookupInterval, time.Duration(len(c.members.Names()))*lookupIntervalPerRouter)
@@ -79,7 +89,7 @@
 	delete(c.streams.lookups, id)
 	waited := c.now - l.since
 	lineage, only := c.streams.tracker.Only(c.now, l.request.Pools)
-	if !only || l.answered == 0 && len(c.members.Names()) > 0 {
+	if !only || !l.wasHeard() && len(c.members.Names()) > 0 {
 		c.refuseStream(l.request, UnknownStream, waited)
 		return
 	}
@@ -101,33 +111,43 @@
 	if len(s.lookups) == 0 {
 		return
 	}
-	var due []*lookup
+	q := &question{asked: c.now, unanswered: map[string]bool{}}
 	var wanted []uint64
 	for _, id := range sortedKeys(s.lookups) {
-		if l := s.lookups[id]; l.request.Continues && c.now >= c.nextQuestion(l) && len(due) < maxLookups {
-			due = append(due, l)
-			wanted = append(wanted, uint64(l.request.Resumes))
+		l := s.lookups[id]
+		if !l.request.Continues || c.now < c.nextQuestion(l) || len(wanted) == maxLookups {
+			continue
 		}
+		q.lookups = append(q.lookups, id)
+		wanted = append(wanted, uint64(l.request.Resumes))
 	}
-	if len(due) == 0 {
+	if len(wanted) == 0 {
 		return
 	}
+	c.ask(q, wanted)
+	for _, id := range q.lookups {
+		l := s.lookups[id]
+		l.heard = l.wasHeard()
+		l.question, l.asked = q, c.now
+		l.rounds++
+	}
+}
+
+// ask sends a question to all routers.
+func (c *Core) ask(q *question, wanted []uint64) {
+	s := &c.streams
+	maps.DeleteFunc(s.questions, func(_ uint32, old *question) bool { return c.now > old.asked+lookupWait })
 	s.lastLookup = c.now
 	s.lastQuestion++
-	var asked []string
+	s.questions[s.lastQuestion] = q
 	for _, name := range c.members.Names() {
 		if !c.members.Get(name).Reachable() {
 			continue
 		}
-		asked = append(asked, name)
+		q.unanswered[name] = true
 		d := c.datagramTo(name)
 		d.Wanted, d.Question = wanted, s.lastQuestion
 	}
-	for _, l := range due {
-		l.asked = c.now
-		l.rounds++
-		l.question, l.unanswered = s.lastQuestion, slices.Clone(asked)
-	}
 }
 
 // answerWanted sends the lineages of those streams that this router has a record of, and those that others may have.
@@ -144,17 +164,19 @@
 	d.History = encodeHistory(c.streams.tracker.History(c.now))
 }
 
-// recordAnswer ends the lookups of which all routers that were asked have answered.
-func (c *Core) recordAnswer(from string, question uint32) {
-	for _, id := range sortedKeys(c.streams.lookups) {
-		l := c.streams.lookups[id]
-		i := slices.Index(l.unanswered, from)
-		if l.question != question || i < 0 {
-			continue
-		}
-		l.unanswered = slices.Delete(l.unanswered, i, i+1)
-		l.answered++
-		if len(l.unanswered) == 0 {
+// recordAnswer records that a router has answered a question, and ends the lookups of one that all have answered.
+func (c *Core) recordAnswer(from string, number uint32) {
+	q := c.streams.questions[number]
+	if q == nil || !q.unanswered[from] {
+		return
+	}
+	delete(q.unanswered, from)
+	q.answers++
+	if len(q.unanswered) > 0 {
+		return
+	}
+	for _, id := range q.lookups {
+		if l := c.streams.lookups[id]; l != nil && l.question == q {
 			c.endLookup(id, l)
 		}
 	}
--- a/core/streams.go
+++ b/core/streams.go
@@ -22,6 +22,7 @@
 	lookups      map[RequestID]*lookup
 	lastLookup   model.Time // when routers were last asked
 	lastQuestion uint32     // identifies it
+	questions    map[uint32]*question
 
 	announced Versions // the highest that another router has announced
 
@@ -33,7 +34,7 @@
 
 func newStreamState(now model.Time) streamState {
 	return streamState{
-		tracker: streams.New(), lookups: map[RequestID]*lookup{}, started: now,
+		tracker: streams.New(), lookups: map[RequestID]*lookup{}, questions: map[uint32]*question{}, started: now,
 		lastRecords: now - recordInterval, lastLookup: now - lookupWait,
 	}
 }
