core, scheduler: a paused router doesn't rely on its list of backend servers

A router that had been paused for six seconds took up streams at the version that it knew, before it read which servers had come since.

Cause: a list is current if the store was reached in the last four seconds, and an answer that waited for the paused process counted as reached now. For two seconds after a pause of more than half a second the router now asks the others, whatever event it handles first.

Ruled out: records and holders (the line says "only").

--- a/core/streams.go
+++ b/core/streams.go
@@ -24,7 +24,8 @@
 	lastQuestion uint32     // identifies it
 	questions    map[uint32]*question
 
-	announced Versions // the highest that another router has announced
+	announced       Versions   // the highest that another router has announced
+	unreliableUntil model.Time // until when the list of the backend servers may be outdated after a pause
 
 	started      model.Time
 	historyAsked int // number of times that routers were asked for the versions served before
@@ -67,9 +68,16 @@
 	return e, false
 }
 
+// pauseHoldOff is how long after a pause of its process a router doesn't rely on its list of the backend servers: what it
+// reads first, answers of the store included, was sent before or during the pause.
+const pauseHoldOff = 2 * time.Second
+
+// RecordPause records that this process has just been paused, or was late for as long.
+func (c *Core) RecordPause(now model.Time) { c.streams.unreliableUntil = now + pauseHoldOff }
+
 // listIsCurrent reports whether this router's list of the backend servers shows every version that begins streams.
 func (c *Core) listIsCurrent() bool {
-	return c.now <= c.StoreReached()+streams.MaxListAge && !c.streams.announced.Exceed(c.config.Versions())
+	return c.now >= c.streams.unreliableUntil && c.now <= c.StoreReached()+streams.MaxListAge && !c.streams.announced.Exceed(c.config.Versions())
 }
 
 // bind makes a request one for a lineage only.
--- a/core/streams_test.go
+++ b/core/streams_test.go
@@ -313,6 +313,26 @@
 	}
 }
 
+// TestAPausedRouterAsks guards against the same at a router whose process was paused: answers of the store that had waited
+// for it made its list look current.
+func TestAPausedRouterAsks(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newStreamFleet(promptaffinity.Policy, 3, "v1")
+	f.config = released(f.config, 2, "v2")
+	f.configureAt(f.routers[:1], f.config)
+	fresh := model.Lineage{Pool: model.Pool(assistant), Build: model.BuildOf("v2")}
+	f.routers[0].core.streams.tracker.Begin(f.time.Now(), 7, fresh, []model.PoolID{fresh.Pool})
+	f.builds[7] = fresh
+	paused := f.routers[2].core
+	paused.streams.announced = Versions{} // it hasn't heard of the list that the others have
+	paused.RecordPause(f.time.Now())
+	resumed := f.submit(f.routers[2], 7)
+	f.runUntil(f.time.Now() + 300*time.Millisecond)
+	went, ok := f.builds[resumed]
+	is.True(!ok || went == fresh)
+}
+
 // TestCutRouterRefusesStreamsThatItDoesNotKnow guards against guessing: a router that reaches no other resumes only the
 // streams that it has a record of.
 func TestCutRouterRefusesStreamsThatItDoesNotKnow(t *testing.T) {
--- a/e2e/overload_test.go
+++ b/e2e/overload_test.go
@@ -39,7 +39,7 @@
 	late, all := countAbove(t, metricsOf(t, p.routers[0]), "tamarindstep_core_event_wait_seconds", maxEventWait)
 	t.Logf("%d requests served; %.0f of %.0f events waited more than %v s", served, late, all, maxEventWait)
 	if late > 0 {
-		t.Log(linesOf(p.routers[0], "event waited for the decisions"))
+		t.Log(linesOf("event waited for the decisions", p.routers[0].logFile))
 	}
 	p.is.True(served > 0)
 	p.is.Equal(late, 0.0)
--- a/e2e/platform_harness_test.go
+++ b/e2e/platform_harness_test.go
@@ -30,6 +30,7 @@
 	idle         time.Duration // idle limit of connections in the configuration
 	last         atomic.Int64  // number of the last request
 	flags        []string      // of the routers, in addition to the usual ones
+	logFiles     []string      // of all routers started
 }
 
 const callerKey = "key-of-a-caller"
@@ -92,6 +93,7 @@
 	}, p.flags...)
 	r.cmd = exec.Command(binary, args...)
 	r.logFile = filepath.Join(p.t.TempDir(), r.name+".log")
+	p.logFiles = append(p.logFiles, r.logFile)
 	log, err := os.Create(r.logFile)
 	p.is.NoErr(err)
 	r.cmd.Stdout = log
@@ -102,16 +104,18 @@
 	return r
 }
 
-// linesOf returns the lines of a router's log that contain a text.
-func linesOf(r *router, text string) string {
-	log, err := os.ReadFile(r.logFile)
-	if err != nil {
-		return err.Error()
-	}
+// linesOf returns the lines of routers' logs that contain a text.
+func linesOf(text string, logFiles ...string) string {
 	var out strings.Builder
-	for line := range strings.Lines(string(log)) {
-		if strings.Contains(line, text) {
-			out.WriteString(line)
+	for _, name := range logFiles {
+		log, err := os.ReadFile(name)
+		if err != nil {
+			return err.Error()
+		}
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, text) {
+				out.WriteString(line)
+			}
 		}
 	}
 	return out.String()
--- a/e2e/resuming_test.go
+++ b/e2e/resuming_test.go
@@ -145,7 +145,7 @@
 			return
 		}
 	}
-	s.t.Errorf("stream %s of %d events isn't of one version: %q", id, events, body)
+	s.t.Errorf("stream %s of %d events isn't of one version: %q\n%s", id, events, body, linesOf(`"`+id+`"`, s.logFiles...))
 }
 
 // streamOf returns the first events of a stream of a software version.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -252,6 +252,7 @@
 			return
 		case e := <-s.events:
 			s.checkSuspension()
+			s.recordPause(c, due)
 			s.recordLag(c, s.now()-e.queuedAt)
 			s.metrics.Scheduler.EventWait.Observe((s.now() - e.queuedAt).Seconds())
 			s.delays.recordWait(s.now(), e.queuedAt, e.event, len(s.events))
@@ -260,6 +261,7 @@
 			read(c)
 		case <-timer.C:
 			s.checkSuspension()
+			s.recordPause(c, due)
 			s.recordLag(c, s.now()-due)
 			s.step(c, core.Tick{})
 		}
@@ -268,6 +270,18 @@
 	}
 }
 
+// pauseThreshold is how late a step must be to count as a pause of the process: less than the time by which other routers
+// may know of new backend servers earlier (streams.SettlePeriod less streams.MaxListAge).
+const pauseThreshold = 500 * time.Millisecond
+
+// recordPause reports to the core if the process was paused: the step that was due at the given time comes late, whatever
+// event is handled first.
+func (s *Service) recordPause(c *core.Core, due model.Time) {
+	if now := s.now(); now-due > pauseThreshold {
+		c.RecordPause(now)
+	}
+}
+
 // recordLag records the delay of a timer or event, and reports to the core if the process is late.
 func (s *Service) recordLag(c *core.Core, late time.Duration) {
 	s.lag.record(late)
