--- a/core/prompt/copies_bench_test.go
+++ b/core/prompt/copies_bench_test.go
@@ -1,11 +1,6 @@
 package prompt
 
-import (
-	"testing"
-	"time"
-
-	"github.com/tamarindstep/tamarindstep/model"
-)
+import "testing"
 
 // BenchmarkDecideWithCopies measures a decision where engines copy cached parts from one another.
 func BenchmarkDecideWithCopies(b *testing.B) {
@@ -13,14 +8,5 @@
 	c := testConfig(64)
 	c.Pools[pool] = Pool{Engine: true, CacheTokens: 500_000, CopyRate: 400_000}
 	m.Configure(0, c)
-	now := time.Duration(0)
-	id := model.RequestID(0)
-	for b.Loop() {
-		id++
-		now += 10 * time.Millisecond
-		m.Arrive(now, newRequest(id, model.AccountID(id%16), uint64(id%55), 1000))
-		m.TakeActions()
-		m.RecordBegin(now, id)
-		m.Finish(now, id, Done, 50)
-	}
+	benchmarkDecisions(b, m)
 }
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -359,8 +359,10 @@
 	})
 }
 
-func BenchmarkDecide(b *testing.B) {
-	m := newMachine(9)
+func BenchmarkDecide(b *testing.B) { benchmarkDecisions(b, newMachine(9)) }
+
+// benchmarkDecisions measures a request from its arrival to its end.
+func benchmarkDecisions(b *testing.B, m *Machine) {
 	now := time.Duration(0)
 	id := model.RequestID(0)
 	for b.Loop() {
