gateway: log how answers are framed and whether streams end within an event

The line of an answered request told neither, so that three explanations of truncated answers that were framed as complete couldn't be told apart. Lines of answered and of broken-off requests now have framing, answer_bytes and within_event. Nothing is decided by it yet.

The ends of events are found by a scanner of their own, with lines that end with LF, CR or CRLF, wherever the stream is split; before, only streams that may be resumed were split, and events with CR alone were never found to end.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,7 +9,8 @@
 // another backend server without a gap or a repetition. Streams that can't be resumed are passed through unchanged.
 type events struct {
 	resumable bool
-	partial   []byte // the beginning of an unfinished event
+	scanner   eventScanner
+	partial   []byte // the beginning of an unfinished event of a resumable stream
 	lastID    string // identifier of the last whole event relayed
 	number    int64  // lastID as a number
 	numbered  bool
@@ -18,6 +19,7 @@
 // begin prepares for the stream of another backend server.
 func (e *events) begin(last string) {
 	e.partial = e.partial[:0]
+	e.scanner = eventScanner{}
 	if e.lastID == "" && last != "" {
 		e.record(last)
 	}
@@ -33,24 +35,41 @@
 // push adds a part of a stream and returns the bytes that can be relayed.
 func (e *events) push(part []byte) []byte {
 	if !e.resumable {
+		e.scan(part)
 		return part
 	}
-	e.partial = append(e.partial, part...)
 	var out []byte
-	for {
-		end := eventEnd(e.partial)
-		if end < 0 {
-			return out
+	for len(part) > 0 {
+		n, ended := e.scanner.next(part)
+		e.partial = append(e.partial, part[:n]...)
+		part = part[n:]
+		if !ended {
+			break
 		}
-		event := e.partial[:end]
-		if id, ok := eventID(event); !ok || e.isNew(id) {
-			out = append(out, event...)
-			if ok {
-				e.record(id)
-			}
-		}
-		e.partial = e.partial[end:]
+		out = e.appendNew(out, e.partial)
+		e.partial = e.partial[:0]
+	}
+	return out
+}
+
+// scan scans a part of a stream that is passed through.
+func (e *events) scan(part []byte) {
+	for len(part) > 0 {
+		n, _ := e.scanner.next(part)
+		part = part[n:]
+	}
+}
+
+// appendNew appends a whole event to out unless it has been relayed.
+func (e *events) appendNew(out, event []byte) []byte {
+	id, ok := eventID(event)
+	if ok && !e.isNew(id) {
+		return out
+	}
+	if ok {
+		e.record(id)
 	}
+	return append(out, event...)
 }
 
 // remainder returns the unfinished event at the end of a stream.
@@ -70,24 +89,14 @@
 	return n > e.number
 }
 
-// eventEnd returns the length of the first whole event, -1 if there is none.
-func eventEnd(b []byte) int {
-	end := bytes.Index(b, []byte("\n\n"))
-	if crlf := bytes.Index(b, []byte("\r\n\r\n")); crlf >= 0 && (end < 0 || crlf < end) {
-		return crlf + len("\r\n\r\n")
-	}
-	if end < 0 {
-		return -1
-	}
-	return end + len("\n\n")
-}
-
 // eventID returns the identifier of an event.
 func eventID(event []byte) (string, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value)), true
 		}
 	}
 	return "", false
 }
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/core"
@@ -29,6 +30,8 @@
 	events events
 	parts  int // parts of a stream relayed
 	bytes  int // response bytes read, without heads
+
+	framing exchange.Framing // of the last response
 }
 
 // tokensPerEvent is the estimated number of tokens in an event of a stream.
@@ -43,8 +46,15 @@
 // canResume reports whether another backend server's response can continue the truncated one.
 func (r *relay) canResume() bool { return !r.begun || r.events.resumable }
 
+// addTo adds to a log line how the last response was framed, how many bytes of responses were read, and whether the
+// last one ended within an event.
+func (r *relay) addTo(line *zerolog.Event) *zerolog.Event {
+	return line.Str("framing", string(r.framing)).Int("answer_bytes", r.bytes).Bool("within_event", r.events.scanner.withinEvent())
+}
+
 // run relays one response, or what it adds to a truncated one.
 func (r *relay) run(a *attempt, response *exchange.Response) error {
+	r.framing = response.Framing()
 	if a.route.Through.Streaming && response.StatusCode() == fasthttp.StatusOK {
 		return r.relayStream(a, response)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -159,7 +159,7 @@
 	if err == nil {
 		a.finish(core.Done, a.relay.outputTokens())
 		a.blame.Answered()
-		a.log("done").Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
+		a.relay.addTo(a.log("done")).Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
 		a.countOutcome("done")
 		return true
 	}
@@ -213,7 +213,7 @@
 	a.finish(a.endingOf(cause), 0)
 	ended := a.serverEnded(d, cause)
 	resend := a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCallerStopped) && a.relay.canResume() && a.mayRetry()
-	a.conn.writes.addTo(a.log("broke-off")).Err(cause).Str("cause", string(why)).Int("send", a.sends).Bool("begun", a.relay.begun).Bool("again", resend).Int("answer_bytes", a.relay.bytes).
+	a.relay.addTo(a.conn.writes.addTo(a.log("broke-off"))).Err(cause).Str("cause", string(why)).Int("send", a.sends).Bool("begun", a.relay.begun).Bool("again", resend).
 		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
 	if resend {
 		return false
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -128,7 +128,29 @@
 }
 
 // undelimited reports whether the body ends only with the connection.
-func (a *Response) undelimited() bool { return a.Header.ContentLength() < -1 }
+func (a *Response) undelimited() bool { return a.Framing() == UntilClose }
+
+// Framing is how the end of a response's body is marked.
+type Framing string
+
+// Framings of response bodies.
+const (
+	Sized      Framing = "length" // by its length in bytes
+	Chunked    Framing = "chunks" // by the last chunk
+	UntilClose Framing = "close"  // by the end of the connection
+)
+
+// Framing returns how the end of the response's body is marked.
+func (a *Response) Framing() Framing {
+	switch n := a.Header.ContentLength(); {
+	case n >= 0:
+		return Sized
+	case n == -1:
+		return Chunked
+	default:
+		return UntilClose
+	}
+}
 
 // bodyReader returns a reader of the body, nil for no body.
 func (a *Response) bodyReader() io.Reader {
