gateway, e2e: failing tests of truncated answers that are framed as complete

The stand-ins' streams may now end only with their connection, with lines of any kind, with a last chunk within an event, or as their server crashes.

--- /dev/null
+++ b/gateway/truncated_test.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/config"
+	"github.com/tamarindstep/tamarindstep/core"
+	"github.com/tamarindstep/tamarindstep/core/member"
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/scheduler"
+	"github.com/tamarindstep/tamarindstep/telemetry"
+)
+
+// exchangeWith sends a request to a server that answers with the given bytes and closes the connection.
+func exchangeWith(t *testing.T, method, answer string) *exchange.Response {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, answer)
+		_ = c.Close()
+	}()
+	client := exchange.NewClient(listener.Addr().String(), time.Second)
+	t.Cleanup(func() { client.Close(); _ = listener.Close() })
+	req := &fasthttp.Request{}
+	req.Header.SetHost("h")
+	req.Header.SetMethod(method)
+	response, err := client.Do(t.Context(), req, exchange.Options{Timeout: time.Minute, AllowUndelimited: true})
+	is.NoErr(err)
+	t.Cleanup(response.Close)
+	return response
+}
+
+// relayed is what became of an answer that was relayed.
+type relayed struct {
+	relay  error  // the error of relaying
+	body   string // received by the caller
+	err    error  // of reading the answer: not nil if it is incomplete
+	framed bool   // a length or a last chunk says where the answer ends
+}
+
+// relayAnswer relays an answer of a backend server to a caller.
+func relayAnswer(t *testing.T, method string, through config.HostOptions, answer string) relayed {
+	t.Helper()
+	response := exchangeWith(t, method, answer)
+	metrics := telemetry.NewMetrics()
+	s := New(Settings{}, zerolog.Nop(), metrics)
+	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
+	ours, theirs := net.Pipe()
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(method)
+	a := &attempt{
+		service: s, conn: newCallerConn(ours, 4096, time.Minute), req: req, route: &config.CompiledRoute{Through: through},
+		scheduled: s.scheduler.Submit(core.Arrive{}), keepAlive: true, ctx: context.Background(),
+	}
+	out := make(chan relayed, 1)
+	go func() {
+		got, err := http.ReadResponse(bufio.NewReader(theirs), &http.Request{Method: method})
+		if err != nil {
+			out <- relayed{err: err}
+			return
+		}
+		body, err := io.ReadAll(got.Body)
+		out <- relayed{body: string(body), err: err, framed: got.ContentLength >= 0 || len(got.TransferEncoding) > 0}
+	}()
+	err := a.relay.run(a, response)
+	_ = ours.Close()
+	got := <-out
+	got.relay = err
+	return got
+}
+
+// framings are the ways in which an answer marks its end, and how to write a body in each.
+var framings = map[string]func(body string) string{
+	"length": func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
+	"chunks": func(body string) string {
+		if body == "" {
+			return "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		}
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	},
+	"close": func(body string) string { return "Connection: close\r\n\r\n" + body },
+}
+
+const (
+	eventStreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	eventLF         = "id: 1\ndata: word\n\n"
+	eventCRLF       = "id: 1\r\ndata: word\r\n\r\n"
+	eventCR         = "id: 1\rdata: word\r\r"
+)
+
+var (
+	resumableStream   = config.HostOptions{Streaming: true, Resumable: true}
+	unresumableStream = config.HostOptions{Streaming: true}
+)
+
+// TestStreamCutWithinEventIsBrokenOff guards against a stream that ends within an event being relayed as complete,
+// however its end is marked and wherever it is cut.
+func TestStreamCutWithinEventIsBrokenOff(t *testing.T) {
+	for _, through := range []config.HostOptions{resumableStream, unresumableStream} {
+		for name, write := range framings {
+			for _, event := range []string{eventLF, eventCRLF, eventCR} {
+				whole := strings.TrimSuffix(event, "\n") // the last CR of an event of CRLF lines ends it
+				if event == eventLF {
+					whole = event
+				}
+				for cut := 1; cut < len(whole); cut++ {
+					got := relayAnswer(t, "POST", through, eventStreamHead+write(event+event[:cut]))
+					if got.relay == nil || got.framed && got.err == nil {
+						t.Errorf("%s, resumable %v, %q cut at %d: relayed as %q, %v", name, through.Resumable, event, cut, got.body, got.relay)
+					}
+					if through.Resumable && got.body != event {
+						t.Errorf("%s, %q cut at %d: the caller received %q", name, event, cut, got.body)
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestWholeStreamsAreRelayed checks that streams that end between two events are relayed unchanged, and that only those
+// whose end is marked are framed.
+func TestWholeStreamsAreRelayed(t *testing.T) {
+	for _, through := range []config.HostOptions{resumableStream, unresumableStream} {
+		for name, write := range framings {
+			for _, body := range []string{eventLF + eventLF, eventCRLF, eventCR, eventLF + ": a comment\n", ": a comment\n\n" + eventLF} {
+				got := relayAnswer(t, "POST", through, eventStreamHead+write(body))
+				if got.relay != nil || got.err != nil || got.body != body || got.framed != (name != "close") {
+					t.Errorf("%s, resumable %v, %q: relayed as %q, framed %v, %v", name, through.Resumable, body, got.body, got.framed, got.relay)
+				}
+			}
+		}
+	}
+}
+
+// TestOtherAnswersOfStreamingRoutes checks that an answer of a streaming route that isn't an event stream is relayed as
+// it is.
+func TestOtherAnswersOfStreamingRoutes(t *testing.T) {
+	for name, write := range framings {
+		got := relayAnswer(t, "POST", unresumableStream, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+write(`{"text":"word"}`))
+		if got.relay != nil || got.err != nil || got.body != `{"text":"word"}` || got.framed != (name != "close") {
+			t.Errorf("%s: relayed as %q, framed %v, %v, %v", name, got.body, got.framed, got.err, got.relay)
+		}
+	}
+}
+
+// TestUndelimitedAnswerIsNotCompleted guards against an answer that ended with its connection being relayed with a
+// length: it may have been cut short.
+func TestUndelimitedAnswerIsNotCompleted(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		got := relayAnswer(t, "POST", config.HostOptions{}, protocol+" 200 OK\r\n\r\nan answer, or a part of one")
+		if got.relay != nil || got.err != nil || got.framed || got.body != "an answer, or a part of one" {
+			t.Errorf("%s: relayed as %q, framed %v, %v, %v", protocol, got.body, got.framed, got.err, got.relay)
+		}
+	}
+}
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,7 +21,10 @@
 	AbortAfter         int           // events after which the answer is aborted, 0 for never
 	AbortWithinEvent   bool          // it is aborted within the next event
 	AbortEvery         int           // only every nth run is aborted, and none that resumes a stream; 0 for all runs
-	NoLength           bool          // the answer has no length and ends with its connection
+	FalseEnd           bool          // an aborted stream ends with its last chunk
+	CrashOnAbort       bool          // the server crashes as it aborts an answer
+	NoLength           bool          // the answer has neither a length nor chunks and ends with its connection
+	LineEnd            string        // of the lines of events, "" for LF
 	Reset              bool          // the connection is reset instead of closed
 	Drop               bool          // the connection is closed without an answer once the request is read
 	Reject             bool          // every request is rejected without being run
@@ -349,32 +353,82 @@
 	return fmt.Sprintf("id: %d\ndata: word-%d of %s\n\n", n, n, version)
 }
 
+// eventOf returns the nth event of a stream, with the line ends of the behaviour.
+func (x Behaviour) eventOf(version string, n int) string {
+	event := EventOf(version, n)
+	if x.LineEnd == "" {
+		return event
+	}
+	return strings.ReplaceAll(event, "\n", x.LineEnd)
+}
+
 func (b *Backend) stream(c net.Conn, x Behaviour, id string, run int) bool {
 	b.mu.Lock()
 	from, _ := strconv.Atoi(b.runs[run].LastEvent)
 	b.mu.Unlock()
-	out := responseHead(200, id, "seal-"+b.Name) + x.leavingHeader() + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	if _, err := io.WriteString(c, out); err != nil {
+	out := streamWriter{conn: c, chunked: !x.NoLength}
+	if err := out.head(responseHead(200, id, "seal-"+b.Name) + x.leavingHeader()); err != nil {
 		return b.recordDisconnect(run)
 	}
 	for n := from + 1; n <= x.Events; n++ {
 		b.sleep(x.Gap)
-		event := EventOf(b.Version, n)
-		cut := x.AbortAfter > 0 && n > x.AbortAfter && x.aborts(run, from)
-		if cut && x.AbortWithinEvent {
-			event = event[:len(event)/2]
-		}
-		if cut && !x.AbortWithinEvent {
-			return false
+		event := x.eventOf(b.Version, n)
+		if x.AbortAfter > 0 && n > x.AbortAfter && x.aborts(run, from) {
+			return b.abort(out, x, event)
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if err := out.part(event); err != nil {
 			return b.recordDisconnect(run)
 		}
-		if cut {
-			return false
-		}
 	}
-	_, err := io.WriteString(c, "0\r\n\r\n")
+	return out.end()
+}
+
+// abort ends a stream before or within an event.
+func (b *Backend) abort(out streamWriter, x Behaviour, event string) bool {
+	if x.AbortWithinEvent {
+		_ = out.part(event[:len(event)/2])
+	}
+	if x.FalseEnd {
+		return out.end()
+	}
+	if x.CrashOnAbort {
+		b.crash()
+	}
+	if x.Reset {
+		reset(out.conn)
+	}
+	return false
+}
+
+// streamWriter writes a streamed answer, in chunks or until the connection is closed.
+type streamWriter struct {
+	conn    net.Conn
+	chunked bool
+}
+
+func (w streamWriter) head(head string) error {
+	head += "Content-Type: text/event-stream\r\n"
+	if w.chunked {
+		head += "Transfer-Encoding: chunked\r\n"
+	}
+	_, err := io.WriteString(w.conn, head+"\r\n")
+	return err
+}
+
+func (w streamWriter) part(text string) error {
+	if w.chunked {
+		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	_, err := io.WriteString(w.conn, text)
+	return err
+}
+
+// end ends the answer, and reports whether the connection remains open.
+func (w streamWriter) end() bool {
+	if !w.chunked {
+		return false
+	}
+	_, err := io.WriteString(w.conn, "0\r\n\r\n")
 	return err == nil
 }
 
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -103,6 +103,7 @@
 	Body       string
 	RetryAfter string
 	Close      bool
+	Unframed   bool  // neither a length nor a last chunk says where it ends
 	Err        error // set if the answer is incomplete
 }
 
@@ -164,6 +165,7 @@
 		Status: resp.StatusCode, ID: resp.Header.Get("Tamarindstep-Request-Id"),
 		Seal: resp.Header.Get("Tamarindstep-Response-Seal"), Body: string(body),
 		RetryAfter: resp.Header.Get("Retry-After"), Close: resp.Close, Err: err,
+		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}
 }
 
