gateway: don't complete answers whose end the backend server didn't mark

What callers saw: a stream that its backend server had broken off arrived with a last chunk, as if it were whole.

Cause: an answer with neither a length nor chunks ends with its connection, and the connection of a crash that is closed in order ends like that of a whole answer. The router took that for the end of the answer and framed it in chunks or, if plain, with a length. The same held for a stream whose last chunk came within an event.

Now a stream of events that ends within one has been broken off, however its end is marked; it is resumed elsewhere or its caller's connection is reset. An answer whose end isn't marked is relayed with its end unmarked, until the connection is closed: where nobody can know that it is whole, nobody is told so. If its backend server has ended, the answer is asked for again where that is allowed; the end counts against the request instead of clearing it, as a crashed process often closes in order between two events.

Ruled out: chunked bodies that lack their last chunk, and resets (broken off before and after). Also, a 204 or 304 doesn't need a length to end, and an answer without a type no longer gets one.

--- a/e2e/undelimited_test.go
+++ b/e2e/undelimited_test.go
@@ -65,10 +65,17 @@
 		p.behave(p.engines, x)
 		for _, path := range []string{"/chat/1", "/review/1"} {
 			t.Run(name+path, func(t *testing.T) {
+				brokenOff := 0
 				for _, got := range p.streamAll(path) {
 					if got.Status == 200 && got.Err == nil {
 						t.Errorf("not broken off: %q", got.Body)
 					}
+					if got.Status == 200 && got.Err != nil {
+						brokenOff++
+					}
+				}
+				if brokenOff == 0 {
+					t.Error("no stream began")
 				}
 			})
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,7 @@
 	scheduled           *scheduler.Request
 	sentAt              time.Time     // of the last send
 	firstPartAfter      time.Duration // until the first part of a stream was received, 0 for none yet
+	sentTo              string        // address of the backend server of the last send
 	sends               int
 	lineage             model.Lineage // of the last send
 	bodyShared          bool          // an exchange may still read the request's body
@@ -349,6 +350,11 @@
 	return a.sends < max(a.route.Through.Attempts, 1) && a.left() > 0
 }
 
+// mayResend reports whether another backend server may be asked for the answer, or for the rest of it.
+func (a *attempt) mayResend() bool {
+	return a.route.Repeatable && a.ctx.Err() == nil && a.relay.canResume() && a.mayRetry()
+}
+
 // finish reports how a send has ended to the scheduler; only the first report of a send counts.
 func (a *attempt) finish(ending core.Ending, output float64) {
 	if a.scheduled == nil {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,6 +8,7 @@
 // events splits a stream at the ends of its events, so that a stream that breaks off within an event can be resumed at
 // another backend server without a gap or a repetition. Streams that can't be resumed are passed through unchanged.
 type events struct {
+	opaque    bool // the answer isn't an event stream
 	resumable bool
 	scanner   eventScanner
 	partial   []byte // the beginning of an unfinished event of a resumable stream
@@ -16,7 +17,7 @@
 	numbered  bool
 }
 
-// begin prepares for the stream of another backend server.
+// begin prepares for the answer of another backend server.
 func (e *events) begin(last string) {
 	e.partial = e.partial[:0]
 	e.scanner = eventScanner{}
@@ -34,7 +35,10 @@
 
 // push adds a part of a stream and returns the bytes that can be relayed.
 func (e *events) push(part []byte) []byte {
-	if !e.resumable {
+	switch {
+	case e.opaque:
+		return part
+	case !e.resumable:
 		e.scan(part)
 		return part
 	}
@@ -72,7 +76,7 @@
 	return append(out, event...)
 }
 
-// remainder returns the unfinished event at the end of a stream.
+// remainder returns what follows the last event at the end of a whole stream: comments.
 func (e *events) remainder() []byte {
 	out := e.partial
 	e.partial = nil
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -31,7 +32,9 @@
 	parts  int // parts of a stream relayed
 	bytes  int // response bytes read, without heads
 
-	framing exchange.Framing // of the last response
+	framing     exchange.Framing // of the last response
+	untilClose  bool             // the end of what is relayed is marked only by closing the caller's connection
+	serverEnded bool             // the last response ended with its connection, and its backend server has ended
 }
 
 // tokensPerEvent is the estimated number of tokens in an event of a stream.
@@ -52,14 +55,17 @@
 	return line.Str("framing", string(r.framing)).Int("answer_bytes", r.bytes).Bool("within_event", r.events.scanner.withinEvent())
 }
 
+// errNotResumed is the error for a response that doesn't resume a truncated stream.
+var errNotResumed = errors.New("response does not resume the truncated stream")
+
 // run relays one response, or what it adds to a truncated one.
 func (r *relay) run(a *attempt, response *exchange.Response) error {
-	r.framing = response.Framing()
+	r.framing, r.serverEnded = response.Framing(), false
 	if a.route.Through.Streaming && response.StatusCode() == fasthttp.StatusOK {
 		return r.relayStream(a, response)
 	}
 	if r.begun {
-		return errors.New("response does not resume the truncated stream")
+		return errNotResumed
 	}
 	return r.relayWhole(a, response)
 }
@@ -80,9 +86,12 @@
 	}
 	a.resizeResponse(size)
 	response.Close()
+	if err := r.checkUnmarkedEnd(a); err != nil {
+		return err
+	}
 	a.finish(core.Done, r.outputTokens()) // a slow caller must not keep the backend server busy
 	r.begun = true
-	r.writeHead(a, response, size)
+	r.writeHead(a, response, r.lengthOr(size))
 	if a.req.Header.IsHead() {
 		return callerError(a.conn.flush())
 	}
@@ -141,7 +150,7 @@
 func (r *relay) relayChunked(a *attempt, response *exchange.Response, blocks net.Buffers, buffer []byte) error {
 	r.begun = true
 	a.scheduled.ResponseBegan()
-	r.writeHead(a, response, chunked)
+	r.writeHead(a, response, r.lengthOr(chunked))
 	for _, block := range blocks {
 		if err := r.writeChunk(a, block); err != nil {
 			return err
@@ -157,14 +166,19 @@
 			return err
 		}
 		if err == io.EOF {
+			_ = r.checkUnmarkedEnd(a) // too much has been relayed to ask another backend server
 			return r.writeEnd(a)
 		}
 	}
 }
 
-// relayStream relays events as they arrive.
+// relayStream relays a stream as it arrives, whole events at a time if it can be resumed.
 func (r *relay) relayStream(a *attempt, response *exchange.Response) error {
-	r.events.resumable = a.route.Through.Resumable
+	r.events.opaque = !isEventStream(response)
+	if r.begun && r.events.opaque {
+		return errNotResumed
+	}
+	r.events.resumable = a.route.Through.Resumable && !r.events.opaque
 	r.events.begin(a.meta.LastEvent)
 	buffer := make([]byte, relayBuffer)
 	began := false
@@ -184,10 +198,7 @@
 			}
 		}
 		if err == io.EOF {
-			if err := r.writePart(a, response, r.events.remainder()); err != nil {
-				return err
-			}
-			return r.writeEnd(a)
+			return r.endStream(a, response, began)
 		}
 		if err != nil {
 			return err
@@ -195,6 +206,61 @@
 	}
 }
 
+// eventStreamType is the media type of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether a response of a streaming route is a stream of events, as is one without a type.
+func isEventStream(response *exchange.Response) bool {
+	mediaType := response.Header.ContentType()
+	return len(mediaType) == 0 || bytes.HasPrefix(mediaType, []byte(eventStreamType))
+}
+
+// endStream ends the relaying of a stream whose end was read, unless that isn't the end of the whole stream. began is
+// whether any part of this response arrived.
+func (r *relay) endStream(a *attempt, response *exchange.Response, began bool) error {
+	switch {
+	case r.events.scanner.withinEvent():
+		return errWithinEvent
+	case r.framing == exchange.UntilClose && !began:
+		return io.ErrUnexpectedEOF
+	}
+	if err := r.checkUnmarkedEnd(a); err != nil {
+		return err
+	}
+	if err := r.writePart(a, response, r.events.remainder()); err != nil {
+		return err
+	}
+	return r.writeEnd(a)
+}
+
+// errWithinEvent is the error for a stream that ended within an event.
+var errWithinEvent = errors.New("stream ended within an event")
+
+// errEndedWithServer is the error for a response whose end isn't marked, of a backend server that has ended.
+var errEndedWithServer = errors.New("response ended with its connection, and its backend server has ended")
+
+// checkUnmarkedEnd returns an error if a response whose end isn't marked is to be asked for again. The kernel closes the
+// connections of a process that crashes in order, often between two events, so that the response may be truncated if its
+// backend server has ended. Where it can't be asked for again, it is relayed with its end unmarked.
+func (r *relay) checkUnmarkedEnd(a *attempt) error {
+	if r.framing != exchange.UntilClose {
+		return nil
+	}
+	r.serverEnded = a.service.back.Ended(a.sentTo)
+	if r.serverEnded && a.mayResend() {
+		return errEndedWithServer
+	}
+	return nil
+}
+
+// lengthOr returns the length with which the last response is relayed, given that of one whose end is marked.
+func (r *relay) lengthOr(marked int) int {
+	if r.framing == exchange.UntilClose {
+		return untilClose
+	}
+	return marked
+}
+
 // writePart writes a part of a stream, preceded by the head if that hasn't been written yet.
 func (r *relay) writePart(a *attempt, response *exchange.Response, part []byte) error {
 	if len(part) == 0 {
@@ -202,14 +268,16 @@
 	}
 	if !r.begun {
 		r.begun = true
-		r.writeHead(a, response, chunked)
+		r.writeHead(a, response, r.lengthOr(chunked))
 	}
 	return r.writeChunk(a, part)
 }
 
-// writeEnd writes the last chunk of a response.
+// writeEnd marks the end of a response, unless closing the connection does.
 func (r *relay) writeEnd(a *attempt) error {
-	_, _ = a.conn.writer.WriteString("0\r\n\r\n")
+	if !r.untilClose {
+		_, _ = a.conn.writer.WriteString("0\r\n\r\n")
+	}
 	return callerError(a.conn.flush())
 }
 
@@ -218,6 +286,10 @@
 		return nil
 	}
 	w := a.conn.writer
+	if r.untilClose {
+		_, _ = w.Write(part)
+		return callerError(a.conn.flush())
+	}
 	_, _ = w.WriteString(strconv.FormatInt(int64(len(part)), 16))
 	_, _ = w.WriteString("\r\n")
 	_, _ = w.Write(part)
@@ -232,8 +304,11 @@
 	return errors.Join(errCallerStopped, err)
 }
 
-// chunked is the length of a body that is written in chunks.
-const chunked = -1
+// The lengths of bodies that are written in chunks, and until the connection is closed.
+const (
+	chunked    = -1
+	untilClose = -2
+)
 
 // connectionHeaders are the hop-by-hop headers, which aren't relayed.
 var connectionHeaders = map[string]bool{
@@ -256,9 +331,12 @@
 		_, _ = w.Write(value)
 		_, _ = w.WriteString("\r\n")
 	}
-	if length == chunked {
+	switch length {
+	case chunked:
 		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
-	} else {
+	case untilClose:
+		r.untilClose, a.keepAlive = true, false
+	default:
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	if a.service.draining.Load() {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -35,6 +35,7 @@
 		CopyFrom: inForce.AddressOf(d.CopyFrom),
 	})
 	run := back.Run{Address: inForce.AddressOf(d.Backend), Born: backend.Born}
+	a.sentTo = run.Address
 	response, err := s.back.Exchange(a.ctx, run, req, exchange.Options{
 		Timeout: a.silenceLimit(), AllowUndelimited: true, BodyStable: true,
 		Skip:   a.isForOtherRequest,
@@ -158,7 +159,7 @@
 	a.countBytes(telemetry.HallAnswers, a.hallOf(d.Backend), a.relay.bytes-before)
 	if err == nil {
 		a.finish(core.Done, a.relay.outputTokens())
-		a.blame.Answered()
+		a.recordAnswer(d)
 		a.relay.addTo(a.log("done")).Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
 		a.countOutcome("done")
 		return true
@@ -166,6 +167,16 @@
 	return a.handleFailure(d, err)
 }
 
+// recordAnswer records that the request got a whole answer, or that its backend server ended if the answer may be
+// truncated.
+func (a *attempt) recordAnswer(d scheduler.Decision) {
+	if a.relay.serverEnded {
+		a.serverEnded(d, nil)
+		return
+	}
+	a.blame.Answered()
+}
+
 // nameOf returns the name of the decision's backend server, "" if it has been removed since.
 func (a *attempt) nameOf(d scheduler.Decision) string {
 	return a.service.generation.InForce().Core.Backends[d.Backend].Name
@@ -212,7 +223,7 @@
 	a.mayHaveRun = true
 	a.finish(a.endingOf(cause), 0)
 	ended := a.serverEnded(d, cause)
-	resend := a.route.Repeatable && a.ctx.Err() == nil && !errors.Is(cause, errCallerStopped) && a.relay.canResume() && a.mayRetry()
+	resend := a.mayResend() && !errors.Is(cause, errCallerStopped)
 	a.relay.addTo(a.conn.writes.addTo(a.log("broke-off"))).Err(cause).Str("cause", string(why)).Int("send", a.sends).Bool("begun", a.relay.begun).Bool("again", resend).
 		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
 	if resend {
@@ -246,7 +257,7 @@
 		return false
 	}
 	return a.blame.Interrupted(blame.Attempt{
-		Backend: d.Backend, Address: a.service.generation.InForce().AddressOf(d.Backend),
+		Backend: d.Backend, Address: a.sentTo,
 		At: a.sentAt, Begun: a.relay.begun,
 	})
 }
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -143,7 +143,7 @@
 // Framing returns how the end of the response's body is marked.
 func (a *Response) Framing() Framing {
 	switch n := a.Header.ContentLength(); {
-	case n >= 0:
+	case n >= 0 || hasNoBody(a.StatusCode()):
 		return Sized
 	case n == -1:
 		return Chunked
@@ -154,8 +154,7 @@
 
 // bodyReader returns a reader of the body, nil for no body.
 func (a *Response) bodyReader() io.Reader {
-	status := a.StatusCode()
-	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	if hasNoBody(a.StatusCode()) {
 		return nil
 	}
 	switch n := a.Header.ContentLength(); {
@@ -170,6 +169,11 @@
 	}
 }
 
+// hasNoBody reports whether responses with a status never have a body.
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
 // Read reads the body. It returns io.EOF only after the whole body has been read.
 func (a *Response) Read(p []byte) (int, error) {
 	if a.body == nil || a.ended {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -108,7 +108,8 @@
 	// Timeout is the time limit of each wait for the server: for progress in writing the request, for the head of the
 	// response, and for each part of its body.
 	Timeout time.Duration
-	// AllowUndelimited allows a response that ends with its connection. It is whole only if the connection ends in order.
+	// AllowUndelimited allows a response that ends with its connection. If the connection ends in order, the response may
+	// still be truncated: that of a process that crashes often does.
 	AllowUndelimited bool
 	// BodyStable promises that the request's body isn't modified or reused, so that it needn't be copied.
 	BodyStable bool
@@ -139,6 +140,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response := &Response{Response: fasthttp.AcquireResponse(), client: c, conn: conn, options: options, stop: stop}
+	response.Header.SetNoDefaultContentType(true)
 	if err := response.exchange(req); err != nil {
 		stop()
 		_ = conn.Close()
