gateway: write the head of answers of streaming routes that have no event

What callers saw: the answer to a HEAD request on a streaming route, and a whole stream of no event, arrived as a last chunk without any head.

Cause: the head of a stream was written with its first part only. Found while looking for other ends that are taken for granted. Now the end of a stream writes the head if nothing did, and HEAD is answered like on other routes. A connection that ends before the first event of a stream that begins has broken off; one that ends after a stream was resumed may have had nothing left. TestStreamWithoutEvents and TestHeadOfStream failed before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,7 +61,7 @@
 // run relays one response, or what it adds to a truncated one.
 func (r *relay) run(a *attempt, response *exchange.Response) error {
 	r.framing, r.serverEnded = response.Framing(), false
-	if a.route.Through.Streaming && response.StatusCode() == fasthttp.StatusOK {
+	if a.route.Through.Streaming && response.StatusCode() == fasthttp.StatusOK && !a.req.Header.IsHead() {
 		return r.relayStream(a, response)
 	}
 	if r.begun {
@@ -221,20 +221,25 @@
 	switch {
 	case r.events.scanner.withinEvent():
 		return errWithinEvent
-	case r.framing == exchange.UntilClose && !began:
-		return io.ErrUnexpectedEOF
+	case r.framing == exchange.UntilClose && !began && !r.events.opaque && r.events.lastID == "":
+		return errNoEvents
 	}
 	if err := r.checkUnmarkedEnd(a); err != nil {
 		return err
 	}
-	if err := r.writePart(a, response, r.events.remainder()); err != nil {
+	r.beginStream(a, response) // it may have had no event
+	if err := r.writeChunk(a, r.events.remainder()); err != nil {
 		return err
 	}
 	return r.writeEnd(a)
 }
 
-// errWithinEvent is the error for a stream that ended within an event.
-var errWithinEvent = errors.New("stream ended within an event")
+var (
+	// errWithinEvent is the error for a stream that ended within an event.
+	errWithinEvent = errors.New("stream ended within an event")
+	// errNoEvents is the error for a stream whose connection ended before its first event.
+	errNoEvents = errors.New("connection ended before the first event of a stream")
+)
 
 // errEndedWithServer is the error for a response whose end isn't marked, of a backend server that has ended.
 var errEndedWithServer = errors.New("response ended with its connection, and its backend server has ended")
@@ -266,13 +271,19 @@
 	if len(part) == 0 {
 		return nil
 	}
-	if !r.begun {
-		r.begun = true
-		r.writeHead(a, response, r.lengthOr(chunked))
-	}
+	r.beginStream(a, response)
 	return r.writeChunk(a, part)
 }
 
+// beginStream writes the head of a stream if that hasn't been written yet.
+func (r *relay) beginStream(a *attempt, response *exchange.Response) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	r.writeHead(a, response, r.lengthOr(chunked))
+}
+
 // writeEnd marks the end of a response, unless closing the connection does.
 func (r *relay) writeEnd(a *attempt) error {
 	if !r.untilClose {
