e2e: the soak truncates answers whose ends aren't marked; tests split

Two ways more in which backend servers misbehave: a stream that is closed in order within an event, and one whose last chunk comes within an event.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -286,6 +286,7 @@
 	ways := []users.Behaviour{
 		{}, {Drop: true}, {Reject: true}, {ExtraAnswer: true}, {AnswerBeforeBody: true}, {NoLength: true},
 		{NoLength: true, Reset: true}, {AbortAfter: 7, AbortWithinEvent: true}, {Status: 500}, {OmitRequestID: true},
+		{NoLength: true, AbortAfter: 7, AbortWithinEvent: true}, {AbortAfter: 7, AbortWithinEvent: true, FalseEnd: true},
 	}
 	if s.restores {
 		ways = append(ways, users.Behaviour{Leaving: true}, users.Behaviour{RetryAfter: "0.4"}, users.Behaviour{RetryAfter: "soon"}, users.Behaviour{ExtraAnswer: true, ExtraAnswerLeaving: true})
--- a/e2e/undelimited_test.go
+++ b/e2e/undelimited_test.go
@@ -49,6 +49,24 @@
 	}
 }
 
+// checkAllBrokenOff checks that some streams began, and that all of these were broken off.
+func checkAllBrokenOff(t *testing.T, answers []users.Answer) {
+	t.Helper()
+	brokenOff := 0
+	for _, got := range answers {
+		switch {
+		case got.Status != 200:
+		case got.Err == nil:
+			t.Errorf("not broken off: %q", got.Body)
+		default:
+			brokenOff++
+		}
+	}
+	if brokenOff == 0 {
+		t.Error("no stream began")
+	}
+}
+
 // TestPlatformTruncatedStreamsAreNotCompleted guards against a stream that its backend server broke off reaching its
 // caller with a proper end: one that ends within an event, however its end is marked.
 func TestPlatformTruncatedStreamsAreNotCompleted(t *testing.T) {
@@ -65,18 +83,7 @@
 		p.behave(p.engines, x)
 		for _, path := range []string{"/chat/1", "/review/1"} {
 			t.Run(name+path, func(t *testing.T) {
-				brokenOff := 0
-				for _, got := range p.streamAll(path) {
-					if got.Status == 200 && got.Err == nil {
-						t.Errorf("not broken off: %q", got.Body)
-					}
-					if got.Status == 200 && got.Err != nil {
-						brokenOff++
-					}
-				}
-				if brokenOff == 0 {
-					t.Error("no stream began")
-				}
+				checkAllBrokenOff(t, p.streamAll(path))
 			})
 		}
 	}
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -120,15 +119,9 @@
 	for _, through := range []config.HostOptions{resumableStream, unresumableStream} {
 		for name, write := range framings {
 			for _, event := range []string{eventLF, eventCRLF, eventCR} {
-				whole := strings.TrimSuffix(event, "\n") // the last CR of an event of CRLF lines ends it
-				if event == eventLF {
-					whole = event
-				}
-				for cut := 1; cut < len(whole); cut++ {
+				for cut := 1; cut < shortestWhole(event); cut++ {
 					got := relayAnswer(t, "POST", through, eventStreamHead+write(event+event[:cut]))
-					if got.relay == nil || got.framed && got.err == nil {
-						t.Errorf("%s, resumable %v, %q cut at %d: relayed as %q, %v", name, through.Resumable, event, cut, got.body, got.relay)
-					}
+					checkBrokenOff(t, fmt.Sprintf("%s, resumable %v, %q cut at %d", name, through.Resumable, event, cut), got)
 					if through.Resumable && got.body != event {
 						t.Errorf("%s, %q cut at %d: the caller received %q", name, event, cut, got.body)
 					}
@@ -138,6 +131,22 @@
 	}
 }
 
+// shortestWhole returns the number of bytes from which on an event is whole: the last CR of CRLF lines ends it.
+func shortestWhole(event string) int {
+	if event == eventCRLF {
+		return len(event) - 1
+	}
+	return len(event)
+}
+
+// checkBrokenOff checks that an answer was not relayed as a whole one.
+func checkBrokenOff(t *testing.T, which string, got relayed) {
+	t.Helper()
+	if got.relay == nil || got.framed && got.err == nil {
+		t.Errorf("%s: relayed as %q, %v", which, got.body, got.relay)
+	}
+}
+
 // TestWholeStreamsAreRelayed checks that streams that end between two events are relayed unchanged, and that only those
 // whose end is marked are framed.
 func TestWholeStreamsAreRelayed(t *testing.T) {
