gateway: log the shared parts of prompts of answers that broke off

The line told which requests are the same one come again, and nothing that requests which are not alike have in common. Nothing is decided by it.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -11,6 +12,7 @@
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
+	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 )
@@ -225,7 +227,7 @@
 	ended := a.serverEnded(d, cause)
 	resend := a.mayResend() && !errors.Is(cause, errCallerStopped)
 	a.relay.addTo(a.conn.writes.addTo(a.log("broke-off"))).Err(cause).Str("cause", string(why)).Int("send", a.sends).Bool("begun", a.relay.begun).Bool("again", resend).
-		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Msg("answer broke off")
+		Bool("server_ended", ended).Stringer("fingerprint", a.blame.Fingerprint()).Strs("parts", partNames(a.meta.Prompt)).Msg("answer broke off")
 	if resend {
 		return false
 	}
@@ -241,6 +243,15 @@
 	return true
 }
 
+// partNames returns the identifiers of the parts that a prompt may share with others, for log lines.
+func partNames(p model.Prompt) []string {
+	var out []string
+	for _, part := range p.Shared() {
+		out = append(out, strconv.FormatUint(part.ID, 16))
+	}
+	return out
+}
+
 // endingOf returns how a failed response counts for its backend server: not as a failure if the caller stopped reading,
 // or if slow reading by the caller used up most of the time until the deadline.
 func (a *attempt) endingOf(cause error) core.Ending {
--- a/model/model.go
+++ b/model/model.go
@@ -133,3 +133,8 @@
 	Parts     []Part // in order; the last one is specific to the request or its session
 	Model     string
 }
+
+// Shared returns the parts that other prompts may have as well: all but the last one.
+func (p Prompt) Shared() []Part {
+	return p.Parts[:max(len(p.Parts)-1, 0)]
+}
