--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -35,6 +35,7 @@
 // restartingPool is a pool of backend servers that restart after they have ended.
 type restartingPool struct {
 	platform  *platform
+	name      string
 	behaviour users.Behaviour
 	stopped   chan struct{}
 	loops     sync.WaitGroup
@@ -46,8 +47,14 @@
 
 // startRestartingPool replaces the plain services by a pool of servers with one behaviour, which restart.
 func (p *platform) startRestartingPool(behaviour users.Behaviour) *restartingPool {
-	pool := &restartingPool{platform: p, behaviour: behaviour, stopped: make(chan struct{}), current: map[int]*users.Backend{}}
-	for _, b := range p.services {
+	return p.replaceByRestarting("entries", p.services, p.request("POST", "/look/first"), behaviour)
+}
+
+// replaceByRestarting replaces the servers of a pool by ones with one behaviour, which restart, and waits until every
+// router has had the answer to a request from one of them.
+func (p *platform) replaceByRestarting(name string, replaced []*users.Backend, first users.Request, behaviour users.Behaviour) *restartingPool {
+	pool := &restartingPool{platform: p, name: name, behaviour: behaviour, stopped: make(chan struct{}), current: map[int]*users.Backend{}}
+	for _, b := range replaced {
 		p.store.Remove("servers/" + b.Name)
 		b.Close() // a router that hasn't seen its removal would get a whole answer, which clears a request's record
 	}
@@ -57,7 +64,8 @@
 	p.t.Cleanup(pool.stop)
 	for _, r := range p.routers {
 		await(p.t, r.name+" uses a server of the restarting pool", func() bool {
-			return users.Call(r.callers, p.request("POST", "/look/first")).Status == 200
+			first.ID = p.request("", "").ID
+			return users.Call(r.callers, first).Status == 200
 		})
 	}
 	return pool
@@ -75,7 +83,7 @@
 // runServer starts a backend server again each time it ends, until the test ends.
 func (pool *restartingPool) runServer(index int) {
 	for restarts := 0; ; restarts++ {
-		b, err := users.NewBackend(pool.platform.store, fmt.Sprintf("revived-%d-%d", index, restarts), "entries", hallA)
+		b, err := users.NewBackend(pool.platform.store, fmt.Sprintf("revived-%d-%d", index, restarts), pool.name, hallA)
 		if err != nil {
 			pool.platform.t.Error(err)
 			return
@@ -119,12 +127,17 @@
 
 // runsOf returns the runs of requests with a path, in order of time.
 func (pool *restartingPool) runsOf(path string) []users.Run {
+	return pool.runsWhere(func(run users.Run) bool { return run.Path == path })
+}
+
+// runsWhere returns the runs that meet a condition, in order of time.
+func (pool *restartingPool) runsWhere(meets func(users.Run) bool) []users.Run {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	var out []users.Run
 	for _, b := range pool.all {
 		for _, run := range b.Runs() {
-			if run.Path == path {
+			if meets(run) {
 				out = append(out, run)
 			}
 		}
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,7 +34,9 @@
 	AnswerBeforeBody   bool          // the answer is sent before the body is read
 	OmitRequestID      bool          // the answer has no request identifier
 	CrashOnBody        string        // the body of requests that make the server crash, "" for none
-	CrashDelay         time.Duration // time from such a request to the crash
+	CrashOnPart        string        // the part of prompts on which the server crashes as it begins to answer, "" for none
+	CrashAfterHead     bool          // the head of the answer to such a request is sent before
+	CrashDelay         time.Duration // time from a request that makes it crash to the crash
 	Leaving            bool          // all answers report that the server is shutting down
 	ExtraAnswerLeaving bool          // the surplus answer reports a shutdown, while its own answers don't
 	RetryAfter         string        // every request is rejected with this Retry-After value, in seconds; "" for none
@@ -42,6 +45,7 @@
 // Run is one request that a backend server has run.
 type Run struct {
 	ID, Path, Body, Account, Key, LastEvent string
+	Parts                                   []string // identifiers of the parts of its prompt
 	TimeLeft                                int
 	At                                      time.Time
 	Disconnected                            bool // the caller disconnected while it ran
@@ -238,12 +242,16 @@
 	if x.Reject || x.RetryAfter != "" {
 		return b.reject(c, req, x)
 	}
-	run := b.recordRun(req, body)
+	index, run := b.recordRun(req, body)
 	if x.CrashOnBody != "" && x.CrashOnBody == string(body) {
 		time.Sleep(x.CrashDelay)
 		b.crash()
 		return false
 	}
+	if x.crashesOn(run.Parts) {
+		b.crashOnPart(c, x, run.ID)
+		return false
+	}
 	if x.Drop {
 		return false
 	}
@@ -255,7 +263,7 @@
 		id = ""
 	}
 	if x.Events > 0 {
-		return b.stream(c, x, id, run)
+		return b.stream(c, x, id, index)
 	}
 	return b.plain(c, x, id, shapeOf(req.URL.Query()))
 }
@@ -304,7 +312,32 @@
 	return "Server-Leaving: 1\r\n"
 }
 
-func (b *Backend) recordRun(req *http.Request, body []byte) int {
+// crashesOn reports whether a server crashes on a prompt: the last part of a prompt is its own, and harmless.
+func (x Behaviour) crashesOn(parts []string) bool {
+	return x.CrashOnPart != "" && len(parts) > 0 && slices.Contains(parts[:len(parts)-1], x.CrashOnPart)
+}
+
+// crashOnPart crashes as the answer to a request begins.
+func (b *Backend) crashOnPart(c net.Conn, x Behaviour, id string) {
+	if x.CrashAfterHead {
+		_ = streamWriter{conn: c, chunked: true}.head(responseHead(200, id, "seal-"+b.Name))
+	}
+	time.Sleep(x.CrashDelay)
+	b.crash()
+}
+
+// partNames returns the identifiers in a list of the parts of a prompt.
+func partNames(list string) []string {
+	var out []string
+	for part := range strings.SplitSeq(list, ",") {
+		name, _, _ := strings.Cut(part, ":")
+		out = append(out, name)
+	}
+	return out
+}
+
+// recordRun records a run, and returns its index and what is recorded of it.
+func (b *Backend) recordRun(req *http.Request, body []byte) (int, Run) {
 	h := req.Header
 	timeLeft, _ := strconv.Atoi(h.Get("Tamarindstep-Request-Deadline-Ms"))
 	b.mu.Lock()
@@ -313,8 +346,9 @@
 		ID: h.Get("Tamarindstep-Request-Id"), Path: req.URL.RequestURI(), Body: string(body),
 		Account: h.Get("Tamarindstep-Tenant-Id"), Key: h.Get("Tamarindstep-Key"),
 		LastEvent: h.Get("Last-Event-Id"), TimeLeft: timeLeft, At: time.Now(),
+		Parts: partNames(h.Get("Tamarindstep-Prompt-Prefix-Hash")),
 	})
-	return len(b.runs) - 1
+	return len(b.runs) - 1, b.runs[len(b.runs)-1]
 }
 
 // responseHead returns the status line and the first headers of a response.
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -85,7 +85,23 @@
 	Resumes                                string // ID of the request whose stream LastEvent is of
 	TimeLeft                               time.Duration
 	Chunked                                bool
-	Subject                                int // of its prompt: requests of one subject share a part of it
+	Subject                                int      // of its prompt: requests of one subject share a part of it
+	Parts                                  []string // identifiers of the parts of its prompt, nil for two by Subject
+}
+
+// partTokens is the number of tokens of each part of a prompt whose parts are given.
+const partTokens = 250
+
+// promptParts returns the list of the parts of the prompt.
+func (r Request) promptParts() string {
+	if r.Parts == nil {
+		return fmt.Sprintf("a1%s:600,b2%s:400", r.subjectDigits(), strconv.FormatInt(int64(len(r.ID)), 16))
+	}
+	var out []string
+	for _, part := range r.Parts {
+		out = append(out, fmt.Sprintf("%s:%d", part, partTokens))
+	}
+	return strings.Join(out, ",")
 }
 
 // subjectDigits returns the hexadecimal digits that distinguish the shared part of the prompt, "" for subject 0.
@@ -128,8 +144,8 @@
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\nTamarindstep-Key: %s\r\n"+
 		"Tamarindstep-Request-Deadline-Ms: %d\r\nTamarindstep-Token-Counts: 1000,50\r\n"+
-		"Tamarindstep-Prompt-Prefix-Hash: a1%s:600,b2%s:400\r\nTamarindstep-Tenant-Id: forged\r\n",
-		r.Method, r.Path, Host, r.ID, r.Key, left.Milliseconds(), r.subjectDigits(), strconv.FormatInt(int64(len(r.ID)), 16))
+		"Tamarindstep-Prompt-Prefix-Hash: %s\r\nTamarindstep-Tenant-Id: forged\r\n",
+		r.Method, r.Path, Host, r.ID, r.Key, left.Milliseconds(), r.promptParts())
 	if r.LastEvent != "" {
 		head += "Last-Event-Id: " + r.LastEvent + "\r\n"
 	}
