internal/standin: plain answers declare their type

An answer of a streaming route without a type counts as a stream of events, so that engines which answered such a request plainly seemed to break off within an event (TestPlatformColdBackendServerRateIsLimited failed since the ends of events are looked at). Servers of that kind declare what they send.

--- a/internal/standin/users/plain.go
+++ b/internal/standin/users/plain.go
@@ -81,7 +81,7 @@
 	if x.NoLength {
 		shape.Form = UntilClose
 	}
-	out := responseHead(status, id, "seal-"+b.Name) + x.leavingHeader()
+	out := responseHead(status, id, "seal-"+b.Name) + x.leavingHeader() + "Content-Type: text/plain\r\n"
 	body := shape.Body()
 	switch shape.Form {
 	case UntilClose:
