core/suspect: hold back parts of prompts under which backend servers end

What callers saw: requests with one part in their prompts, no two alike, crashed one server after the other, 24 in 16 s with the real programs, and broke off what ran there.

Cause: the record of ends went by one identity of a request, the hash of all of it, while what crashed the servers was a part of its prompt. Each request was a new one to the record.

Now the same is recorded of each part that prompts may share, by pool. All parts of what ran on a server are suspected; what tells them apart is that any whole answer to a prompt exonerates all of its parts, so that those that sound requests share are cleared many times a second, without a message unless the fleet counts two ends and more. Three ends without another explanation hold a part back; ends at the same time count as one cause. Requests with it are refused as not run, also those that wait in a queue at that moment, and one is tried now and then as for whole requests. What is held back survives restarts in the store.

An error or an answer that may be truncated exonerates no part.

Ruled out: holding back the account, the route or the first part (sound requests share them), the last part (it is the request's own), and a key by account (the part ends servers whoever sends it).

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -69,6 +69,8 @@
 	Address string // IP and port
 	At      time.Time
 	Begun   bool // part of the answer was received
+	Pool    model.PoolID
+	Shared  []model.Part // the parts of the prompt that other prompts may share
 }
 
 // Interrupted reports whether the backend server has ended, and if so records that against the request. A
@@ -86,6 +88,7 @@
 	c.tracker.Ended.Inc()
 	c.tracker.Scheduler.Enqueue(core.ServerEnded{
 		Fingerprint: c.Fingerprint(), Account: c.account, Backend: s.Backend, RunTime: ran, Begun: s.Begun,
+		Pool: s.Pool, Shared: s.Shared,
 	})
 	return true
 }
--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -17,6 +17,8 @@
 	key    model.Key
 	stream model.StreamID
 	pools  []model.PoolID // of its route
+
+	suspect suspectIdentity
 }
 
 // byPrompt reports whether the policy in force decides by prompt.
@@ -68,7 +70,7 @@
 		return
 	}
 	key := model.Key{Pool: e.Pool, Account: e.Account}
-	c.byPromptRequests[e.ID] = byPromptRequest{key: key, stream: e.Stream, pools: e.Pools}
+	c.byPromptRequests[e.ID] = byPromptRequest{key: key, stream: e.Stream, pools: e.Pools, suspect: suspectIdentityOf(e)}
 	in := prompt.Request{
 		ID: e.ID, Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt,
 		Objective: e.Objective, Wait: e.Wait, Priority: e.Priority, Exclude: e.Exclude, Lag: e.Lag,
@@ -132,6 +134,12 @@
 
 func (c *Core) dispatchedByPrompt(a prompt.Dispatch) {
 	r := c.byPromptRequests[a.ID]
+	if refusal, held := c.heldSince(a.ID, r.suspect); held {
+		delete(c.byPromptRequests, a.ID)
+		c.prompt.Finish(c.now, a.ID, prompt.Disconnected, 0)
+		c.emit(refusal)
+		return
+	}
 	if cost := c.prompt.Cost(a.ID); cost > 0 {
 		c.countByPrompt(r.key, 0, cost)
 	}
@@ -146,7 +154,7 @@
 // promptEndings maps each ending to that of package prompt.
 var promptEndings = map[Ending]prompt.Ending{
 	Done: prompt.Done, Broken: prompt.Disconnected, NotSent: prompt.NotSent, Cancelled: prompt.Disconnected,
-	Rejected: prompt.Rejected, Failed: prompt.Failed,
+	Rejected: prompt.Rejected, Failed: prompt.Failed, Inconclusive: prompt.Done,
 }
 
 // finishByPrompt ends a request. The tokens of a request that wasn't executed are subtracted again.
@@ -155,6 +163,7 @@
 	if cost := c.prompt.Cost(e.ID); cost > 0 && notRun && c.prompt.Dispatched(e.ID) {
 		c.countByPrompt(c.byPromptRequests[e.ID].key, 0, -cost)
 	}
+	c.recordProof(e, c.byPromptRequests[e.ID].suspect)
 	delete(c.byPromptRequests, e.ID)
 	c.prompt.Finish(c.now, e.ID, promptEndings[e.Ending], e.Output)
 	c.loads.changed = true
--- a/core/event.go
+++ b/core/event.go
@@ -42,6 +42,8 @@
 	// Fingerprint identifies a request that may be held back, 0 if no request of its account is under suspicion.
 	Fingerprint model.Fingerprint
 
+	try bool // it is sent though it is held back
+
 	// The fields below are set for streams that may be resumed.
 
 	// Stream is the stream that the request begins, 0 if it can't be resumed.
@@ -95,6 +97,9 @@
 	Rejected
 	// Failed is a request whose backend server failed or broke the connection.
 	Failed
+	// Inconclusive is a complete answer that doesn't show that the request was run to a good end: an error, or an answer
+	// that may be truncated. It counts as Done otherwise.
+	Inconclusive
 )
 
 // Finish ends a dispatched request.
@@ -109,11 +114,14 @@
 	Fingerprint model.Fingerprint
 	Account     model.AccountID
 	Backend     model.BackendID
+	Pool        model.PoolID
+	Shared      []model.Part  // the parts of its prompt that other prompts may share
 	RunTime     time.Duration // since the request was sent
 	Begun       bool          // part of its answer had been received
 }
 
-// Answered reports that a request has received a complete answer from a backend server.
+// Answered reports that a request has received a complete answer from a backend server, or that an operator releases
+// what is held back.
 type Answered struct{ Fingerprint model.Fingerprint }
 
 // HeldRequestsLoaded lists the held-back requests that the store contains.
@@ -218,8 +226,10 @@
 	Unreachable      Refusal = "backends-unreachable"
 	AccountWithdrawn Refusal = "account-withdrawn"
 	RetryBudget      Refusal = "retry-budget"
-	// HeldBack is for a request during which backend servers have terminated.
+	// HeldBack is for a request during which backend servers have terminated, HeldPart for one whose prompt has a part of
+	// which that holds.
 	HeldBack Refusal = "held-back"
+	HeldPart Refusal = "held-prompt-part"
 	// UnknownStream is for a request that resumes a stream begun by unknown software.
 	UnknownStream Refusal = "unknown-stream"
 	// VersionRetired is for a request that resumes a stream begun by software that no backend server has any more.
@@ -287,12 +297,13 @@
 // need a fingerprint.
 type SuspectedAccounts struct{ Accounts []model.AccountID }
 
-// HeldChanged reports that a request is held back, is no longer held back, or that a try of it has failed.
+// HeldChanged reports that a request, or a part of prompts, is held back, is no longer held back, or that a try of it has failed.
 type HeldChanged struct {
 	Held      bool
 	Failed    bool // it was held back already, and a try has failed since
 	Seen      bool // this router has observed the cause itself, and is to write the suspicion to the store
 	Suspicion *wire.Suspicion
+	Pool      string // name of the pool if a part of prompts is held back
 }
 
 // RequestTry requests permission to send a held-back request once more, which only one router may do at a time.
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -40,6 +40,7 @@
 	resumed   *Arrive // the request if it resumes a stream and goes only to backend servers of its lineage, otherwise nil
 	stream    model.StreamID
 	pools     []model.PoolID // of its route
+	suspect   suspectIdentity
 }
 
 // queue holds the waiting requests of one account in one pool.
@@ -84,6 +85,7 @@
 	r := &request{
 		id: e.ID, key: key, class: e.Class, input: e.Input,
 		arrived: c.now, deadline: c.now + e.Wait, stream: e.Stream, pools: e.Pools, heapIndex: -1,
+		suspect: suspectIdentityOf(e),
 	}
 	c.requests[r.id] = r
 	if e.Bound {
@@ -206,13 +208,17 @@
 	if q == nil {
 		return false
 	}
-	r := q.next()
-	if r == nil {
-		return false
+	for r := q.next(); r != nil; r = q.next() {
+		c.removeWaiting(r)
+		if refusal, held := c.heldSince(r.id, r.suspect); held {
+			delete(c.requests, r.id)
+			c.emit(refusal)
+			continue
+		}
+		c.start(r, q, backend)
+		return true
 	}
-	c.removeWaiting(r)
-	c.start(r, q, backend)
-	return true
+	return false
 }
 
 // start dispatches a request that doesn't wait in a queue.
@@ -288,7 +294,8 @@
 	} else {
 		c.chargeTokens(r, r.input+e.Output)
 	}
-	if e.Ending == Done {
+	c.recordProof(e, r.suspect)
+	if e.Ending == Done || e.Ending == Inconclusive {
 		c.lengths(r).Observe(e.Output)
 		delete(c.excluded, r.backend)
 	}
--- a/core/suspect/entry.go
+++ b/core/suspect/entry.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/model"
 )
@@ -18,11 +19,34 @@
 	restored     model.Time // when it was read from the store, which holds the requests held back
 }
 
-// add adds an end, and reports whether it is new.
+// isPart reports whether the entry is that of a part of prompts.
+func (e *entry) isPart() bool { return e.Part != model.PromptPart{} }
+
+// grace returns how long after a complete answer ends don't count.
+func (e *entry) grace() time.Duration {
+	if e.isPart() {
+		return answeredGrace
+	}
+	return 0
+}
+
+// counts reports whether an end counts.
+func (e *entry) counts(end End) bool { return end.At > e.Answered+e.grace() }
+
+// isOver reports whether the entry of a part tells nothing any more: no end counts, and nobody is to be told.
+func (e *entry) isOver() bool { return e.isPart() && e.sendsLeft == 0 && !e.suspected() }
+
+// add adds an end, and reports whether it is new, or known as one before the answer began only now.
 func (e *entry) add(end End) bool {
-	if e.contains(end) || end.At <= e.Answered {
+	if !e.counts(end) {
 		return false
 	}
+	if i := e.indexOf(end); i >= 0 {
+		known := &e.Ends[i]
+		weaker := e.isPart() && known.Begun && !end.Begun // another prompt with the part, on the same backend server
+		known.Begun = known.Begun && !weaker
+		return weaker
+	}
 	e.Ends = append(e.Ends, end)
 	if len(e.Ends) > maxEnds {
 		slices.SortFunc(e.Ends, func(x, y End) int { return cmp.Compare(x.At, y.At) })
@@ -31,10 +55,10 @@
 	return true
 }
 
-// contains reports whether an end is stored already. A report of it may have been delayed at a relay, so that its time
-// is off by seconds; the time that the request had run is the same, in microseconds.
-func (e *entry) contains(end End) bool {
-	return slices.ContainsFunc(e.Ends, func(stored End) bool {
+// indexOf returns the index of an end that is stored already, -1 for none. A report of it may have been delayed at a
+// relay, so that its time is off by seconds; the time that the request had run is the same, in microseconds.
+func (e *entry) indexOf(end End) int {
+	return slices.IndexFunc(e.Ends, func(stored End) bool {
 		same := stored.Ran.Microseconds() == end.Ran.Microseconds() || (stored.At-end.At).Abs() <= sameEndWithin
 		return stored.Backend == end.Backend && same
 	})
@@ -56,7 +80,7 @@
 
 // countedEnds returns the ends since the last complete answer.
 func (e *entry) countedEnds() []End {
-	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return end.At <= e.Answered })
+	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return !e.counts(end) })
 	return e.Ends
 }
 
--- a/core/suspect/evaluate.go
+++ b/core/suspect/evaluate.go
@@ -69,8 +69,13 @@
 // jitter returns a fraction of tryJitter that differs between routers. Its square is uniformly distributed, so that
 // only few routers try early.
 func (b *Tracker) jitter(f model.Fingerprint) time.Duration {
+	return time.Duration(float64(tryJitter) * math.Sqrt(b.fraction(f)))
+}
+
+// fraction returns a number from 0 to 1 that differs between routers.
+func (b *Tracker) fraction(f model.Fingerprint) float64 {
 	mixed := (uint64(f) ^ b.salt) * 0x9E3779B97F4A7C15 // the golden ratio, as in Fibonacci hashing
-	return time.Duration(float64(tryJitter) * math.Sqrt(float64(mixed>>32)/(1<<32)))
+	return float64(mixed>>32) / (1 << 32)
 }
 
 // evaluate determines which requests are held back: first without, then with the ends explained by other held-back
@@ -94,18 +99,36 @@
 			continue // one end isn't enough
 		}
 		if e.restored > e.Answered {
-			sum = heldThreshold
-		}
-		for _, end := range e.countedEnds() {
-			sum += b.points(e, end, others)
+			sum = e.threshold()
 		}
-		if sum >= heldThreshold {
+		sum += b.pointsOf(e, others)
+		if sum >= e.threshold() {
 			out[f] = true
 		}
 	}
 	return out
 }
 
+// threshold returns the points at which the request or part is held back.
+func (e *entry) threshold() int {
+	if e.isPart() {
+		return partThreshold
+	}
+	return heldThreshold
+}
+
+// pointsOf returns the weight of the ends that count, where the others given may explain them.
+func (b *Tracker) pointsOf(e *entry, others map[model.Fingerprint]bool) int {
+	if e.isPart() {
+		return b.partPoints(e, others)
+	}
+	sum := 0
+	for _, end := range e.countedEnds() {
+		sum += b.points(e, end, others)
+	}
+	return sum
+}
+
 // points returns the weight of an end of a request.
 func (b *Tracker) points(e *entry, end End, others map[model.Fingerprint]bool) int {
 	if end.Begun || b.correlated(e, end) || b.explained(e, end, others) {
--- a/core/suspect/fleet_test.go
+++ b/core/suspect/fleet_test.go
@@ -37,13 +37,28 @@
 	running map[*sentRequest]bool
 }
 
+// request is a request with a fingerprint, the shared parts of its prompt, and whether it crashes backend servers.
+type request struct {
+	f      model.Fingerprint
+	shared []model.Part
+	lethal bool
+}
+
+// keys returns the fingerprints by which a request may be held back.
+func (r request) keys() []model.Fingerprint {
+	return append(PartFingerprints(pool, r.shared), r.f)
+}
+
 // sentRequest is a request running on a backend server.
 type sentRequest struct {
-	f      model.Fingerprint
+	request
 	router int
 	sent   model.Time
 }
 
+// pool is the pool of all backend servers.
+const pool = model.PoolID(3)
+
 const restartDelay = 2 * time.Second
 
 func newFleet(t *rapid.T, routers, servers int) *fleet {
@@ -76,7 +91,9 @@
 	s.up = false
 	now := w.queue.Now()
 	for r := range s.running {
-		w.trackers[r.router].RecordEnd(now, r.f, account, End{Backend: s.id, At: now, Ran: now - r.sent})
+		end := End{Backend: s.id, At: now, Ran: now - r.sent}
+		w.trackers[r.router].RecordEnd(now, r.f, account, end)
+		w.trackers[r.router].RecordPartEnds(now, pool, r.shared, account, end)
 	}
 	w.sendDue()
 	w.queue.After(restartDelay, func() { w.start(s) })
@@ -97,17 +114,17 @@
 }
 
 // arrive handles a request at a random router, which sends it to a backend server unless it is held back.
-func (w *fleet) arrive(f model.Fingerprint, lethal bool) {
+func (w *fleet) arrive(r request) {
 	now := w.queue.Now()
 	router := w.random.IntN(len(w.trackers))
-	decision := w.trackers[router].Check(now, f)
+	decision := w.trackers[router].Check(now, r.keys()...)
 	switch {
 	case decision.Held && !decision.Try:
-		w.refused[f] = now
+		w.refused[r.f] = now
 	case decision.Try && w.granting:
-		w.queue.After(time.Duration(w.random.Int64N(int64(maxClaimDelay))), func() { w.claim(router, f, lethal) })
-	case !decision.Try || w.trackers[router].StartTry(now, f):
-		w.send(router, f, lethal)
+		w.queue.After(time.Duration(w.random.Int64N(int64(maxClaimDelay))), func() { w.claim(router, r) })
+	case !decision.Try || w.trackers[router].StartTry(now, r.keys()...):
+		w.send(router, r)
 	}
 	w.sendDue()
 }
@@ -119,26 +136,30 @@
 )
 
 // claim requests a try, and makes it if granted.
-func (w *fleet) claim(router int, f model.Fingerprint, lethal bool) {
+func (w *fleet) claim(router int, r request) {
 	now := w.queue.Now()
-	if at, claimed := w.claims[f]; claimed && now < at+claimTTL || !w.trackers[router].StartTry(now, f) {
+	claimed := r.f
+	if held := w.trackers[router].HeldOf(r.keys()...); len(held) > 0 {
+		claimed = held[0]
+	}
+	if at, found := w.claims[claimed]; found && now < at+claimTTL || !w.trackers[router].StartTry(now, r.keys()...) {
 		return
 	}
-	w.claims[f] = now
+	w.claims[claimed] = now
 	w.tries = append(w.tries, now)
-	w.send(router, f, lethal)
+	w.send(router, r)
 	w.sendDue()
 }
 
 // send sends a request from a router to a random backend server, if that is up.
-func (w *fleet) send(router int, f model.Fingerprint, lethal bool) {
+func (w *fleet) send(router int, in request) {
 	now := w.queue.Now()
 	s := w.servers[w.random.IntN(len(w.servers))]
 	if !s.up {
 		return
 	}
-	w.sent[f] = append(w.sent[f], now)
-	r := &sentRequest{f: f, router: router, sent: now}
+	w.sent[in.f] = append(w.sent[in.f], now)
+	r := &sentRequest{request: in, router: router, sent: now}
 	s.running[r] = true
 	id := s.id
 	duration := time.Duration(50+w.random.IntN(100)) * time.Millisecond
@@ -146,22 +167,28 @@
 		if s.id != id || !s.up {
 			return
 		}
-		if lethal {
+		if in.lethal {
 			w.end(s)
 			return
 		}
 		delete(s.running, r)
-		w.served[f] = w.queue.Now()
-		w.trackers[router].RecordAnswer(w.queue.Now(), f)
+		w.served[in.f] = w.queue.Now()
+		w.trackers[router].RecordAnswer(w.queue.Now(), in.f)
+		w.trackers[router].RecordPartAnswers(w.queue.Now(), pool, in.shared)
 		w.sendDue()
 	})
 }
 
 // repeat sends a request again and again, at a mean interval.
 func (w *fleet) repeat(f model.Fingerprint, every time.Duration, lethal bool) {
+	w.repeatNew(every, func() request { return request{f: f, lethal: lethal} })
+}
+
+// repeatNew sends new requests, at a mean interval.
+func (w *fleet) repeatNew(every time.Duration, next func() request) {
 	var again func()
 	again = func() {
-		w.arrive(f, lethal)
+		w.arrive(next())
 		w.queue.After(every/2+time.Duration(w.random.Int64N(int64(every))), again)
 	}
 	w.queue.After(time.Duration(w.random.Int64N(int64(every))), again)
--- a/core/suspect/send.go
+++ b/core/suspect/send.go
@@ -19,9 +19,10 @@
 	MaxTime = model.Time(1<<63 - 1)
 )
 
-func (b *Tracker) scheduleSend(now model.Time, e *entry) {
-	e.sendsLeft, e.nextSend = sendCount, now
-	b.nextSend = min(b.nextSend, now)
+// scheduleSend schedules that the other routers are told of an entry from a time on.
+func (b *Tracker) scheduleSend(at model.Time, e *entry) {
+	e.sendsLeft, e.nextSend = sendCount, at
+	b.nextSend = min(b.nextSend, at)
 }
 
 // NextSend returns when TakeDue next has suspicions to return, MaxTime if it has none.
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -22,6 +22,14 @@
 // At heldThreshold points a request is held back: after two ends without another explanation, and after
 // three at the latest.
 //
+// # Parts of prompts
+//
+// Requests that crash backend servers may have nothing in common but a part of their prompts, and each of them may come
+// only once. So the same is recorded of each part that prompts may share, in each pool. Sound requests share
+// the other parts, and any complete answer exonerates all parts of its prompt; the part that crashes backend servers is
+// the one that never gets any. As a part runs on many backend servers at once, more ends are needed to hold it back, and
+// those at the same time count little.
+//
 // # Tries
 //
 // A held-back request is sent again as a try after firstTryDelay, by the router that receives it first from then on. A
@@ -108,10 +116,11 @@
 // sent returns when the request was sent to the backend server.
 func (e End) sent() model.Time { return e.At - e.Ran }
 
-// Suspicion is the state of one suspected request, as routers exchange it. Receiving it repeatedly or late is
-// harmless.
+// Suspicion is the state of one suspected request or part of prompts, as routers exchange it. Receiving it repeatedly or
+// late is harmless.
 type Suspicion struct {
 	Fingerprint model.Fingerprint
+	Part        model.PromptPart // zero for a request
 	Account     model.AccountID
 	Ends        []End
 	Answered    model.Time // when it last got a complete answer; earlier ends don't count
@@ -131,7 +140,8 @@
 	salt     uint64 // differs between routers
 	entries  map[model.Fingerprint]*entry
 	ended    map[model.BackendID]model.Time
-	held     map[model.Fingerprint]bool // result of the last evaluation
+	answered map[model.Fingerprint]model.Time // last complete answers to prompts with the parts that aren't suspected
+	held     map[model.Fingerprint]bool       // result of the last evaluation
 	digest   uint64
 	stale    bool       // held and digest must be recomputed
 	nextSend model.Time // earliest nextSend of the entries
@@ -143,7 +153,8 @@
 func New(salt uint64) *Tracker {
 	return &Tracker{
 		salt: salt, entries: map[model.Fingerprint]*entry{}, ended: map[model.BackendID]model.Time{},
-		held: map[model.Fingerprint]bool{}, nextSend: MaxTime,
+		answered: map[model.Fingerprint]model.Time{},
+		held:     map[model.Fingerprint]bool{}, nextSend: MaxTime,
 	}
 }
 
@@ -178,14 +189,15 @@
 	}
 }
 
-// RecordAnswer records that a request has got a complete answer, and reports whether it was held back.
+// RecordAnswer records that a request has got a complete answer, or that an operator releases it or a part, and reports
+// whether it was held back.
 func (b *Tracker) RecordAnswer(now model.Time, f model.Fingerprint) bool {
 	e := b.entries[f]
 	if e == nil || !e.suspected() {
 		return false
 	}
 	wasHeld := b.isHeld(f)
-	e.Answered, e.observed = now, true
+	e.Answered, e.observed = now-e.grace(), true // later ends count
 	b.markChanged()
 	b.scheduleSend(now, e)
 	return wasHeld
@@ -200,36 +212,61 @@
 	return out
 }
 
-// Check decides on a request that has arrived, where a try must be requested before StartTry is called. No other
-// try is due here while the request is pending.
-func (b *Tracker) Check(now model.Time, f model.Fingerprint) Decision {
-	e := b.entries[f]
-	if e == nil || !b.isHeld(f) {
+// Check decides on a request that has arrived, given its fingerprint and those of the parts of its prompt. A try must be
+// requested before StartTry is called. No other try is due here while the request is pending.
+func (b *Tracker) Check(now model.Time, fingerprints ...model.Fingerprint) Decision {
+	held := b.HeldOf(fingerprints...)
+	if len(held) == 0 {
 		return Decision{}
 	}
-	out := Decision{Held: true, Ends: len(e.countedEnds()), RetryAfter: b.NextTry(f) - now}
+	out := Decision{Held: true}
+	for _, f := range held {
+		out.Ends = max(out.Ends, len(b.entries[f].countedEnds()))
+		out.RetryAfter = max(out.RetryAfter, b.NextTry(f)-now)
+	}
 	if out.RetryAfter > 0 {
 		return out
 	}
-	e.tryRequested = now
-	out.Try, out.RetryAfter = true, 0
+	for _, f := range held {
+		b.entries[f].tryRequested = now
+	}
+	out.Try = true
 	return out
 }
 
-// StartTry records that a try is made, and reports whether it may be made: not if a backend server on which the request
-// ran has ended since the try was requested.
-func (b *Tracker) StartTry(now model.Time, f model.Fingerprint) bool {
-	e := b.entries[f]
-	if e == nil || !b.isHeld(f) {
-		return true
+// HeldOf returns those of some fingerprints that are held back.
+func (b *Tracker) HeldOf(fingerprints ...model.Fingerprint) []model.Fingerprint {
+	b.evaluate()
+	var out []model.Fingerprint
+	for _, f := range fingerprints {
+		if b.held[f] {
+			out = append(out, f)
+		}
 	}
-	for _, end := range e.countedEnds() {
-		if end.At > e.tryRequested {
+	return out
+}
+
+// HoldsAny reports whether anything is held back.
+func (b *Tracker) HoldsAny() bool {
+	b.evaluate()
+	return len(b.held) > 0
+}
+
+// StartTry records that a try is made of what is held back among some fingerprints, and reports whether it may be made:
+// not if a backend server on which it ran has ended since the try was requested.
+func (b *Tracker) StartTry(now model.Time, fingerprints ...model.Fingerprint) bool {
+	held := b.HeldOf(fingerprints...)
+	for _, f := range held {
+		e := b.entries[f]
+		if slices.ContainsFunc(e.countedEnds(), func(end End) bool { return end.At > e.tryRequested }) {
 			return false
 		}
 	}
-	e.Tried = now
-	b.scheduleSend(now, e)
+	for _, f := range held {
+		e := b.entries[f]
+		e.Tried = now
+		b.scheduleSend(now, e)
+	}
 	return true
 }
 
@@ -250,9 +287,12 @@
 	if b.entries[in.Fingerprint] == nil && len(in.Ends) == 0 {
 		return
 	}
-	e := b.entry(in.Fingerprint, in.Account)
+	e := b.entryOf(in)
 	changed := in.Tried > e.Tried || in.Answered > e.Answered
-	if in.Answered+correlatedWithin < e.Answered && len(in.Ends) > 0 {
+	switch {
+	case e.isPart():
+		b.mergePart(now, e, in)
+	case in.Answered+correlatedWithin < e.Answered && len(in.Ends) > 0:
 		b.scheduleSend(now, e) // the sender hasn't received the answer's time
 	}
 	e.Tried = max(e.Tried, in.Tried)
@@ -273,7 +313,7 @@
 	if len(in.Ends) == 0 {
 		return
 	}
-	e := b.entry(in.Fingerprint, in.Account)
+	e := b.entryOf(in)
 	e.restored = now
 	for _, end := range in.Ends {
 		e.add(end)
@@ -325,11 +365,12 @@
 	return b.digest
 }
 
-// Accounts returns the sorted accounts of the suspected requests.
+// Accounts returns the sorted accounts of the suspected requests, but not of parts, which are known without a
+// fingerprint.
 func (b *Tracker) Accounts() []model.AccountID {
 	out := map[model.AccountID]bool{}
 	for _, e := range b.entries {
-		if e.suspected() {
+		if e.suspected() && !e.isPart() {
 			out[e.Account] = true
 		}
 	}
@@ -350,6 +391,14 @@
 	return e
 }
 
+// entryOf returns the entry of a suspicion, a new one if there is none.
+func (b *Tracker) entryOf(in Suspicion) *entry {
+	if in.Part == (model.PromptPart{}) {
+		return b.entry(in.Fingerprint, in.Account)
+	}
+	return b.partEntry(in.Fingerprint, in.Part, in.Account)
+}
+
 // prune deletes expired ends and entries, and the oldest entries beyond maxEntries. It iterates over all of them, so
 // that it runs at most once per pruneInterval unless there are far too many.
 func (b *Tracker) prune(now model.Time) {
@@ -359,6 +408,7 @@
 	b.pruned = now
 	maps.DeleteFunc(b.ended, func(_ model.BackendID, at model.Time) bool { return now-at > endTTL })
 	maps.DeleteFunc(b.entries, func(_ model.Fingerprint, e *entry) bool { return now-e.lastEvent() > entryTTL })
+	b.pruneParts(now)
 	if len(b.entries) <= maxEntries {
 		return
 	}
--- a/core/suspicions.go
+++ b/core/suspicions.go
@@ -24,7 +24,8 @@
 	accounts []model.AccountID
 	held     map[model.Fingerprint]bool
 	failed   map[model.Fingerprint]int // failed tries of the requests that are held back
-	lastSent map[string]model.Time     // when suspicions were last sent, by router
+	parts    map[model.Fingerprint]model.PromptPart
+	lastSent map[string]model.Time // when suspicions were last sent, by router
 
 	grantRequired bool                 // a try must be granted first, see RequestTry
 	pendingTries  map[RequestID]Arrive // requests that wait for a TryAnswered
@@ -34,23 +35,75 @@
 	return suspicions{tracker: suspect.New(salt), held: map[model.Fingerprint]bool{}, lastSent: map[string]model.Time{}, pendingTries: map[RequestID]Arrive{}}
 }
 
-// holdBack refuses a request that is held back, or requests a grant for its try. It returns false if the request is to
-// be processed further.
+// suspectIdentity is what a request may be held back by.
+type suspectIdentity struct {
+	fingerprint model.Fingerprint // 0 if no request of its account is under suspicion
+	pool        model.PoolID
+	shared      []model.Part // the parts of its prompt that other prompts may share
+	try         bool         // it is sent though it is held back
+}
+
+func suspectIdentityOf(e Arrive) suspectIdentity {
+	return suspectIdentity{fingerprint: e.Fingerprint, pool: e.Pool, shared: e.Prompt.Shared(), try: e.try}
+}
+
+// heldOf returns what of a request is held back: itself, or parts of its prompt.
+func (c *Core) heldOf(s suspectIdentity) []model.Fingerprint {
+	if !c.suspicions.tracker.HoldsAny() {
+		return nil
+	}
+	fingerprints := suspect.PartFingerprints(s.pool, s.shared)
+	if s.fingerprint != 0 {
+		fingerprints = append(fingerprints, s.fingerprint)
+	}
+	return c.suspicions.tracker.HeldOf(fingerprints...)
+}
+
+// heldRefusal returns the refusal of a request of which something is held back.
+func (c *Core) heldRefusal(id RequestID, held []model.Fingerprint) Refuse {
+	out := Refuse{ID: id, Reason: HeldPart}
+	for _, f := range held {
+		out.RetryAfter = max(out.RetryAfter, c.suspicions.tracker.NextTry(f)-c.now)
+		if !c.suspicions.tracker.IsPart(f) {
+			out.Reason = HeldBack
+		}
+	}
+	return out
+}
+
+// heldSince reports whether a request that is about to be sent has been held back since it arrived, and returns its
+// refusal.
+func (c *Core) heldSince(id RequestID, s suspectIdentity) (Refuse, bool) {
+	held := c.heldOf(s)
+	if s.try || len(held) == 0 {
+		return Refuse{}, false
+	}
+	return c.heldRefusal(id, held), true
+}
+
+// recordProof records that a request was run to a good end, which shows that no part of its prompt ends backend servers.
+func (c *Core) recordProof(e Finish, s suspectIdentity) {
+	if e.Ending == Done {
+		c.suspicions.tracker.RecordPartAnswers(c.now, s.pool, s.shared)
+	}
+}
+
+// holdBack refuses a request of which something is held back, or requests a grant for its try. It returns false if the
+// request is to be processed further.
 func (c *Core) holdBack(e Arrive) bool {
-	if e.Fingerprint == 0 {
+	held := c.heldOf(suspectIdentityOf(e))
+	if len(held) == 0 {
 		return false
 	}
-	verdict := c.suspicions.tracker.Check(c.now, e.Fingerprint)
+	verdict := c.suspicions.tracker.Check(c.now, held...)
 	switch {
-	case !verdict.Held:
-		return false
 	case !verdict.Try:
-		c.emit(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: verdict.RetryAfter})
+		c.emit(c.heldRefusal(e.ID, held))
 	case c.suspicions.grantRequired:
 		c.suspicions.pendingTries[e.ID] = e
-		c.emit(RequestTry{ID: e.ID, Fingerprint: e.Fingerprint})
+		c.emit(RequestTry{ID: e.ID, Fingerprint: held[0]})
 	default:
-		return !c.try(e)
+		c.try(e, held)
 	}
 	return true
 }
@@ -59,15 +112,18 @@
 // are due at the same time would all try, as the notification of a try takes some tenths of a second.
 func (c *Core) RequireTryGrants() { c.suspicions.grantRequired = true }
 
-// try records that a held-back request is sent once more, and reports whether it may be.
-func (c *Core) try(e Arrive) bool {
+// try sends a request once more though something of it is held back, unless that may not be tried.
+func (c *Core) try(e Arrive, held []model.Fingerprint) {
 	tracker := c.suspicions.tracker
-	if !tracker.StartTry(c.now, e.Fingerprint) {
-		c.emit(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: tracker.NextTry(e.Fingerprint) - c.now})
-		return false
+	if !tracker.StartTry(c.now, held...) {
+		c.emit(c.heldRefusal(e.ID, held))
+		return
 	}
-	c.emit(Tried{Fingerprint: e.Fingerprint, Account: e.Account, Ends: len(tracker.Ends(e.Fingerprint))})
-	return true
+	for _, f := range held {
+		c.emit(Tried{Fingerprint: f, Account: e.Account, Ends: len(tracker.Ends(f))})
+	}
+	e.try = true
+	c.processArrival(e)
 }
 
 // tryAnswered continues with a request for whose try a grant was requested.
@@ -77,20 +133,19 @@
 		return // its caller has left
 	}
 	delete(c.suspicions.pendingTries, e.ID)
-	if !e.Granted {
-		c.emit(Refuse{ID: e.ID, Reason: HeldBack, RetryAfter: c.suspicions.tracker.NextTry(waited.Fingerprint) - c.now})
+	held := c.heldOf(suspectIdentityOf(waited))
+	if !e.Granted && len(held) > 0 {
+		c.emit(c.heldRefusal(e.ID, held))
 		return
 	}
-	if c.try(waited) {
-		c.processArrival(waited)
-	}
+	c.try(waited, held)
 }
 
 // serverEnded records that a backend server has ended during a request.
 func (c *Core) serverEnded(e ServerEnded) {
-	c.suspicions.tracker.RecordEnd(c.now, e.Fingerprint, e.Account, suspect.End{
-		Backend: e.Backend, At: c.now, Ran: e.RunTime, Begun: e.Begun,
-	})
+	end := suspect.End{Backend: e.Backend, At: c.now, Ran: e.RunTime, Begun: e.Begun}
+	c.suspicions.tracker.RecordEnd(c.now, e.Fingerprint, e.Account, end)
+	c.suspicions.tracker.RecordPartEnds(c.now, e.Pool, e.Shared, e.Account, end)
 }
 
 // answered records that a request got a complete answer.
@@ -150,22 +205,29 @@
 		s.accounts = accounts
 		c.emit(SuspectedAccounts{Accounts: accounts})
 	}
-	held, failed := map[model.Fingerprint]bool{}, map[model.Fingerprint]int{}
+	held, failed, parts := map[model.Fingerprint]bool{}, map[model.Fingerprint]int{}, map[model.Fingerprint]model.PromptPart{}
 	for _, h := range s.tracker.Held() {
 		f := h.Fingerprint
-		held[f], failed[f] = true, s.tracker.Failed(f)
+		held[f], failed[f], parts[f] = true, s.tracker.Failed(f), h.Part
 		if !s.held[f] || failed[f] > s.failed[f] {
-			c.emit(HeldChanged{Held: true, Failed: s.held[f], Seen: s.tracker.Observed(f), Suspicion: encodeSuspicion(c.now, h)})
+			c.emit(HeldChanged{
+				Held: true, Failed: s.held[f], Seen: s.tracker.Observed(f), Suspicion: encodeSuspicion(c.now, h), Pool: c.poolName(h.Part),
+			})
 		}
 	}
 	for _, f := range sortedKeys(s.held) {
 		if !held[f] {
-			c.emit(HeldChanged{Seen: s.tracker.Observed(f), Suspicion: &wire.Suspicion{Fingerprint: uint64(f)}})
+			part := s.parts[f]
+			released := &wire.Suspicion{Fingerprint: uint64(f), Pool: uint32(part.Pool), Part: part.ID}
+			c.emit(HeldChanged{Seen: s.tracker.Observed(f), Suspicion: released, Pool: c.poolName(part)})
 		}
 	}
-	s.held, s.failed = held, failed
+	s.held, s.failed, s.parts = held, failed, parts
 }
 
+// poolName returns the name of the pool of a part of prompts, "" if there is none.
+func (c *Core) poolName(part model.PromptPart) string { return c.config.Pools[part.Pool].Name }
+
 // The bits of a mark in a message.
 const (
 	markBegun = 1 << iota
@@ -184,6 +246,7 @@
 	out := &wire.Suspicion{
 		Fingerprint: uint64(in.Fingerprint), Account: uint32(in.Account),
 		AnsweredMs: sinceMs(now, in.Answered), TriedMs: sinceMs(now, in.Tried),
+		Pool: uint32(in.Part.Pool), Part: in.Part.ID,
 	}
 	for _, end := range in.Ends {
 		marks := uint32(0)
@@ -209,8 +272,12 @@
 	}
 	out = suspect.Suspicion{
 		Fingerprint: model.Fingerprint(in.Fingerprint), Account: model.AccountID(in.Account),
+		Part:     model.PromptPart{Pool: model.PoolID(in.Pool), ID: in.Part},
 		Answered: timeBefore(now, in.AnsweredMs), Tried: timeBefore(now, in.TriedMs),
 	}
+	if out.Part != (model.PromptPart{}) && out.Part.Fingerprint() != out.Fingerprint {
+		return out, false
+	}
 	for i, backend := range in.Backends {
 		out.Ends = append(out.Ends, suspect.End{
 			Backend: model.BackendID(backend), At: now - fromMilliseconds(in.EndedMs[i]), Ran: time.Duration(in.RanUs[i]) * time.Microsecond,
--- a/core/view.go
+++ b/core/view.go
@@ -36,6 +36,7 @@
 		out.Held = append(out.Held, &wire.HeldStatus{
 			Fingerprint: uint64(h.Fingerprint), Account: c.config.Accounts[h.Account].Name, Ends: uint32(len(h.Ends)),
 			SinceMs: milliseconds(c.now - first), TryMs: milliseconds(c.suspicions.tracker.NextTry(h.Fingerprint) - c.now),
+			Pool: c.poolName(h.Part), Part: h.Part.ID,
 		})
 	}
 }
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -92,9 +92,9 @@
 	fmt.Fprintf(w, "\ngeneration %d, gap %d tokens\n", f.Generation, f.GapTokens)
 	if len(f.Held) > 0 {
 		fmt.Fprintln(w, "\nheld back, as backend servers ended under them:")
-		rows = [][]any{{"REQUEST", "ACCOUNT", "SERVERS ENDED", "SINCE", "TRIED IN", "ROUTERS"}}
+		rows = [][]any{{"REQUEST", "PROMPT PART", "POOL", "ACCOUNT", "SERVERS ENDED", "SINCE", "TRIED IN", "ROUTERS"}}
 		for _, h := range f.Held {
-			rows = append(rows, []any{h.Fingerprint, h.Account, h.Ends, formatSeconds(h.SinceMS), formatSeconds(h.TryMS), h.Routers})
+			rows = append(rows, []any{h.Fingerprint, h.Part, h.Pool, h.Account, h.Ends, formatSeconds(h.SinceMS), formatSeconds(h.TryMS), h.Routers})
 		}
 		table(w, rows)
 	}
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -47,6 +47,7 @@
 	Draining     = &Refusal{"draining", 503, NotRun, "the router is stopping; another will take the request"}
 	Unreachable  = &Refusal{"backends-unreachable", 503, NotRun, "no backend server could be reached"}
 	HeldBack     = &Refusal{"held-back", 503, NotRun, "backend servers have ended under this request, one after the other; it is tried again then"}
+	HeldPart     = &Refusal{"held-prompt-part", 503, NotRun, "backend servers have ended under requests with a part of this prompt, one after the other; one is tried again then"}
 	Withdrawn    = &Refusal{"account-withdrawn", 403, NotRun, "the configuration no longer has the client account or the pool"}
 
 	ClaimUnavailable = &Refusal{"claim-unavailable", 503, NotRun, "the request may not be repeated, and its key can't be claimed now"}
@@ -58,7 +59,7 @@
 var refusals = []*Refusal{
 	UnknownKey, UnknownModel, UnknownService, UnknownPath, MalformedBody, BodyTooLarge, BadDeadline,
 	BadClass, BadKey, NotReady, QueueFull, RateLimited, WaitExceeded, Draining, Unreachable,
-	HeldBack, Withdrawn, ClaimUnavailable, AlreadyClaimed, BackendBroke,
+	HeldBack, HeldPart, Withdrawn, ClaimUnavailable, AlreadyClaimed, BackendBroke,
 }
 
 // Refusals returns every kind of refusal.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -35,7 +35,9 @@
 	tooLate           = &refusal{fasthttp.StatusServiceUnavailable, "too-late", false}
 	// heldBack carries the time until the request is tried again. It is also sent for repetitions that arrive before
 	// then. Its statement is accurate: this repetition has not run, and a later one may.
-	heldBack        = &refusal{fasthttp.StatusServiceUnavailable, "held-back", false}
+	heldBack = &refusal{fasthttp.StatusServiceUnavailable, "held-back", false}
+	// heldPart is heldBack for a request that is refused for a part of its prompt.
+	heldPart        = &refusal{fasthttp.StatusServiceUnavailable, "held-prompt-part", false}
 	unknownStream   = &refusal{fasthttp.StatusServiceUnavailable, "unknown-stream", false}
 	versionRetired  = &refusal{fasthttp.StatusServiceUnavailable, "version-retired", false}
 	notAdmitted     = &refusal{fasthttp.StatusServiceUnavailable, "not-admitted", false}
@@ -46,7 +48,7 @@
 
 // refusalsByReason maps the core's reasons that callers are told; they are told notAdmitted for the others.
 var refusalsByReason = map[core.Refusal]*refusal{
-	core.HeldBack: heldBack, core.UnknownStream: unknownStream, core.VersionRetired: versionRetired,
+	core.HeldBack: heldBack, core.HeldPart: heldPart, core.UnknownStream: unknownStream, core.VersionRetired: versionRetired,
 }
 
 // write writes the refusal to a caller.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -89,7 +89,7 @@
 	if err := r.checkUnmarkedEnd(a); err != nil {
 		return err
 	}
-	a.finish(core.Done, r.outputTokens()) // a slow caller must not keep the backend server busy
+	a.finish(r.ending(response.StatusCode()), r.outputTokens()) // a slow caller must not keep the backend server busy
 	r.begun = true
 	r.writeHead(a, response, r.lengthOr(size))
 	if a.req.Header.IsHead() {
@@ -258,6 +258,14 @@
 	return nil
 }
 
+// ending returns how a complete answer with a status ends its request.
+func (r *relay) ending(status int) core.Ending {
+	if r.serverEnded || status >= fasthttp.StatusBadRequest {
+		return core.Inconclusive
+	}
+	return core.Done
+}
+
 // lengthOr returns the length with which the last response is relayed, given that of one whose end is marked.
 func (r *relay) lengthOr(marked int) int {
 	if r.framing == exchange.UntilClose {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -160,7 +160,7 @@
 	err := a.relay.run(a, response)
 	a.countBytes(telemetry.HallAnswers, a.hallOf(d.Backend), a.relay.bytes-before)
 	if err == nil {
-		a.finish(core.Done, a.relay.outputTokens())
+		a.finish(a.relay.ending(response.StatusCode()), a.relay.outputTokens())
 		a.recordAnswer(d)
 		a.relay.addTo(a.log("done")).Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
 		a.countOutcome("done")
@@ -268,8 +268,8 @@
 		return false
 	}
 	return a.blame.Interrupted(blame.Attempt{
-		Backend: d.Backend, Address: a.sentTo,
-		At: a.sentAt, Begun: a.relay.begun,
+		Backend: d.Backend, Address: a.sentTo, At: a.sentAt, Begun: a.relay.begun,
+		Pool: a.lineage.Pool, Shared: a.meta.Prompt.Shared(),
 	})
 }
 
--- a/heldstore/heldstore.go
+++ b/heldstore/heldstore.go
@@ -209,6 +209,7 @@
 	return &wire.Suspicion{
 		Fingerprint: in.Fingerprint, Account: in.Account, Backends: in.Backends,
 		EndedMs: make([]uint32, len(in.Backends)), RanUs: in.RanUs, Marks: in.Marks,
+		Pool: in.Pool, Part: in.Part,
 	}
 }
 
--- a/model/model.go
+++ b/model/model.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"strconv"
 	"time"
@@ -138,3 +139,20 @@
 func (p Prompt) Shared() []Part {
 	return p.Parts[:max(len(p.Parts)-1, 0)]
 }
+
+// PromptPart identifies a part of prompts in a pool. What one pool's backend servers don't survive, another's may.
+type PromptPart struct {
+	Pool PoolID
+	ID   uint64
+}
+
+// Fingerprint returns the identity of the part among what may be held back; it is never 0.
+func (p PromptPart) Fingerprint() Fingerprint {
+	var text [12]byte
+	binary.BigEndian.PutUint32(text[:], uint32(p.Pool))
+	binary.BigEndian.PutUint64(text[4:], p.ID)
+	return Fingerprint(max(xxhash.Sum64(text[:]), 1))
+}
+
+// String returns the form that logs and operators use, which is that of the callers.
+func (p PromptPart) String() string { return strconv.FormatUint(p.ID, 16) }
--- a/scheduler/suspected.go
+++ b/scheduler/suspected.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/model"
+	"github.com/tamarindstep/tamarindstep/wire"
 )
 
 // HasSuspects reports whether an account has suspected requests. Only then are its requests
@@ -51,19 +52,31 @@
 	return found
 }
 
-// logHeld logs that a request is held back, or no longer, or that a try has failed, and updates the number of those held
-// back.
+// heldName names what is held back in log messages.
+func heldName(in *wire.Suspicion) string {
+	if in.Pool != 0 {
+		return "prompt part"
+	}
+	return "request"
+}
+
+// logHeld logs that a request or a part of prompts is held back, or no longer, or that a try has failed, and updates the
+// number of those held back.
 func (s *Service) logHeld(a core.HeldChanged) {
+	name := heldName(a.Suspicion)
 	line := s.log.Info().Stringer("fingerprint", model.Fingerprint(a.Suspicion.Fingerprint)).Bool("seen", a.Seen)
+	if a.Suspicion.Pool != 0 {
+		line = line.Str("pool", a.Pool).Stringer("part", model.PromptPart{ID: a.Suspicion.Part})
+	}
 	if !a.Held {
 		s.metrics.Scheduler.HeldRequests.Dec()
-		line.Msg("request let go")
+		line.Msg(name + " let go")
 		return
 	}
 	if a.Failed {
-		line.Int("ends", len(a.Suspicion.Backends)).Msg("try of a held-back request failed")
+		line.Int("ends", len(a.Suspicion.Backends)).Msg("try of a held-back " + name + " failed")
 		return
 	}
 	s.metrics.Scheduler.HeldRequests.Inc()
-	line.Int("ends", len(a.Suspicion.Backends)).Uints32("ended_ms", a.Suspicion.EndedMs).Msg("request held back")
+	line.Int("ends", len(a.Suspicion.Backends)).Uints32("ended_ms", a.Suspicion.EndedMs).Msg(name + " held back")
 }
--- a/status/status.go
+++ b/status/status.go
@@ -139,14 +139,17 @@
 	Held []HeldRequest `json:"held,omitempty"`
 }
 
-// HeldRequest is a request that is held back because backend servers ended while running it.
+// HeldRequest is a request, or a part of prompts, that is held back because backend servers ended while running it.
 type HeldRequest struct {
 	Fingerprint string `json:"fingerprint"`
-	Account     string `json:"account"` // "" if there is none
-	Ends        uint32 `json:"ends"`
-	SinceMS     uint32 `json:"since_ms"` // time since the first of them
-	TryMS       uint32 `json:"try_ms"`   // time until a router tries it
-	Routers     int    `json:"routers"`  // number of routers that hold it back
+	// Part is the part of prompts that is held back in Pool instead of a request, "" for a request.
+	Part    string `json:"part,omitempty"`
+	Pool    string `json:"pool,omitempty"`
+	Account string `json:"account"` // "" if there is none
+	Ends    uint32 `json:"ends"`
+	SinceMS uint32 `json:"since_ms"` // time since the first of them
+	TryMS   uint32 `json:"try_ms"`   // time until a router tries it
+	Routers int    `json:"routers"`  // number of routers that hold it back
 }
 
 // Router is the state of a router.
@@ -273,6 +276,14 @@
 	return f
 }
 
+// partName returns the name of the part of prompts that is held back, "" for a request.
+func partName(h *wire.HeldStatus) string {
+	if h.Pool == "" {
+		return ""
+	}
+	return model.PromptPart{ID: h.Part}.String()
+}
+
 // mergeHeld merges the routers' states of each request that is held back.
 func mergeHeld(answers []*wire.StatusResponse) []HeldRequest {
 	merged := map[string]*HeldRequest{}
@@ -280,7 +291,7 @@
 		for _, h := range a.Held {
 			name := model.Fingerprint(h.Fingerprint).String()
 			if merged[name] == nil {
-				merged[name] = &HeldRequest{Fingerprint: name, Account: h.Account, TryMS: h.TryMs}
+				merged[name] = &HeldRequest{Fingerprint: name, Account: h.Account, TryMS: h.TryMs, Part: partName(h), Pool: h.Pool}
 			}
 			held := merged[name]
 			held.Ends, held.SinceMS = max(held.Ends, h.Ends), max(held.SinceMS, h.SinceMs)
