gateway: a failure of a backend server doesn't clear a suspected request

What callers and operators saw: nothing yet; by reading, a request that crashes servers got a 500, 502 or 504 of a backend server that failed for another reason, and that counted as a whole answer: what spoke against the request was forgotten, and it crashed two or three servers more.

A 4xx still clears: there the backend server judged the request. TestServerErrorDoesNotClearRequest failed before (one event for each status).

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -161,7 +161,7 @@
 	a.countBytes(telemetry.HallAnswers, a.hallOf(d.Backend), a.relay.bytes-before)
 	if err == nil {
 		a.finish(a.relay.ending(response.StatusCode()), a.relay.outputTokens())
-		a.recordAnswer(d)
+		a.recordAnswer(d, response.StatusCode())
 		a.relay.addTo(a.log("done")).Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
 		a.countOutcome("done")
 		return true
@@ -170,13 +170,14 @@
 }
 
 // recordAnswer records that the request got a whole answer, or that its backend server ended if the answer may be
-// truncated.
-func (a *attempt) recordAnswer(d scheduler.Decision) {
-	if a.relay.serverEnded {
+// truncated. A failure of the backend server may have come before it ran the request, and shows nothing.
+func (a *attempt) recordAnswer(d scheduler.Decision, status int) {
+	switch {
+	case a.relay.serverEnded:
 		a.serverEnded(d, nil)
-		return
+	case status < fasthttp.StatusInternalServerError:
+		a.blame.Answered()
 	}
-	a.blame.Answered()
 }
 
 // nameOf returns the name of the decision's backend server, "" if it has been removed since.
