fleet: remember a bounded number of backend servers that left the VM list

By reading: what a router has ever seen in the VM list was kept for good, so that its memory grew with each replaced server.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,7 +13,6 @@
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/member"
 	"github.com/tamarindstep/tamarindstep/kernel"
-	"github.com/tamarindstep/tamarindstep/model"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/vmlist"
 )
@@ -33,7 +32,7 @@
 
 	mu      sync.Mutex
 	routers map[string]string // by name, the address of each other router
-	seen    map[string]bool   // backend servers that the list has contained
+	left    departures
 	failing bool
 
 	cancel context.CancelFunc
@@ -44,7 +43,7 @@
 func New(self string, list vmlist.List, log zerolog.Logger) *Service {
 	return &Service{
 		self: self, list: list, log: log,
-		routers: map[string]string{}, seen: map[string]bool{}, ended: make(chan struct{}),
+		routers: map[string]string{}, left: departures{limit: maxDeparted}, ended: make(chan struct{}),
 	}
 }
 
@@ -121,27 +120,12 @@
 	}
 	s.mu.Lock()
 	s.routers = routers
-	leaving := s.leaving(live)
+	leaving := s.left.update(live)
 	s.mu.Unlock()
 	s.scheduler.Enqueue(core.Routers{Listed: listed})
 	s.scheduler.Enqueue(core.Leaving{Backends: leaving})
 }
 
-// leaving returns the backend servers that the list shows as leaving, or contained
-// earlier but no longer. Those that it has never contained are not returned.
-func (s *Service) leaving(live map[string]bool) []model.BackendID {
-	for name := range live {
-		s.seen[name] = true
-	}
-	var out []model.BackendID
-	for name := range s.seen {
-		if !live[name] {
-			out = append(out, model.Backend(name))
-		}
-	}
-	return out
-}
-
 // logFailure logs when reading the list starts to fail and when it succeeds again.
 func (s *Service) logFailure(err error) {
 	if failing := err != nil; failing != s.failing {
