core/retry: say why the number of routers never falls, and hold it by a test

It was noted as a fault: after a data hall is gone, the others retry less than the budget allows. If it fell, two parts of a fleet that are cut off from each other would both use the whole slack. TestPartedFleetStaysInBudget passes on this code and fails if the number falls.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -43,8 +43,9 @@
 	return &Budget{limits: limits, routers: 1, pools: map[model.PoolID]*counts{}}
 }
 
-// SetRouters sets the number of live routers, this one included. The number never
-// decreases: after routers leave, the others continue with the smaller part.
+// SetRouters sets the number of live routers, this one included. The number never decreases: routers that are cut off
+// from each other can't tell that from the others' end, and if each part of the fleet took over the other's part of the
+// slack, both together would exceed the budget.
 func (b *Budget) SetRouters(n int) { b.routers = max(n, b.routers) }
 
 // CountRequest counts a request for a pool.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -71,3 +71,20 @@
 	is.True(b.TryTake(0, model.PoolID(2)))  // another pool has its own
 	is.True(New(Limits{}).TryTake(0, 1))    // no window, no limit
 }
+
+// TestPartedFleetStaysInBudget guards against two parts of a fleet, each of which takes the other for dead, that together
+// exceed the budget.
+func TestPartedFleetStaysInBudget(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Slack: 50, Window: 10 * time.Second}
+	taken := 0
+	for range 4 {
+		b := New(limits)
+		b.SetRouters(4)
+		b.SetRouters(2) // the others are cut off
+		for b.TryTake(time.Second, 1) {
+			taken++
+		}
+	}
+	is.True(taken > 0 && taken <= 50)
+}
