--- a/daemon/eras.go
+++ b/daemon/eras.go
@@ -21,7 +21,7 @@
 func (e *eraListener) EraBegan(era uint32) {
 	e.log.Warn().Uint32("era", era).Msg("store restored from a backup")
 	e.metrics.Era.Set(float64(era))
-	e.keys.EraBegan(era)
+	e.keys.EraBegan()
 	e.generations.StoreRestored()
 }
 
--- a/peerkey/peerkey.go
+++ b/peerkey/peerkey.go
@@ -61,7 +61,6 @@
 	ended    chan struct{}
 
 	mu           sync.Mutex
-	era          uint32        // newest era received
 	recheckUntil time.Duration // end of recheckPeriod, by the clock that includes suspension
 	keyEra       uint32        // era of this router's key
 	replacedEra  uint32        // era in which it last replaced another key in the store, 0 for none
@@ -72,7 +71,7 @@
 	era := model.Version(settings.Current.Revision).Era()
 	return &Service{
 		settings: settings, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{}),
-		era: era, keyEra: era, recheckUntil: clock.System.Now() + recheckPeriod,
+		keyEra: era, recheckUntil: clock.System.Now() + recheckPeriod,
 	}
 }
 
@@ -98,9 +97,8 @@
 }
 
 // EraBegan notifies the service of a new era: the store has been restored from a backup.
-func (s *Service) EraBegan(era uint32) {
+func (s *Service) EraBegan() {
 	s.mu.Lock()
-	s.era = max(s.era, era)
 	s.recheckUntil = clock.System.Now() + recheckPeriod
 	s.mu.Unlock()
 	s.requestCheck()
--- a/peerkey/peerkey_test.go
+++ b/peerkey/peerkey_test.go
@@ -79,7 +79,7 @@
 		}
 		held := store.Value{Data: []byte(key), Revision: int64(model.VersionOf(era, 5))}
 		s := New(Settings{Store: shared, Current: held, OnAdopt: func([]byte) {}}, zerolog.Nop())
-		s.EraBegan(shared.era)
+		s.EraBegan()
 		all = append(all, s)
 	}
 	for range 40 * len(all) {
