daemon: tell callers to close before the router stops being ready

What callers saw: once, beside load, an answer after /readyz had failed without Connection: close; the next request on that connection goes to a router that is about to end.

Cause: readiness ended with the signal, and the callers' service learned of it from the daemon's main goroutine, which may run later. Now both follow from the same call, the callers' service first.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -61,6 +61,8 @@
 // callers is a service that serves callers.
 type callers interface {
 	kernel.Service
+	// BeginDrain makes each answer from now on tell its caller to close the connection.
+	BeginDrain()
 	// Drain returns once no request is being served or ctx is done. New requests are refused, in some
 	// implementations only after a grace period.
 	Drain(ctx context.Context)
@@ -78,8 +80,14 @@
 	leave        func(context.Context) error // removes the router from the router list
 }
 
-// drain starts the router's graceful shutdown. It may be called several times.
-func (r *router) drain() { r.drainOnce.Do(func() { close(r.draining) }) }
+// drain starts the router's graceful shutdown. It may be called several times. Callers are told before the router stops
+// being ready, so that none keeps a connection to one that no longer is.
+func (r *router) drain() {
+	r.drainOnce.Do(func() {
+		r.callers.BeginDrain()
+		close(r.draining)
+	})
+}
 
 func (r *router) isDraining() bool {
 	select {
--- a/e2e/crashing_part_test.go
+++ b/e2e/crashing_part_test.go
@@ -107,6 +107,7 @@
 // TestPlatformCrashingPromptPartIsHeldBack sends prompts with one part on which servers crash: at most allowedSends of
 // them may be sent after the fifth crash, while the others are served on.
 func TestPlatformCrashingPromptPartIsHeldBack(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]partCase{
 		"third part":                 {crashing: []string{hotPart, "a1", crashingPart}},
 		"third part, after the head": {crashing: []string{hotPart, "a1", crashingPart}, afterHead: true},
@@ -134,6 +135,7 @@
 // TestPlatformCrashingPromptPartSurvivesRestarts guards against the loss of what is held back when all routers are killed
 // at once.
 func TestPlatformCrashingPromptPartSurvivesRestarts(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	pool := p.startEngines(users.Behaviour{CrashOnPart: crashingPart, CrashDelay: 30 * time.Millisecond})
 	c := partCase{crashing: []string{hotPart, "a1", crashingPart}}
@@ -163,6 +165,7 @@
 // TestPlatformSharedPromptPartsSurviveServerFailures guards against parts of sound prompts that are held back because
 // servers failed for other reasons: all prompts share their first part, and servers end in waves.
 func TestPlatformSharedPromptPartsSurviveServerFailures(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 4)
 	pool := p.startEngines(users.Behaviour{})
 	var waves sync.WaitGroup
--- a/e2e/undelimited_test.go
+++ b/e2e/undelimited_test.go
@@ -70,6 +70,7 @@
 // TestPlatformTruncatedStreamsAreNotCompleted guards against a stream that its backend server broke off reaching its
 // caller with a proper end: one that ends within an event, however its end is marked.
 func TestPlatformTruncatedStreamsAreNotCompleted(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 1)
 	for name, x := range map[string]users.Behaviour{
 		"closed within an event": truncated(wholeUndelimited, func(x *users.Behaviour) { x.AbortWithinEvent = true }),
@@ -92,6 +93,7 @@
 // TestPlatformAmbiguousEndIsNotCompleted guards against a stream that ended with its connection, between two events,
 // being framed as complete: its router can't know that it is.
 func TestPlatformAmbiguousEndIsNotCompleted(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 1)
 	p.behave(p.engines, truncated(wholeUndelimited, func(*users.Behaviour) {}))
 	checkNoneCompletedFalsely(t, p.streamAll("/chat/1"))
@@ -104,6 +106,7 @@
 // TestPlatformCrashBetweenEventsIsResumed guards against a stream being taken for whole because its backend server
 // crashed between two events and its connection was closed in order.
 func TestPlatformCrashBetweenEventsIsResumed(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 1)
 	p.behave(p.engines, wholeUndelimited)
 	p.engines[0].SetBehaviour(truncated(wholeUndelimited, func(x *users.Behaviour) { x.CrashOnAbort = true }))
--- a/front/front.go
+++ b/front/front.go
@@ -173,10 +173,13 @@
 	r.write(ctx, detail, retryAfter)
 }
 
+// BeginDrain makes each response from now on tell its caller to close the connection.
+func (s *Service) BeginDrain() { s.draining.Store(true) }
+
 // Drain refuses new requests and waits until those being served have ended. New connections are still accepted until the
 // load balancer has seen that the router isn't ready; their requests are refused as not run.
 func (s *Service) Drain(ctx context.Context) {
-	s.draining.Store(true)
+	s.BeginDrain()
 	s.awaitOpen(ctx)
 	time.Sleep(handoverPause)
 	s.awaitOpen(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -268,10 +268,13 @@
 	return a.handle()
 }
 
+// BeginDrain makes each response from now on tell its caller to close the connection.
+func (s *Service) BeginDrain() { s.draining.Store(true) }
+
 // Drain ends service gracefully: responses tell callers to close their connections, and after drainGrace new requests
 // are refused. It returns once no request is being served or ctx is done.
 func (s *Service) Drain(ctx context.Context) {
-	s.draining.Store(true)
+	s.BeginDrain()
 	grace := time.NewTimer(drainGrace)
 	defer grace.Stop()
 	select {
