core: a new version begins streams once every router knows of it

What callers saw: every new stream refused for seconds, 28 of 40, beside eight idle engines, where the servers of the older version vanished just after those of a new one were announced.

Cause: a version that has just appeared begins no streams for five seconds, as a router whose list is older would go on with them at another version. The time stands for knowledge that nobody had: whether any router still lacks the list.

A router that is cut off, paused, without the list or dead for less than five seconds keeps the former wait. Requests that wait meanwhile are sent when it ends.

Ruled out: counting servers that can't be reached as none (routers that are cut off from them would begin streams that others go on with at the older version), and a shorter time. Policies that don't decide by prompt send no load reports and keep the five seconds.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -77,7 +77,8 @@
 		Bound: e.Bound, Build: e.Lineage.Build,
 	}
 	if e.Stream != 0 && !e.Bound {
-		in.NotAt = c.unsettled(e.Pool)
+		in.Begins, in.NotAt = true, c.unsettled(e.Pool)
+		c.streams.heldOff[e.Pool] = len(in.NotAt) > 0
 	}
 	if cost := c.prompt.CostOf(&in); cost > 0 && len(e.Exclude) == 0 {
 		c.countByPrompt(key, cost, 0)
@@ -117,6 +118,7 @@
 		return
 	}
 	c.prompt.Sample(c.now)
+	c.refreshUnsettled()
 	c.prompt.Tick(c.now)
 	for _, a := range c.prompt.TakeActions() {
 		switch a := a.(type) {
@@ -132,6 +134,18 @@
 	}
 }
 
+// refreshUnsettled passes on which versions begin no streams, for requests that have been kept waiting by that.
+func (c *Core) refreshUnsettled() {
+	for _, pool := range sortedKeys(c.streams.heldOff) {
+		if !c.streams.heldOff[pool] {
+			continue
+		}
+		builds := c.unsettled(pool)
+		c.prompt.SetUnsettled(pool, builds)
+		c.streams.heldOff[pool] = len(builds) > 0
+	}
+}
+
 func (c *Core) dispatchedByPrompt(a prompt.Dispatch) {
 	r := c.byPromptRequests[a.ID]
 	if refusal, held := c.heldSince(a.ID, r.suspect); held {
--- a/core/loadqueue.go
+++ b/core/loadqueue.go
@@ -75,6 +75,7 @@
 // the newer ones.
 func mergeLoads(into, newer *wire.Loads) {
 	into.Sequence = newer.Sequence
+	into.Versions = newer.Versions
 	mergeSenders(into, newer)
 	for i, id := range newer.Backends {
 		at := slices.Index(into.Backends, id)
--- a/core/loads.go
+++ b/core/loads.go
@@ -179,6 +179,7 @@
 	self := c.members.Self()
 	out := encodeLoadReport(report)
 	out.Suspicions = encodeSuspicions(c.now, c.suspicions.tracker.TakeDue(c.now))
+	out.Versions = c.versionsToTell()
 	out.Router = model.NameHash(self.Name)
 	out.Process = uint32(self.Boot)
 	out.Sequence = c.loads.sequence
@@ -323,6 +324,7 @@
 		return false
 	}
 	delete(c.overdue.dropped, in.Router)
+	c.recordKnownVersions(in)
 	c.applySenders(from.Name, in)
 	c.probeDead(from.Name)
 	return true
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -67,6 +67,14 @@
 	return m.Status == wire.Status_STATUS_ALIVE || m.Status == wire.Status_STATUS_SUSPECT
 }
 
+// DeadFor returns how long the member has been considered dead, 0 if it isn't.
+func (m *Member) DeadFor(now model.Time) time.Duration {
+	if m.Status != wire.Status_STATUS_DEAD {
+		return 0
+	}
+	return now - m.since
+}
+
 // Reachable reports whether the member's process is considered to be running, possibly leaving.
 func (m *Member) Reachable() bool {
 	return m.Status != wire.Status_STATUS_DEAD
--- a/core/presence.go
+++ b/core/presence.go
@@ -200,7 +200,7 @@
 
 // hasPayload reports whether a message holds more than senders.
 func hasPayload(in *wire.Loads) bool {
-	return len(in.Backends)+len(in.Parts)+len(in.Accounts)+len(in.Suspicions) > 0
+	return len(in.Backends)+len(in.Parts)+len(in.Accounts)+len(in.Suspicions)+len(in.Versions) > 0
 }
 
 // mergeSenders merges a router's reported senders into its earlier message.
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -25,8 +25,10 @@
 	// Bound reports that the request resumes a stream, which only backend servers of Build can go on with.
 	Bound bool
 	Build model.Build
-	// NotAt lists the software versions that the request can't be sent to.
-	NotAt []model.Build
+	// Begins reports that the request begins a stream. NotAt lists the software versions of its pool that begin none;
+	// SetUnsettled changes them while the request waits.
+	Begins bool
+	NotAt  []model.Build
 }
 
 // mayGoTo reports whether a request can be sent to a backend server at all.
@@ -37,6 +39,16 @@
 	return !slices.Contains(r.NotAt, s.Build)
 }
 
+// SetUnsettled sets the software versions of a pool that begin no streams, for the requests that wait.
+func (m *Machine) SetUnsettled(pool model.PoolID, builds []model.Build) {
+	for _, r := range m.waiting {
+		if r.Begins && r.Pool == pool {
+			r.NotAt = builds
+			r.candidatesVersion = -1
+		}
+	}
+}
+
 // Action is an action for the caller to carry out: a Dispatch or a Refuse.
 type Action interface{ action() }
 
--- a/core/streams.go
+++ b/core/streams.go
@@ -24,8 +24,10 @@
 	lastQuestion uint32     // identifies it
 	questions    map[uint32]*question
 
-	announced       Versions   // the highest that another router has announced
-	unreliableUntil model.Time // until when the list of the backend servers may be outdated after a pause
+	knownVersions   versionReports
+	heldOff         map[model.PoolID]bool // pools of which a version begins no streams
+	announced       Versions              // the highest that another router has announced
+	unreliableUntil model.Time            // until when the list of the backend servers may be outdated after a pause
 
 	started      model.Time
 	historyAsked int // number of times that routers were asked for the versions served before
@@ -35,7 +37,8 @@
 
 func newStreamState(now model.Time) streamState {
 	return streamState{
-		tracker: streams.New(), lookups: map[RequestID]*lookup{}, questions: map[uint32]*question{}, started: now,
+		tracker: streams.New(), lookups: map[RequestID]*lookup{}, knownVersions: newVersionReports(),
+		heldOff: map[model.PoolID]bool{}, questions: map[uint32]*question{}, started: now,
 		lastRecords: now - recordInterval, lastLookup: now - lookupWait,
 	}
 }
@@ -100,11 +103,13 @@
 	return false
 }
 
-// unsettled returns the versions of a pool that begin no streams yet, unless all others are leaving or there is no other
-// router that might not know of them.
+// unsettled returns the versions of a pool that begin no streams yet, as another router might not know of them, unless
+// all others are leaving.
 func (c *Core) unsettled(pool model.PoolID) []model.Build {
-	fresh := c.streams.tracker.Fresh(c.now, pool)
-	if len(fresh) == 0 || len(c.members.Names()) == 0 {
+	fresh := slices.DeleteFunc(c.streams.tracker.Fresh(c.now, pool), func(b model.Build) bool {
+		return c.isKnownToAll(model.Lineage{Pool: pool, Build: b})
+	})
+	if len(fresh) == 0 {
 		return nil
 	}
 	for _, b := range c.config.Backends {
@@ -143,6 +148,7 @@
 		served = append(served, b.Lineage())
 	}
 	c.streams.tracker.SetServed(c.now, served)
+	c.tellVersions()
 }
 
 // nextStreams returns when flushStreams is due next.
@@ -155,6 +161,9 @@
 	if c.asksHistory() {
 		next = min(next, s.historyNext)
 	}
+	if len(s.knownVersions.own) > 0 {
+		next = min(next, s.knownVersions.nextTold)
+	}
 	for _, l := range s.lookups {
 		next = min(next, c.nextQuestion(l))
 	}
@@ -164,6 +173,7 @@
 // flushStreams sends records to the holders and questions to all routers, as far as they are due.
 func (c *Core) flushStreams() {
 	c.refreshHolders()
+	c.tellVersions()
 	c.sendRecords()
 	c.askHistory()
 	c.endLookups()
--- a/core/streams/history.go
+++ b/core/streams/history.go
@@ -104,6 +104,21 @@
 	return out
 }
 
+// recent returns the lineages that appeared lately, while streams of any pool may be of several. They are told for twice
+// the time for which a version counts as fresh, as routers see it appear at different times.
+func (h *history) recent(now model.Time) []model.Lineage {
+	if !h.anyMixed(now) {
+		return nil
+	}
+	var out []model.Lineage
+	for _, s := range h.seen(now) {
+		if s.KnownFor < 2*SettlePeriod {
+			out = append(out, s.Lineage)
+		}
+	}
+	return out
+}
+
 // seen returns all lineages of which streams may be.
 func (h *history) seen(now model.Time) []Seen {
 	var out []Seen
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -9,8 +9,8 @@
 // While all backend servers of a pool have had the same version for longer than streams last, no records are sent and
 // nobody is asked: that version began every stream. A router that has started more recently gets the history of the
 // versions from another one. Routers get a list of the backend servers at different times, so that a version which has
-// just appeared begins no streams for SettlePeriod if there is another one. A router whose list may be older than
-// MaxListAge asks the others in any case.
+// just appeared begins no streams if there is another one, until every router has told that it knows of it, or for
+// SettlePeriod. A router whose list may be older than MaxListAge asks the others in any case.
 //
 // Limits. A record is lost if its router and all of its holders fail at about the same time, or if the router fails before
 // it has sent the record. Such a stream can't be resumed while there are several versions.
@@ -32,8 +32,8 @@
 const (
 	// MaxListAge is the age up to which a router's list of the backend servers shows every version that begins streams.
 	MaxListAge = 4 * time.Second
-	// SettlePeriod is how long after its appearance a version begins no streams. It exceeds MaxListAge by the time for
-	// which the list is under way between routers.
+	// SettlePeriod is how long after its appearance a version begins no streams if not all routers are known to know of
+	// it. It exceeds MaxListAge by the time for which the list is under way between routers.
 	SettlePeriod = MaxListAge + time.Second
 )
 
@@ -281,6 +281,9 @@
 	return t.history.fresh(now, pool)
 }
 
+// Recent returns the lineages that appeared lately, of which the other routers are to be told that they are known here.
+func (t *Tracker) Recent(now model.Time) []model.Lineage { return t.history.recent(now) }
+
 // SetServed sets the lineages that backend servers currently have.
 func (t *Tracker) SetServed(now model.Time, served []model.Lineage) { t.history.setServed(now, served) }
 
--- a/e2e/replaced_test.go
+++ b/e2e/replaced_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,15 +12,13 @@
 const (
 	// newEngines is the number of engines that replace the two of the first version.
 	newEngines = 8
-	// replacedAfter is how long after the announcement of the new engines the old ones are gone: routers have the new
-	// announcements then.
-	replacedAfter = 600 * time.Millisecond
 	// replacedTries is the number of requests for new streams afterwards, one each replacedGap.
 	replacedTries = 40
 	replacedGap   = 20 * time.Millisecond
 )
 
-// replaceEngines replaces the engines by ones of the next version. gone takes each of the old ones away.
+// replaceEngines replaces the engines by ones of the next version. gone takes each of the old ones away, as soon as all
+// routers know of the new ones: before, no router could send anything there.
 func (p *platform) replaceEngines(gone func(*users.Backend)) {
 	old := p.engines
 	p.engines = nil
@@ -26,7 +26,12 @@
 		p.engineOf(nextVersion)
 	}
 	p.behave(p.engines, steady)
-	time.Sleep(replacedAfter)
+	all := fmt.Sprintf(`"backends":%d,`, len(old)+len(p.engines)+len(p.services))
+	for _, r := range p.routers {
+		await(p.t, r.name+" knows of the new engines", func() bool {
+			return strings.Contains(linesOf("backend servers changed", r.logFile), all)
+		})
+	}
 	for _, b := range old {
 		gone(b)
 	}
@@ -60,7 +65,8 @@
 			p := newPlatform(t, 3)
 			p.behave(p.engines, steady)
 			p.replaceEngines(func(b *users.Backend) { gone(p, b) })
-			if refused := p.refusedAfterReplacement(); refused > 0 {
+			refused := p.refusedAfterReplacement()
+			if refused > 0 {
 				t.Errorf("%d of %d new streams were refused, beside %d idle engines", refused, replacedTries, newEngines)
 			}
 		})
--- a/model/stream.go
+++ b/model/stream.go
@@ -1,6 +1,10 @@
 package model
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Build identifies the software version of a backend server, by the hash of its name. It is 0 for backend servers that
 // announce no version, which count as one version.
@@ -21,6 +25,14 @@
 	Build Build
 }
 
+// ID returns a hash that identifies the lineage in messages.
+func (l Lineage) ID() uint32 {
+	var text [8]byte
+	binary.BigEndian.PutUint32(text[:], uint32(l.Pool))
+	binary.BigEndian.PutUint32(text[4:], uint32(l.Build))
+	return uint32(xxhash.Sum64(text[:]))
+}
+
 // StreamID identifies a stream in the fleet, by the hash of the request that began it. It is 0 for answers that can't be
 // resumed.
 type StreamID uint64
