core: send the record of a stream at the latest as its answer begins

What callers saw: while several versions served, 23 of 24 streams were refused elsewhere where their router was killed within 0.1 s after they began.

Cause: records of streams left each 100 ms, whatever the callers had received by then. Now a stream that begins before its record was sent sends what is pending to the first holder at once.

--- a/core/core.go
+++ b/core/core.go
@@ -197,6 +197,7 @@
 		}
 	case Began:
 		c.prompt.RecordBegin(c.now, e.ID)
+		c.streamBegan(e.ID)
 	case Progress:
 		c.progress(e)
 	case Finish:
--- a/core/streamrecords.go
+++ b/core/streamrecords.go
@@ -17,9 +17,11 @@
 	holders             = 2
 	holdersOfSmallFleet = 4
 	smallFleet          = 100
-	// recordInterval is the shortest time between two messages with records of streams to the same router. A caller
-	// usually gets the first event later than this after the dispatch.
+	// recordInterval is the shortest time between two messages with records of streams to the same router.
 	recordInterval = 100 * time.Millisecond
+	// beganInterval is the same for the first holder while the record of a stream that has begun is unsent: it is to leave
+	// before the caller has an event, as the router may be killed then. Most streams begin later than recordInterval.
+	beganInterval = 2 * time.Millisecond
 )
 
 // streamMemberChanged makes sure that live holders have this router's records, and those of a failed router.
@@ -91,13 +93,42 @@
 	return append(first, others...)
 }
 
+// streamBegan notes that the first part of an answer has arrived.
+func (c *Core) streamBegan(id RequestID) {
+	stream := c.byPromptRequests[id].stream
+	if r := c.requests[id]; r != nil {
+		stream = r.stream
+	}
+	c.streams.urgent = c.streams.urgent || c.streams.unsent[stream]
+}
+
+// nextRecords returns when records are due to be sent next.
+func (c *Core) nextRecords() model.Time {
+	s := &c.streams
+	switch {
+	case !s.tracker.Pending(c.now):
+		return never
+	case s.urgent:
+		return min(s.lastFirst+beganInterval, s.lastRecords+recordInterval)
+	default:
+		return s.lastRecords + recordInterval
+	}
+}
+
+// sendRecords sends the records that are due: to all holders, or only to the first one.
 func (c *Core) sendRecords() {
 	s := &c.streams
-	if c.now < s.lastRecords+recordInterval || !s.tracker.Pending(c.now) {
+	if c.now < c.nextRecords() {
 		return
 	}
-	s.lastRecords = c.now
-	for _, name := range s.holders {
+	s.lastFirst, s.urgent = c.now, false
+	clear(s.unsent)
+	count := min(len(s.holders), 1)
+	if c.now >= s.lastRecords+recordInterval {
+		s.lastRecords = c.now
+		count = len(s.holders)
+	}
+	for _, name := range s.holders[:count] {
 		if records := s.tracker.Due(c.now, name); len(records) > 0 {
 			c.datagramTo(name).Began = encodeRecords(records)
 		}
--- a/core/streams.go
+++ b/core/streams.go
@@ -15,9 +15,12 @@
 // streamState is the state of resuming streams at the lineage that began them.
 type streamState struct {
 	tracker     *streams.Tracker
-	holders     []string   // that this router sends its records to
-	holdersSet  bool       // the holders are those for the current members
-	lastRecords model.Time // when records were last sent
+	holders     []string                // that this router sends its records to
+	holdersSet  bool                    // the holders are those for the current members
+	lastRecords model.Time              // when records were last sent to all holders
+	lastFirst   model.Time              // when records were last sent to the first one
+	unsent      map[model.StreamID]bool // streams begun since then, while there are several versions
+	urgent      bool                    // one of them has begun
 
 	lookups      map[RequestID]*lookup
 	lastLookup   model.Time // when routers were last asked
@@ -37,9 +40,9 @@
 
 func newStreamState(now model.Time) streamState {
 	return streamState{
-		tracker: streams.New(), lookups: map[RequestID]*lookup{}, knownVersions: newVersionReports(),
+		tracker: streams.New(), lookups: map[RequestID]*lookup{}, unsent: map[model.StreamID]bool{}, knownVersions: newVersionReports(),
 		heldOff: map[model.PoolID]bool{}, questions: map[uint32]*question{}, started: now,
-		lastRecords: now - recordInterval, lastLookup: now - lookupWait,
+		lastRecords: now - recordInterval, lastFirst: now - recordInterval, lastLookup: now - lookupWait,
 	}
 }
 
@@ -138,6 +141,9 @@
 func (c *Core) recordStream(stream model.StreamID, pools []model.PoolID, to model.BackendID) {
 	if stream != 0 {
 		c.streams.tracker.Begin(c.now, stream, c.config.Backends[to].Lineage(), pools)
+		if c.streams.tracker.Pending(c.now) {
+			c.streams.unsent[stream] = true
+		}
 	}
 }
 
@@ -154,10 +160,7 @@
 // nextStreams returns when flushStreams is due next.
 func (c *Core) nextStreams() model.Time {
 	s := &c.streams
-	next := never
-	if s.tracker.Pending(c.now) {
-		next = s.lastRecords + recordInterval
-	}
+	next := c.nextRecords()
 	if c.asksHistory() {
 		next = min(next, s.historyNext)
 	}
