gateway, core: HEAD keeps its connection; a held-back request always has a Retry-After

Both found by reading the change: an answer to HEAD without a length was taken for one that ends with its connection, and a request that is refused while a try is due had no Retry-After, so that its caller isn't told when to come back.

--- a/core/suspicions.go
+++ b/core/suspicions.go
@@ -59,9 +59,13 @@
 	return c.suspicions.tracker.HeldOf(fingerprints...)
 }
 
+// minHeldPause is the shortest Retry-After of a request that is held back: a try may be due at once, and be made by another
+// one.
+const minHeldPause = 300 * time.Millisecond
+
 // heldRefusal returns the refusal of a request of which something is held back.
 func (c *Core) heldRefusal(id RequestID, held []model.Fingerprint) Refuse {
-	out := Refuse{ID: id, Reason: HeldPart}
+	out := Refuse{ID: id, Reason: HeldPart, RetryAfter: minHeldPause}
 	for _, f := range held {
 		out.RetryAfter = max(out.RetryAfter, c.suspicions.tracker.NextTry(f)-c.now)
 		if !c.suspicions.tracker.IsPart(f) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,6 +61,9 @@
 // run relays one response, or what it adds to a truncated one.
 func (r *relay) run(a *attempt, response *exchange.Response) error {
 	r.framing, r.serverEnded = response.Framing(), false
+	if a.req.Header.IsHead() {
+		r.framing = exchange.Sized // there is no body
+	}
 	if a.route.Through.Streaming && response.StatusCode() == fasthttp.StatusOK && !a.req.Header.IsHead() {
 		return r.relayStream(a, response)
 	}
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -54,6 +54,7 @@
 	relay  error  // the error of relaying
 	body   string // received by the caller
 	err    error  // of reading the answer: not nil if it is incomplete
+	close  bool   // the connection isn't kept
 	framed bool   // a length or a last chunk says where the answer ends
 }
 
@@ -80,7 +81,7 @@
 			return
 		}
 		body, err := io.ReadAll(got.Body)
-		out <- relayed{body: string(body), err: err, framed: got.ContentLength >= 0 || len(got.TransferEncoding) > 0}
+		out <- relayed{body: string(body), err: err, close: got.Close, framed: got.ContentLength >= 0 || len(got.TransferEncoding) > 0}
 	}()
 	err := a.relay.run(a, response)
 	_ = ours.Close()
@@ -176,9 +177,12 @@
 // TestHeadOfStream guards against the answer to a HEAD request being relayed without a head.
 func TestHeadOfStream(t *testing.T) {
 	is := is.New(t)
-	got := relayAnswer(t, "HEAD", resumableStream, eventStreamHead+"Transfer-Encoding: chunked\r\n\r\n")
-	is.NoErr(got.relay)
-	is.NoErr(got.err)
+	for _, marked := range []string{"Transfer-Encoding: chunked\r\n\r\n", "\r\n"} {
+		got := relayAnswer(t, "HEAD", resumableStream, eventStreamHead+marked)
+		is.NoErr(got.relay)
+		is.NoErr(got.err)
+		is.True(!got.close)
+	}
 }
 
 // TestOtherAnswersOfStreamingRoutes checks that an answer of a streaming route that isn't an event stream is relayed as
