--- a/e2e/crashing_part_test.go
+++ b/e2e/crashing_part_test.go
@@ -43,7 +43,7 @@
 	for n := 0; time.Now().Before(until); n++ {
 		r := request(n)
 		r.Method, r.Path, r.Key, r.ID = "POST", "/chat/1", callerKey, fmt.Sprintf("%s-%d", name, n)
-		done(users.Call(p.routers[n%len(p.routers)].callers, r))
+		done(users.Call(p.routerAt(n).callers, r))
 		time.Sleep(period)
 	}
 }
--- a/e2e/platform_harness_test.go
+++ b/e2e/platform_harness_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,6 +32,16 @@
 	last         atomic.Int64  // number of the last request
 	flags        []string      // of the routers, in addition to the usual ones
 	logFiles     []string      // of all routers started
+	lock         sync.Locker   // of routers, if they are replaced while callers use them; nil otherwise
+}
+
+// routerAt returns the router for the nth request of a caller that uses them in turn.
+func (p *platform) routerAt(n int) *router {
+	if p.lock != nil {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+	}
+	return p.routers[n%len(p.routers)]
 }
 
 const callerKey = "key-of-a-caller"
