gateway: count what came of requests and the time to the first event by software version

Operators couldn't see whether a version that is being released fails more or answers later than the one beside it. tamarindstep_version_answers_total and tamarindstep_version_first_event_seconds tell, by pool and version; what the fleet makes of it is open.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,6 +50,7 @@
 	sentAt              time.Time     // of the last send
 	firstPartAfter      time.Duration // until the first part of a stream was received, 0 for none yet
 	sentTo              string        // address of the backend server of the last send
+	version             sentVersion   // of the last send
 	sends               int
 	lineage             model.Lineage // of the last send
 	bodyShared          bool          // an exchange may still read the request's body
@@ -360,6 +361,7 @@
 	if a.scheduled == nil {
 		return
 	}
+	a.countVersion(ending)
 	a.scheduled.Finish(output, ending)
 	a.scheduled = nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -193,6 +193,7 @@
 				began = true
 				a.firstPartAfter = a.service.clock.Since(a.began)
 				a.scheduled.ResponseBegan()
+				a.observeFirstEvent()
 			}
 			r.parts++
 			a.service.work.add(workParts)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -38,6 +38,7 @@
 	})
 	run := back.Run{Address: inForce.AddressOf(d.Backend), Born: backend.Born}
 	a.sentTo = run.Address
+	a.version = sentVersion{pool: inForce.Core.Pools[backend.Pool].Name, name: backend.Version}
 	response, err := s.back.Exchange(a.ctx, run, req, exchange.Options{
 		Timeout: a.silenceLimit(), AllowUndelimited: true, BodyStable: true,
 		Skip:   a.isForOtherRequest,
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -50,8 +50,10 @@
 	HeldBytesLimit    prometheus.Gauge
 	MemoryLimited     *prometheus.CounterVec // by what
 	EndedServers      prometheus.Counter
-	IncompleteAnswers *prometheus.CounterVec // incomplete answers to callers, by BreakCause
-	Notices           *prometheus.CounterVec // by kind
+	Versions          *prometheus.CounterVec   // ended sends, by pool, software version, outcome
+	FirstEvent        *prometheus.HistogramVec // seconds from a send to the first event, by pool, software version
+	IncompleteAnswers *prometheus.CounterVec   // incomplete answers to callers, by BreakCause
+	Notices           *prometheus.CounterVec   // by kind
 	Open              prometheus.Gauge
 	RefusedUnread     *prometheus.CounterVec // by reason
 	Pending           prometheus.Gauge
@@ -121,25 +123,7 @@
 			Bytes:  f.counters("between_halls_bytes_total", "Bytes between this data hall and others, without heads and framing.", "kind"),
 			Copied: f.counter("between_halls_copied_tokens_total", "Tokens of prompts that backend servers were told to copy from another data hall."),
 		},
-		Front: &Front{
-			Requests:          f.counters("requests_total", "Requests by their end.", "account", "route", "outcome"),
-			Refusals:          f.counters("refusals_total", "Requests refused, by reason.", "code"),
-			Wait:              f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
-			FirstByte:         f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
-			EndedServers:      f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
-			HeldBytes:         f.gauges("held_bytes", "Bytes that are held for callers.", "what"),
-			HeldBytesLimit:    f.gauge("held_bytes_limit", "Bytes that may be held for callers."),
-			MemoryLimited:     f.counters("gave_way_total", "Requests refused unread and answers passed on in parts, as there was no room to hold them.", "what"),
-			IncompleteAnswers: f.counters("broken_answers_total", "Answers broken off towards their callers, by cause.", "cause"),
-			Notices:           f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
-			Open:              f.gauge("requests_open", "Requests being served."),
-			RefusedUnread:     f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
-			Pending:           f.gauge("requests_pending", "Requests that were let in and aren't decided on yet."),
-			PendingLimit:      f.gauge("requests_pending_limit", "Requests that may wait for a decision as it would else be late."),
-			Streams:           f.gauge("streams_carried", "Streams that were let in and haven't ended."),
-			StreamsLimit:      f.gauge("streams_carried_limit", "Streams that may be carried, as more would be passed on late."),
-			Work:              f.counters("callers_work_total", "What was done for callers, by kind: what processor time goes into.", "kind"),
-		},
+		Front: newFront(f),
 		Scheduler: &Scheduler{
 			Dispatched:     f.counters("dispatched_total", "Requests sent to a backend server.", "account", "backend", "policy"),
 			Tokens:         f.counters("tokens_total", "Tokens delivered, input and output.", "account", "pool", "policy"),
@@ -167,6 +151,31 @@
 	}
 }
 
+// newFront returns the metrics of the services for callers.
+func newFront(f metricFactory) *Front {
+	return &Front{
+		Requests:          f.counters("requests_total", "Requests by their end.", "account", "route", "outcome"),
+		Refusals:          f.counters("refusals_total", "Requests refused, by reason.", "code"),
+		Wait:              f.histograms("wait_seconds", "Time until a request was dispatched.", "account", "class", "policy"),
+		FirstByte:         f.histograms("first_byte_seconds", "Time until the answer's first byte.", "route"),
+		EndedServers:      f.counter("ended_servers_total", "Answers that broke off as their backend server ended."),
+		HeldBytes:         f.gauges("held_bytes", "Bytes that are held for callers.", "what"),
+		HeldBytesLimit:    f.gauge("held_bytes_limit", "Bytes that may be held for callers."),
+		MemoryLimited:     f.counters("gave_way_total", "Requests refused unread and answers passed on in parts, as there was no room to hold them.", "what"),
+		Versions:          f.counters("version_answers_total", "What came of requests sent to backend servers, by software version.", "pool", "version", "outcome"),
+		FirstEvent:        f.histograms("version_first_event_seconds", "Time from sending a request to the first event of its stream, by software version.", "pool", "version"),
+		IncompleteAnswers: f.counters("broken_answers_total", "Answers broken off towards their callers, by cause.", "cause"),
+		Notices:           f.counters("server_notices_total", "What backend servers said of themselves beside answers.", "notice"),
+		Open:              f.gauge("requests_open", "Requests being served."),
+		RefusedUnread:     f.counters("refused_unread_total", "Requests refused by their header, by reason.", "reason"),
+		Pending:           f.gauge("requests_pending", "Requests that were let in and aren't decided on yet."),
+		PendingLimit:      f.gauge("requests_pending_limit", "Requests that may wait for a decision as it would else be late."),
+		Streams:           f.gauge("streams_carried", "Streams that were let in and haven't ended."),
+		StreamsLimit:      f.gauge("streams_carried_limit", "Streams that may be carried, as more would be passed on late."),
+		Work:              f.counters("callers_work_total", "What was done for callers, by kind: what processor time goes into.", "kind"),
+	}
+}
+
 type metricFactory struct{ registry *prometheus.Registry }
 
 func (f metricFactory) counter(name, help string) prometheus.Counter {
