core/prompt: a try of what is held back goes where the fewest requests run

By reading: it went to the engine that had the shared part of its prompt cached, which mostly runs the most requests, and if the part crashes engines, all of those end with it. TestTryGoesWhereItHarmsTheFewest failed before.

--- a/core/byprompt.go
+++ b/core/byprompt.go
@@ -74,7 +74,7 @@
 	in := prompt.Request{
 		ID: e.ID, Account: e.Account, Pool: e.Pool, Route: e.Route, Prompt: e.Prompt,
 		Objective: e.Objective, Wait: e.Wait, Priority: e.Priority, Exclude: e.Exclude, Lag: e.Lag,
-		Bound: e.Bound, Build: e.Lineage.Build,
+		Bound: e.Bound, Build: e.Lineage.Build, Try: e.try,
 	}
 	if e.Stream != 0 && !e.Bound {
 		in.Begins, in.NotAt = true, c.unsettled(e.Pool)
--- a/core/prompt/place.go
+++ b/core/prompt/place.go
@@ -52,6 +52,9 @@
 		}
 		p := m.placeAt(s, r, holderOf(holders, s.Build))
 		p.score += m.config.Tuning.RankPenalty.Seconds() * float64(min(rank, maxRank))
+		if r.Try {
+			p.score = float64(s.running())
+		}
 		if !found || p.delay < minDelay {
 			minDelay = p.delay
 		}
--- a/core/prompt/request.go
+++ b/core/prompt/request.go
@@ -25,6 +25,9 @@
 	// Bound reports that the request resumes a stream, which only backend servers of Build can go on with.
 	Bound bool
 	Build model.Build
+	// Try reports that the request, or others with a part of its prompt, has ended backend servers. It goes where it would
+	// end the fewest others.
+	Try bool
 	// Begins reports that the request begins a stream. NotAt lists the software versions of its pool that begin none;
 	// SetUnsettled changes them while the request waits.
 	Begins bool
