gateway: an answer whose end is unmarked doesn't look whole when the router is killed

Cause: since answers whose end nobody marked are relayed in that form, the end of the caller's connection says that the answer is over, and the kernel closes the connections of a process that is killed in order. Before, the missing last chunk told.

Now such a connection is set to be reset when it closes, until the answer has been written. Weighed: framing such answers in chunks again (asserts that they are whole where a run crashed between two events).

--- a/e2e/undelimited_test.go
+++ b/e2e/undelimited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
@@ -118,3 +119,24 @@
 		t.Fatal("no stream reached the backend server that crashes")
 	}
 }
+
+// TestPlatformKilledRouterCompletesNoAnswer guards against an answer that is relayed with its end unmarked looking whole
+// because its router was killed: the kernel closes the connections of a process that ends in order.
+func TestPlatformKilledRouterCompletesNoAnswer(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t, 1)
+	p.behave(p.engines, users.Behaviour{Events: wholeStream, NoLength: true, Gap: 100 * time.Millisecond})
+	answers := make(chan users.Answer, undelimitedStreams)
+	for range undelimitedStreams {
+		r := p.request("POST", "/chat/1")
+		go func() { answers <- users.Call(p.routers[0].callers, r) }()
+		await(t, "the run", func() bool { return len(p.runsOf(r.ID)) == 1 })
+	}
+	time.Sleep(250 * time.Millisecond) // some events are relayed
+	p.kill(p.routers[0])
+	for range undelimitedStreams {
+		if got := <-answers; got.Status == 200 && got.Err == nil && got.Body != completeStream(wholeStream) {
+			t.Errorf("looks whole: %q", got.Body)
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -98,7 +98,11 @@
 	if a.req.Header.IsHead() {
 		return callerError(a.conn.flush())
 	}
-	return r.writeBlocks(a, body)
+	if err := r.writeBlocks(a, body); err != nil {
+		return err
+	}
+	r.allowClose(a)
+	return nil
 }
 
 // blockSize is the size of the blocks, in bytes, that a buffered response is read into; each is released as soon as the
@@ -301,7 +305,18 @@
 	if !r.untilClose {
 		_, _ = a.conn.writer.WriteString("0\r\n\r\n")
 	}
-	return callerError(a.conn.flush())
+	if err := a.conn.flush(); err != nil {
+		return callerError(err)
+	}
+	r.allowClose(a)
+	return nil
+}
+
+// allowClose lets the caller's connection be closed in order after a response whose end is marked only by that.
+func (r *relay) allowClose(a *attempt) {
+	if r.untilClose {
+		a.conn.ResetOnClose(false)
+	}
 }
 
 func (r *relay) writeChunk(a *attempt, part []byte) error {
@@ -359,6 +374,7 @@
 		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
 	case untilClose:
 		r.untilClose, a.keepAlive = true, false
+		a.conn.ResetOnClose(true) // until it is written, it must not look whole if this process ends
 	default:
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -190,6 +190,18 @@
 	_ = c.Close()
 }
 
+// ResetOnClose sets whether the connection is reset when it is closed, also by the end of this process, instead of being
+// closed in order.
+func (c *Conn) ResetOnClose(reset bool) {
+	seconds := -1 // in order, in the background
+	if reset {
+		seconds = 0
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
 // Listener is a listener whose connections have a write timeout.
 type Listener struct {
 	net.Listener
