gateway: only prompts whose answer has just begun may have crashed their server

By reading, at the size aimed for: when servers end, the parts of all prompts that ran there were told to all routers, though a prompt that crashes a server does so as its answer begins, and most streams have lasted for many seconds. The parts of answers that have lasted for two seconds and more are no longer suspected; whether an answer had begun goes by the send that broke off, not by what earlier sends had relayed. TestLongAnswersDoNotSuspectParts; the tests of crashing parts pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,6 +48,7 @@
 	expiredInSuspension atomic.Bool     // its deadline passed while the VM was suspended
 	scheduled           *scheduler.Request
 	sentAt              time.Time     // of the last send
+	answeredAt          time.Time     // when the first part of its answer was received, zero for none yet
 	firstPartAfter      time.Duration // until the first part of a stream was received, 0 for none yet
 	sentTo              string        // address of the backend server of the last send
 	version             sentVersion   // of the last send
--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -31,3 +32,15 @@
 		is.Equal(len(recorder.events), cleared)
 	}
 }
+
+// TestLongAnswersDoNotSuspectParts guards against telling the fleet of the prompts of all streams that a backend server
+// carried when it ended.
+func TestLongAnswersDoNotSuspectParts(t *testing.T) {
+	is := is.New(t)
+	a := &attempt{meta: RequestMeta{Prompt: model.Prompt{Parts: []model.Part{{ID: 1}, {ID: 2}, {ID: 3}}}}}
+	is.Equal(len(a.suspectParts()), 2) // no answer yet
+	a.answeredAt = time.Now().Add(-crashTime / 2)
+	is.Equal(len(a.suspectParts()), 2)
+	a.answeredAt = time.Now().Add(-2 * crashTime)
+	is.Equal(len(a.suspectParts()), 0)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
@@ -156,6 +157,7 @@
 // size.
 func (r *relay) relayChunked(a *attempt, response *exchange.Response, blocks net.Buffers, buffer []byte) error {
 	r.begun = true
+	a.answeredAt = time.Now()
 	a.scheduled.ResponseBegan()
 	r.writeHead(a, response, r.lengthOr(chunked))
 	for _, block := range blocks {
@@ -196,6 +198,7 @@
 			if !began {
 				began = true
 				a.firstPartAfter = a.service.clock.Since(a.began)
+				a.answeredAt = time.Now()
 				a.scheduled.ResponseBegan()
 				a.observeFirstEvent()
 			}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -28,7 +28,7 @@
 	}
 	a.bodyShared = true
 	a.lineage = d.Lineage
-	a.sentAt = time.Now()
+	a.sentAt, a.answeredAt = time.Now(), time.Time{}
 	req := &fasthttp.Request{}
 	a.req.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(a.req.Body())
@@ -270,11 +270,24 @@
 		return false
 	}
 	return a.blame.Interrupted(blame.Attempt{
-		Backend: d.Backend, Address: a.sentTo, At: a.sentAt, Begun: a.relay.begun,
-		Pool: a.lineage.Pool, Shared: a.meta.Prompt.Shared(),
+		Backend: d.Backend, Address: a.sentTo, At: a.sentAt, Begun: !a.answeredAt.IsZero(),
+		Pool: a.lineage.Pool, Shared: a.suspectParts(),
 	})
 }
 
+// crashTime is how long after the first part of its answer a prompt may be the cause of its backend server's end: one that
+// crashes a backend server does so as its answer begins. Of the streams that a server carries when it ends, nearly all
+// have lasted longer, and needn't be told of.
+const crashTime = 2 * time.Second
+
+// suspectParts returns the parts of the prompt that may be the cause of an end of the backend server.
+func (a *attempt) suspectParts() []model.Part {
+	if !a.answeredAt.IsZero() && time.Since(a.answeredAt) > crashTime {
+		return nil
+	}
+	return a.meta.Prompt.Shared()
+}
+
 // fingerprintInput returns the parts of the request that stay the same when it is repeated.
 func (a *attempt) fingerprintInput() fingerprint.Request {
 	return fingerprint.Request{
