--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -3,8 +3,8 @@
 //
 // A router records the lineage of a stream as it dispatches the request. While the backend servers of a pool are of more
 // than one software version, it also sends its records to a few other routers, its holders, at the latest as the answer
-// begins. The record therefore arrives at one of them at about the time at which the caller has the first event. Whoever has to resume a stream that it has no record of asks all
-// routers; those that have one answer.
+// begins. The record therefore arrives at one of them at about the time at which the caller has the first event.
+// Whoever has to resume a stream that it has no record of asks all routers; those that have one answer.
 //
 // While all backend servers of a pool have had the same version for longer than streams last, no records are sent and
 // nobody is asked: that version began every stream. A router that has started more recently gets the history of the
--- a/core/streamversions.go
+++ b/core/streamversions.go
@@ -34,6 +34,9 @@
 	recent := c.streams.tracker.Recent(c.now)
 	changed := !slices.Equal(recent, s.own)
 	s.own = recent
+	if len(recent) == 0 {
+		clear(s.byRouter)
+	}
 	if changed || len(recent) > 0 && c.now >= s.nextTold {
 		s.nextTold = c.now + versionsInterval
 		c.loads.changed = true
--- a/core/suspect/parts.go
+++ b/core/suspect/parts.go
@@ -11,7 +11,8 @@
 
 const (
 	// partThreshold is the sum of points at which a part of prompts is held back: after three ends without another
-	// explanation, and after four that aren't simultaneous at the latest. It is higher than that of requests, as a part is shared by many.
+	// explanation, and after four that aren't simultaneous at the latest. It is higher than that of requests, as a part is
+	// shared by many.
 	partThreshold = 8
 	// maxClusterPoints bounds what backend servers that end at about the same time count against a part: a part that
 	// many prompts share runs on most of them, so that one common cause must not hold it back.
