--- a/review/cases/drain/main.go
+++ b/review/cases/drain/main.go
@@ -204,7 +204,7 @@
 // exchange sends one request and reads the answer. It returns whether the connection may be kept.
 func (p *play) exchange(router *kit.Router, conn net.Conn, reader *bufio.Reader, s *sent) bool {
 	p.lab.Record("client sends %s to %s", s.id, router.Name)
-	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 	const body = "a lineup"
 	if _, err := fmt.Fprintf(conn, "POST /puxa403/2f HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\n"+
 		"Tamarindstep-Request-Deadline-Ms: 1000\r\nTamarindstep-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
--- a/review/cases/lost/main.go
+++ b/review/cases/lost/main.go
@@ -200,7 +200,7 @@
 // and how long to wait.
 func (p *play) exchange(conn net.Conn, reader *bufio.Reader, head string, body []byte, s *sent) (keep bool, wait time.Duration) {
 	p.lab.Record("client sends %s, kept connection: %v", s.id, s.kept)
-	_ = conn.SetDeadline(time.Now().Add(13 * time.Second))
+	_ = conn.SetReadDeadline(time.Now().Add(13 * time.Second))
 	w := bufio.NewWriterSize(conn, 2*chunkBytes)
 	_, _ = w.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n")
 	for len(body) > 0 {
--- a/review/cases/mixed/main.go
+++ b/review/cases/mixed/main.go
@@ -189,7 +189,7 @@
 		return s
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(16 * time.Second))
+	_ = conn.SetReadDeadline(time.Now().Add(16 * time.Second))
 	const body = "who should start?"
 	_, err = fmt.Fprintf(conn, "POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\nTamarindstep-Model-Name: m\r\n"+
 		"Tamarindstep-Token-Counts: 1460,80\r\nTamarindstep-Prompt-Prefix-Hash: 5c1e07a2:800,%s:660\r\n"+
@@ -280,7 +280,7 @@
 		return defaultWait, false
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 	id := p.lab.NextID()
 	p.lab.Record("client of the hot tenant sends %s", id)
 	_, _ = fmt.Fprintf(conn, "POST /puxa403/2f HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\n"+
