--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -12,6 +12,8 @@
 	"joined-framing":     joinedFraming,
 	"cut-unframed":       cutUnframed,
 	"hup-while-starting": hupWhileStarting,
+	"lost-end":           lostEnd,
+	"stale-pages":        stalePages,
 }
 
 // wholeStream returns the body of a whole stream.
@@ -45,11 +47,11 @@
 	panic(problem{fmt.Errorf("no runner %q", name)})
 }
 
-// joinedFraming crashes one of six runners whose streams come in chunks, and 1.2 s later one of those that end their answers
+// joinedFraming crashes one of seven runners whose streams come in chunks, and 1.2 s later one of those that end their answers
 // with the connection and at which streams of the first go on.
 func joinedFraming(r *rig) {
 	r.store.put("op/config", configuration(1))
-	for i := range 6 {
+	for i := range 7 {
 		var flags []string
 		kind := "chunked"
 		if i >= 2 {
@@ -59,20 +61,8 @@
 	}
 	r.addRouters(3)
 	r.awaitReady()
-	time.Sleep(2 * time.Second)
-	var clients sync.WaitGroup
-	whole := wholeStream()
-	for i := range 90 {
-		clients.Go(func() {
-			id := fmt.Sprintf("%08x", 0xa0000+i*257)
-			got := r.call(r.routers[i%3], "POST", "/stream/resumable/x", id, 6*time.Second, "a prompt")
-			if got.complete() && got.body != whole {
-				r.breaks("ORDER: stream %s ends as complete after %d of %d events (ended by its connection: %t)",
-					id, strings.Count(got.body, "\n\n"), streamEvents, got.unframed)
-			}
-		})
-		time.Sleep(5 * time.Millisecond)
-	}
+	time.Sleep(settleTime)
+	clients := r.openStreams()
 	if r.trouble {
 		time.Sleep(600 * time.Millisecond)
 		first := most(r.recorded(func(l line) bool { return l.What == "runs" && strings.HasPrefix(l.Who, "i-chunked") }))
@@ -86,6 +76,15 @@
 	clients.Wait()
 }
 
+// halfAnswered returns the answers of which the first half has been sent, and not the rest.
+func (r *rig) halfAnswered() []line {
+	ended := map[string]bool{}
+	for _, l := range r.recorded(func(l line) bool { return l.What == "ends" }) {
+		ended[l.ID] = true
+	}
+	return r.recorded(func(l line) bool { return l.What == "sent" && !ended[l.ID] })
+}
+
 // cutUnframed crashes one of seven runners that end their answers with the connection.
 func cutUnframed(r *rig) {
 	r.store.put("op/config", configuration(1))
@@ -94,7 +93,7 @@
 	}
 	r.addRouters(3)
 	r.awaitReady()
-	time.Sleep(2 * time.Second)
+	time.Sleep(settleTime)
 	var clients sync.WaitGroup
 	for i := range 400 {
 		clients.Go(func() {
@@ -107,7 +106,7 @@
 		})
 		time.Sleep(5 * time.Millisecond)
 		if r.trouble && i == 200 {
-			r.crash(r.find(most(r.recorded(func(l line) bool { return l.What == "runs" }))))
+			r.crash(r.find(most(r.halfAnswered())))
 		}
 	}
 	clients.Wait()
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -24,6 +24,7 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":2000000},
 "services":[
  {"name":"raadgiver","health_path":"/healthz","max_conns":370,"engine":{"slots":64,"kv_capacity":570274}},
+ {"name":"arkiv","health_path":"/healthz","max_conns":110},
  {"name":"ligakontor","health_path":"/healthz","max_conns":110}],
 "routes":[
  {"name":"transfer-appraisal","host":%[2]q,"path_prefix":"/stream/resumable/","kind":"streaming","resumable":true,"service":"raadgiver","max_attempts":2,"timeout_ms":6000,"slo_ms":800,"gap_slo_ms":400,"priority":1},
--- a/review/rig-2/hup.go
+++ b/review/rig-2/hup.go
@@ -26,7 +26,7 @@
 	}
 	r.addRouters(hupMachines)
 	r.awaitReady()
-	time.Sleep(2 * time.Second)
+	time.Sleep(settleTime)
 	struck := r.routers[:2]
 	began := time.Now()
 	if r.trouble {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -42,7 +42,6 @@
 type runner struct {
 	name, service, zone, address string
 	process                      *process
-	stopBeats                    chan struct{}
 }
 
 // rig holds all that a case has started.
@@ -176,10 +175,14 @@
 	}
 }
 
+// loopback is the address that everything listens on with an IP of its own: connections come from 127.0.0.1, so that their
+// ports can't be those that were found free.
+var loopback = fmt.Sprintf("127.0.%d.1:0", 1+os.Getpid()%250)
+
 // freePort returns a loopback address with a port that is free for TCP and UDP.
 func freePort() string {
 	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback)
 		must(err)
 		address := l.Addr().String()
 		u, err := net.ListenPacket("udp", address)
@@ -266,9 +269,9 @@
 func (r *rig) addRunner(name, service, zone string, flags ...string) *runner {
 	self, err := os.Executable()
 	must(err)
-	x := &runner{name: name, service: service, zone: zone, stopBeats: make(chan struct{})}
+	x := &runner{name: name, service: service, zone: zone}
 	listens := make(chan string, 1)
-	cmd := exec.Command(self, append([]string{"runner", "--name", name}, flags...)...)
+	cmd := exec.Command(self, append([]string{"runner", "--name", name, "--listen", loopback}, flags...)...)
 	x.process = r.start(cmd, func(out io.Reader) {
 		for in := bufio.NewScanner(out); in.Scan(); {
 			var l line
@@ -293,11 +296,7 @@
 
 // announce writes a runner's entry.
 func (r *rig) announce(x *runner, state string) {
-	value, _ := json.Marshal(map[string]any{
-		"service": x.service, "address": x.address, "zone": x.zone, "version": "v1", "slots": 64, "state": state,
-		"cold_remaining_ms": 0, "call_seq": 0,
-	})
-	r.store.put("servers/"+x.name, value)
+	r.store.put("servers/"+x.name, entryOf(x.service, x.address, x.zone, state, 0))
 }
 
 // crash ends a runner without notice; its entry goes after three heartbeats of silence.
--- a/review/rig-2/runner.go
+++ b/review/rig-2/runner.go
@@ -21,7 +21,7 @@
 	eventGap     = 200 * time.Millisecond // between two events of a stream
 	plainBody    = 800                    // bytes of a plain answer
 	plainWork    = 30 * time.Millisecond  // before a plain answer
-	plainRest    = 100 * time.Millisecond // between the halves of a plain answer
+	plainRest    = 150 * time.Millisecond // between the halves of a plain answer
 )
 
 // runnerProcess is a runner: it answers requests one after the other on each connection.
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -319,7 +319,7 @@
 }
 
 func newDoor(s *kvStore) (*door, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, err
 	}
