--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -58,7 +58,7 @@
 		return reply{err: err}
 	}
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(deadline + time.Second))
+	_ = c.SetReadDeadline(time.Now().Add(deadline + time.Second))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nTamarindstep-Request-Id: %s\r\nTamarindstep-Key: %s\r\nTamarindstep-Request-Deadline-Ms: %d\r\n",
 		method, path, host, id, callerKey, deadline.Milliseconds())
 	if strings.HasPrefix(path, "/stream/") {
