--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -175,16 +175,33 @@
 	}
 }
 
-// loopback is the address that everything listens on with an IP of its own: connections come from 127.0.0.1, so that their
-// ports can't be those that were found free.
-var loopback = fmt.Sprintf("127.0.%d.1:0", 1+os.Getpid()%250)
+// loopbackIP is the address that everything listens on, and loopback the same with any port.
+var (
+	loopbackIP = fmt.Sprintf("127.0.%d.1", 1+os.Getpid()%250)
+	loopback   = loopbackIP + ":0"
+)
+
+// The ports of routers are below those that the kernel gives to connections and to listeners with any port.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
 
-// freePort returns a loopback address with a port that is free for TCP and UDP.
+// lastTried is the port that was last tried for a router.
+var lastTried = firstPort + os.Getpid()*64%(lastPort-firstPort)
+
+// freePort returns a loopback address with a port that is free for TCP and UDP, another one each time.
 func freePort() string {
-	for range 100 {
-		l, err := net.Listen("tcp", loopback)
-		must(err)
-		address := l.Addr().String()
+	for range lastPort - firstPort {
+		lastTried++
+		if lastTried > lastPort {
+			lastTried = firstPort
+		}
+		address := fmt.Sprintf("%s:%d", loopbackIP, lastTried)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		u, err := net.ListenPacket("udp", address)
 		_ = l.Close()
 		if err == nil {
