gateway: a joined stream whose end isn't marked gets no last chunk

Callers got a 200 with a seal, 8 or 9 of 17 events and a last chunk, so that they took the stream for whole and didn't ask for the rest.

Cause: the head of an answer is written once, by the framing of the first response. A stream that began in chunks and went on at a backend server whose answers end with their connection was therefore ended with a last chunk whenever that connection was closed in order, as the kernel does it for a process that crashes. checkUnmarkedEnd had found that the server had ended, but returned an error only where the rest could be asked for again; after the last attempt it left the end "unmarked", which the head written before made impossible.

Fix: where the head promises to mark the end, a response that ended with its connection and its backend server breaks the answer off.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -307,18 +307,22 @@
 
 // checkUnmarkedEnd returns an error if a response whose end isn't marked is to be asked for again. The kernel closes the
 // connections of a process that crashes in order, often between two events, so that the response may be truncated if its
-// backend server has ended. Where it can't be asked for again, it is relayed with its end unmarked.
+// backend server has ended. Where it can't be asked for again, it is relayed with its end unmarked, or is broken off if the
+// head written before, of another backend server's response, promises to mark it.
 func (r *relay) checkUnmarkedEnd(a *attempt) error {
 	if r.framing != exchange.UntilClose {
 		return nil
 	}
 	r.serverEnded = a.service.back.Ended(a.sentTo)
-	if r.serverEnded && a.mayResend() {
+	if r.serverEnded && (a.mayResend() || r.marksEnd()) {
 		return errEndedWithServer
 	}
 	return nil
 }
 
+// marksEnd reports whether a head has been written after which the end of the body is marked.
+func (r *relay) marksEnd() bool { return r.begun && !r.untilClose }
+
 // ending returns how a complete answer with a status ends its request.
 func (r *relay) ending(status int) core.Ending {
 	if r.serverEnded || status >= fasthttp.StatusBadRequest {
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -74,15 +74,7 @@
 		sentTo: address, scheduled: s.scheduler.Submit(core.Arrive{}), keepAlive: true, ctx: context.Background(),
 	}
 	out := make(chan relayed, 1)
-	go func() {
-		got, err := http.ReadResponse(bufio.NewReader(theirs), &http.Request{Method: method})
-		if err != nil {
-			out <- relayed{err: err}
-			return
-		}
-		body, err := io.ReadAll(got.Body)
-		out <- relayed{body: string(body), err: err, close: got.Close, framed: got.ContentLength >= 0 || len(got.TransferEncoding) > 0}
-	}()
+	go func() { out <- readAnswer(theirs, method) }()
 	err := a.relay.run(a, response)
 	_ = ours.Close()
 	got := <-out
@@ -90,6 +82,16 @@
 	return got
 }
 
+// readAnswer reads the answer to a request as a caller does.
+func readAnswer(caller io.Reader, method string) relayed {
+	got, err := http.ReadResponse(bufio.NewReader(caller), &http.Request{Method: method})
+	if err != nil {
+		return relayed{err: err}
+	}
+	body, err := io.ReadAll(got.Body)
+	return relayed{body: string(body), err: err, close: got.Close, framed: got.ContentLength >= 0 || len(got.TransferEncoding) > 0}
+}
+
 // framings are the ways in which an answer marks its end, and how to write a body in each.
 var framings = map[string]func(body string) string{
 	"length": func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
