back: a process is alive only if it answers a request sent later

Cause: whether a response that ended with its connection is whole was decided by whether the server's port took a connection. The kernel closes the sockets of a process that ends one after the other, the listener often after the connections, so that the port still takes connections then: they are reset a moment later. And callers that came while a probe was running shared it, though it had begun before their connection ended.

Fix: back.Liveness sends a request on a new connection, after the call. Only an answer of the process itself, of whatever kind, shows that it is alive. A refused connection shows that it has ended; an accepted one that ends without an answer is tried again for 300 ms. Callers share only a probe that hasn't begun. The request names no server, so that each rejects it without a slot. A response that ended with its connection now counts as whole only if its server is alive: where it hangs or can't be reached, it is asked for again like one that has ended.

blame.Interrupted uses the same probe: an end of a server that the earlier one missed wasn't held against the requests that ran on it. It waits for 150 ms at most, as before, and no longer delays the 504 of a request whose time is over.

The lines of requests answered and broken off name the state found ("server").

Tests changed, as strict as before: the servers of the gateway's tests of undelimited answers take further connections, as a living server does.

--- a/back/back.go
+++ b/back/back.go
@@ -3,13 +3,9 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/kernel"
@@ -28,11 +24,17 @@
 // Service sends requests to backend servers and keeps connections to them.
 type Service struct {
 	clients *exchange.Clients
-	probes  singleflight.Group // by address
+	prober  *prober
 }
 
-// New returns the service.
-func New() *Service { return &Service{clients: exchange.NewClients(dialTimeout)} }
+// New returns the service. probe makes a header that of a request that each backend server answers at once and without
+// running it, whatever the answer; nil leaves it a GET request for the root.
+func New(probe func(*fasthttp.RequestHeader)) *Service {
+	if probe == nil {
+		probe = func(*fasthttp.RequestHeader) {}
+	}
+	return &Service{clients: exchange.NewClients(dialTimeout), prober: newProber(probe)}
+}
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
@@ -66,20 +68,16 @@
 	return s.clients.ForProcess(to.Address, to.Born).Do(ctx, req, options)
 }
 
-// probeTimeout is the time limit for probing a backend server whose response broke off. Without a listener on the port
-// the connection is refused within a round trip, some milliseconds; waiting longer yields no more information.
-const probeTimeout = 150 * time.Millisecond
-
-// Ended reports whether the backend server at address, an IP and port, has ended: a new connection is refused then.
-// A server that is unreachable or hangs doesn't respond, and one that has only reset connections accepts new ones;
-// neither has ended. All requests that were broken off by the end of one server share one probe.
-func (s *Service) Ended(address string) bool {
-	ended, _, _ := s.probes.Do(address, func() (any, error) {
-		c, err := net.DialTimeout("tcp", address, probeTimeout)
-		if err == nil {
-			_ = c.Close()
-		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
-	})
-	return ended.(bool)
+// Liveness reports whether the process of the backend server at address, an IP and port, is alive, by a request that is
+// sent after the call. It takes up to half a second if the server doesn't respond.
+func (s *Service) Liveness(address string) Liveness {
+	return s.prober.of(address, maxProbing+probeTimeout)
 }
+
+// endedTimeout is the time limit for finding out that a backend server has ended, which delays the request that it
+// interrupted.
+const endedTimeout = 150 * time.Millisecond
+
+// Ended reports whether the backend server at address, an IP and port, is known to have ended. One that is unreachable or
+// hangs, or that has only reset connections, has not.
+func (s *Service) Ended(address string) bool { return s.prober.of(address, endedTimeout) == Ended }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/admin"
 	"github.com/tamarindstep/tamarindstep/back"
@@ -119,6 +120,8 @@
 	key     string
 	callers callers
 	leave   func(context.Context) error
+	// probe is for back.New, nil for its default.
+	probe func(*fasthttp.RequestHeader)
 	// keyService returns the service that maintains the peer key in the store. It is nil if there is none.
 	keyService func(*peer.Service, *generation.Service) kernel.Service
 }
@@ -161,6 +164,7 @@
 			Fingerprints: hasher,
 		}, log, metrics),
 		leave: routers.Leave,
+		probe: platform.Dialect{}.Probe,
 		keyService: func(peers *peer.Service, generations *generation.Service) kernel.Service {
 			keys := peerkey.New(peerkey.Settings{
 				Store: kv, Key: platform.PeerKeyKey, Current: key,
@@ -212,7 +216,7 @@
 		heldstore.New(env.source.Store, log, metrics.Platform),
 		streamstore.New(s.Name, env.source.Store, log, metrics.Platform),
 		claim.New(env.source.Store, s.StoreWrites, metrics.Platform),
-		back.New(),
+		back.New(env.probe),
 		status.New(s.Name, r.drain),
 		adminService,
 		r.callers,
--- a/gateway/joined_test.go
+++ b/gateway/joined_test.go
@@ -58,14 +58,14 @@
 }
 
 // ask sends a request to a server and returns the response.
-func (s *server) ask(t *testing.T) *exchange.Response {
+func (s *server) ask(t *testing.T, method string) *exchange.Response {
 	t.Helper()
 	is := is.New(t)
 	client := exchange.NewClient(s.address(), time.Second)
 	t.Cleanup(client.Close)
 	req := &fasthttp.Request{}
 	req.Header.SetHost("h")
-	req.Header.SetMethod("POST")
+	req.Header.SetMethod(method)
 	response, err := client.Do(t.Context(), req, exchange.Options{Timeout: time.Minute, AllowUndelimited: true})
 	is.NoErr(err)
 	t.Cleanup(response.Close)
@@ -80,7 +80,7 @@
 	metrics := telemetry.NewMetrics()
 	s := New(Settings{}, zerolog.Nop(), metrics)
 	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
-	s.back = back.New()
+	s.back = back.New(nil)
 	ours, theirs := net.Pipe()
 	route := &config.CompiledRoute{Through: config.HostOptions{Streaming: true, Resumable: true, Attempts: 2}, Repeatable: true}
 	a := &attempt{
@@ -90,10 +90,10 @@
 	out := make(chan relayed, 1)
 	go func() { out <- readAnswer(theirs, "POST") }()
 	a.sentTo, a.sends = first.address(), 1
-	is.True(a.relay.run(a, first.ask(t)) != nil) // it is cut
+	is.True(a.relay.run(a, first.ask(t, "POST")) != nil) // it is cut
 	is.True(a.mayResend())
 	a.sentTo, a.sends = second.address(), 2
-	err := a.relay.run(a, second.ask(t))
+	err := a.relay.run(a, second.ask(t, "POST"))
 	if err != nil {
 		a.conn.Abort()
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 )
@@ -39,7 +40,8 @@
 
 	framing     exchange.Framing // of the last response
 	untilClose  bool             // the end of what is relayed is marked only by closing the caller's connection
-	serverEnded bool             // the last response ended with its connection, and its backend server has ended
+	// server is the state of the backend server after the last response ended with its connection, "" if its end was marked.
+	server back.Liveness
 }
 
 // tokensPerEvent is the estimated number of tokens in an event of a stream.
@@ -57,7 +59,7 @@
 // addTo adds to a log line how the last response was framed, how many bytes of responses were read, and whether the
 // last one ended within an event.
 func (r *relay) addTo(line *zerolog.Event) *zerolog.Event {
-	return line.Str("framing", string(r.framing)).Int("answer_bytes", r.bytes).Int("received_bytes", r.received).Bool("within_event", r.events.scanner.withinEvent())
+	return line.Str("framing", string(r.framing)).Int("answer_bytes", r.bytes).Int("received_bytes", r.received).Bool("within_event", r.events.scanner.withinEvent()).Str("server", string(r.server))
 }
 
 // errNotResumed is the error for a response that doesn't resume a truncated stream.
@@ -65,7 +67,7 @@
 
 // run relays one response, or what it adds to a truncated one.
 func (r *relay) run(a *attempt, response *exchange.Response) error {
-	r.framing, r.serverEnded = response.Framing(), false
+	r.framing, r.server = response.Framing(), ""
 	if a.req.Header.IsHead() {
 		r.framing = exchange.Sized // there is no body
 	}
@@ -302,30 +304,33 @@
 	errNoEvents = errors.New("connection ended before the first event of a stream")
 )
 
-// errEndedWithServer is the error for a response whose end isn't marked, of a backend server that has ended.
-var errEndedWithServer = errors.New("response ended with its connection, and its backend server has ended")
+// errUnconfirmedEnd is the error for a response whose end isn't marked, of a backend server that isn't known to be alive.
+var errUnconfirmedEnd = errors.New("response ended with its connection, and its backend server has ended or doesn't respond")
 
 // checkUnmarkedEnd returns an error if a response whose end isn't marked is to be asked for again. The kernel closes the
-// connections of a process that crashes in order, often between two events, so that the response may be truncated if its
-// backend server has ended. Where it can't be asked for again, it is relayed with its end unmarked, or is broken off if the
-// head written before, of another backend server's response, promises to mark it.
+// connections of a process that crashes in order, often between two events, so that the response is whole only if its
+// backend server is alive after its end. Where it can't be asked for again, it is relayed with its end unmarked, or is
+// broken off if the head written before, of another backend server's response, promises to mark it.
 func (r *relay) checkUnmarkedEnd(a *attempt) error {
 	if r.framing != exchange.UntilClose {
 		return nil
 	}
-	r.serverEnded = a.service.back.Ended(a.sentTo)
-	if r.serverEnded && (a.mayResend() || r.marksEnd()) {
-		return errEndedWithServer
+	r.server = a.service.back.Liveness(a.sentTo)
+	if !r.maybeCut() || !a.mayResend() && !r.marksEnd() {
+		return nil
 	}
-	return nil
+	return errUnconfirmedEnd
 }
 
+// maybeCut reports whether the last response may be truncated, though its connection ended in order.
+func (r *relay) maybeCut() bool { return r.server != "" && r.server != back.Alive }
+
 // marksEnd reports whether a head has been written after which the end of the body is marked.
 func (r *relay) marksEnd() bool { return r.begun && !r.untilClose }
 
 // ending returns how a complete answer with a status ends its request.
 func (r *relay) ending(status int) core.Ending {
-	if r.serverEnded || status >= fasthttp.StatusBadRequest {
+	if r.maybeCut() || status >= fasthttp.StatusBadRequest {
 		return core.Inconclusive
 	}
 	return core.Done
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -177,7 +177,7 @@
 // truncated. A failure of the backend server may have come before it ran the request, and shows nothing.
 func (a *attempt) recordAnswer(d scheduler.Decision, status int) {
 	switch {
-	case a.relay.serverEnded:
+	case a.relay.maybeCut():
 		a.serverEnded(d, nil)
 	case status < fasthttp.StatusInternalServerError:
 		a.blame.Answered()
@@ -269,6 +269,9 @@
 
 // serverEnded reports whether the backend server of a failed send has ended, and if so records that against the request.
 func (a *attempt) serverEnded(d scheduler.Decision, cause error) bool {
+	if a.ctx.Err() != nil { // the router ended the send, and its answer must not wait for a server that hangs
+		return false
+	}
 	if errors.Is(cause, errCallerStopped) || errors.Is(cause, errNoRequestID) || errors.Is(cause, errNotRunStatus) {
 		return false
 	}
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -18,37 +18,10 @@
 	"github.com/tamarindstep/tamarindstep/config"
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/core/member"
-	"github.com/tamarindstep/tamarindstep/internal/exchange"
 	"github.com/tamarindstep/tamarindstep/scheduler"
 	"github.com/tamarindstep/tamarindstep/telemetry"
 )
 
-// exchangeWith sends a request to a server that answers with the given bytes and closes the connection.
-func exchangeWith(t *testing.T, method, answer string) (response *exchange.Response, address string) {
-	t.Helper()
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = io.WriteString(c, answer)
-		_ = c.Close()
-	}()
-	client := exchange.NewClient(listener.Addr().String(), time.Second)
-	t.Cleanup(func() { client.Close(); _ = listener.Close() })
-	req := &fasthttp.Request{}
-	req.Header.SetHost("h")
-	req.Header.SetMethod(method)
-	response, err = client.Do(t.Context(), req, exchange.Options{Timeout: time.Minute, AllowUndelimited: true})
-	is.NoErr(err)
-	t.Cleanup(response.Close)
-	return response, listener.Addr().String()
-}
-
 // relayed is what became of an answer that was relayed.
 type relayed struct {
 	relay  error  // the error of relaying
@@ -61,17 +34,18 @@
 // relayAnswer relays an answer of a backend server to a caller.
 func relayAnswer(t *testing.T, method string, through config.HostOptions, answer string) relayed {
 	t.Helper()
-	response, address := exchangeWith(t, method, answer)
+	from := newServer(t, answer, false)
+	response := from.ask(t, method)
 	metrics := telemetry.NewMetrics()
 	s := New(Settings{}, zerolog.Nop(), metrics)
 	s.scheduler = scheduler.New(member.Member{}, zerolog.Nop(), metrics)
-	s.back = back.New()
+	s.back = back.New(nil)
 	ours, theirs := net.Pipe()
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(method)
 	a := &attempt{
 		service: s, conn: newCallerConn(pipeSocket{ours}, 4096, time.Minute), req: req, route: &config.CompiledRoute{Through: through},
-		sentTo: address, scheduled: s.scheduler.Submit(core.Arrive{}), keepAlive: true, ctx: context.Background(),
+		sentTo: from.address(), scheduled: s.scheduler.Submit(core.Arrive{}), keepAlive: true, ctx: context.Background(),
 	}
 	out := make(chan relayed, 1)
 	go func() { out <- readAnswer(theirs, method) }()
