platform: a stale list of several pages has the revision of its oldest one

Cause: a starting router reads a stale list, each page of which may be of another age. The list was given the revision of its newest item over all pages. With a first page from before the drain and a second one from after it, old content got a new revision: above that of the other routers, whose revision doesn't rise with writes that leave the catalog as it is, such as the heartbeat of a cold server. The router announced it, and the others replaced their newer catalog by it.

Fix: a page is complete at least up to its newest item, and a list only up to the oldest of its pages, so the lowest of these is its revision. All changes after that are in the changes that a router with a higher revision has. The same for the evacuated data halls, whose list may span pages as well: the large value of the configuration precedes them.

Looked at: lists that aren't stale have the revision of the store at their first page, their oldest; watches begin only after those; the list of routers has no revision that is used; single keys that are read stale have their own revision.

--- a/generation/halls.go
+++ b/generation/halls.go
@@ -86,7 +86,7 @@
 	}
 	h.own = own
 	if stale {
-		h.last = newestOf(all)
+		h.last = min(newestOf(all), at) // a page may be older than the newest evacuation
 		h.era = max(h.era, eraOf(at))
 		s.replaceHalls(&wire.Halls{Revision: initialRevision(h.last), Evacuated: h.evacuated()})
 		return
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -33,6 +33,7 @@
 	answersToLose     int   // number of answers to writes to be dropped
 	calls             map[string]int
 	staleItems        map[string]entry // result of stale reads, nil for the current items
+	staleFirstPage    bool             // only the first pages of stale lists are stale
 	era               int              // incremented when the store is restored from a backup
 }
 
@@ -96,12 +97,23 @@
 	s.staleItems = maps.Clone(s.items)
 }
 
+// FreezeFirstStalePages makes the first pages of stale lists return the current items from now on, whatever is written
+// later. Further pages are current.
+func (s *Store) FreezeFirstStalePages() {
+	s.FreezeStaleReads()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleFirstPage = true
+}
+
 // itemsFor returns the items that a read sees. The caller must hold s.mu.
 func (s *Store) itemsFor(r *http.Request) map[string]entry {
-	if s.staleItems != nil && r.URL.Query().Get("stale") == StaleSuffix {
-		return s.staleItems
+	q := r.URL.Query()
+	current := s.staleItems == nil || q.Get("stale") != StaleSuffix || s.staleFirstPage && q.Get("since_rev") != ""
+	if current {
+		return s.items
 	}
-	return s.items
+	return s.staleItems
 }
 
 // Calls returns the number of calls of a path.
