generation: catalogs of stale lists are no base of a change

A router could keep a backend server that had left, or lack one that had come, until the next change of that server.

Cause: routers send each other the change from one revision of the catalog to a later one, which is right only if both have the same content at the first. The content of a stale list is of the time of the list, or of several times if it has pages, and its revision is only one that it has reached. Two routers that started with such lists can have the same revision and different content; the change that one of them computes from its own lacks what it knew before.

Fix: such a catalog is marked as mixed (wire.Catalog.mixed). It is neither the base nor the result of a change: a router that holds one asks for the whole catalog (FetchRequest.full), and gets no change from one that held one at that revision. A catalog with the same entries that isn't mixed replaces a mixed one, so that changes can be used again. While entries are kept after a restore of the store, a catalog is mixed as well. A router of an older build ignores both fields.

A catalog that another router has with the same entries under a higher revision is now held with that revision: it was fetched again with each datagram before.

Evidence: generation TestCatalogsMatchModel, drawn runs of three routers that list pages of different ages, watch, restart and fetch from each other. It checks that no router announces a revision without having all changes up to it, that all agree with the store in the end, and that none would fetch again.

--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -16,7 +16,8 @@
 // Discovery is the source of the announcements of backend servers. Each announcement has a key; its content may
 // change, and it may be withdrawn.
 type Discovery interface {
-	// List returns all announcements and their revision. A stale list may be seconds old and costs less.
+	// List returns all announcements at a revision. A stale list costs less and may be seconds old, and parts of it may be
+	// newer than its revision.
 	List(ctx context.Context, stale bool) ([]Announcement, uint64, error)
 	// Changes waits for changes after a revision and returns them with the revision up to which they are complete.
 	// The error is of type store.Compacted if the changes are no longer available and all announcements must be
@@ -40,6 +41,7 @@
 	held      *wire.Catalog
 	entries   map[string]*wire.CatalogEntry // by key, from the last list and the changes since
 	watchedTo uint64                        // revision up to which changes were received
+	mixed     bool                          // the last list was stale: entries may be newer than its revision
 	lapsed    map[string]lapse              // by name; none of them is in held
 	history   history
 	edition   uint64 // incremented when the lapsed entries change while the catalog does not
@@ -67,9 +69,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyList(all, at, stale)
+	return nil
+}
+
+// applyList replaces the known announcements by a list of all. The caller holds the lock.
+func (s *Service) applyList(all []Announcement, at uint64, stale bool) {
 	before := s.catalog.entries
 	s.catalog.entries = map[string]*wire.CatalogEntry{}
 	s.catalog.watchedTo = at
+	s.catalog.mixed = stale
 	if stale {
 		s.catalog.era = max(s.catalog.era, eraOf(at))
 		at = initialRevision(at)
@@ -77,7 +86,6 @@
 		s.settleCatalog(all, at)
 	}
 	s.applyAnnouncements(all, at, before)
-	return nil
 }
 
 // watchCatalog receives changes of the announcements until ctx ends. It runs while this router is one of those that
@@ -121,6 +129,12 @@
 	defer func() { sleep(ctx, p.afterChange(time.Since(began))) }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyWatched(changes, at)
+	return nil
+}
+
+// applyWatched applies the changes that a watch returned, which are complete up to a revision. The caller holds the lock.
+func (s *Service) applyWatched(changes []Announcement, at uint64) {
 	s.catalog.watchedTo = max(s.catalog.watchedTo, at)
 	last := uint64(0)
 	for _, change := range changes {
@@ -128,7 +142,6 @@
 		s.recordWritten(change)
 	}
 	s.applyAnnouncements(changes, last, s.catalog.entries)
-	return nil
 }
 
 // applyAnnouncements updates the catalog from announcements. The catalog gets the given revision if anything changed.
@@ -151,8 +164,10 @@
 // publishCatalog brings the listed and watched entries into force. The caller holds the lock.
 func (s *Service) publishCatalog() {
 	settling := &s.catalog.settling
+	settled := len(settling.kept) == 0
 	s.replaceCatalog(&wire.Catalog{
-		Revision: publishedRevision(settling.last, len(settling.kept) == 0), Entries: settling.overlay(s.catalog.entries),
+		Revision: publishedRevision(settling.last, settled), Entries: settling.overlay(s.catalog.entries),
+		Mixed: s.catalog.mixed || !settled,
 	})
 }
 
@@ -195,10 +210,20 @@
 
 // installNewer is installCatalog for a caller that holds the lock.
 func (s *Service) installNewer(next *wire.Catalog) {
-	if next.Revision > s.catalog.held.GetRevision() {
-		s.catalog.era = eraOf(next.Revision)
+	if next.Revision <= s.catalog.held.GetRevision() {
+		return
 	}
+	s.catalog.era = eraOf(next.Revision)
 	s.replaceCatalog(next)
+	if s.catalog.held != next { // it has the same entries; with their revision it isn't fetched again
+		s.holdCatalog(next)
+	}
+}
+
+// holdCatalog replaces the catalog and records the change. The caller holds the lock.
+func (s *Service) holdCatalog(next *wire.Catalog) {
+	s.catalog.history.add(s.catalog.held, next)
+	s.catalog.held = next
 }
 
 // replaceCatalog brings a catalog into force if it is newer and its entries differ. The caller holds the lock.
@@ -209,14 +234,16 @@
 	}
 	keepVersions(held, next)
 	same := held != nil && proto.Equal(&wire.Catalog{Entries: next.Entries}, &wire.Catalog{Entries: held.Entries})
-	if same {
+	if same && held.Mixed == next.Mixed {
 		return
 	}
 	s.keepLapsed(held, next)
 	s.recordDeparted(held, next)
 	s.reportRestarts(held, next)
-	s.catalog.history.add(held, next)
-	s.catalog.held = next
+	s.holdCatalog(next)
+	if same {
+		return
+	}
 	s.log.Info().Uint64("catalog", next.Revision).Int("backends", len(next.Entries)).
 		Int("leaving", countOf(next, (*wire.CatalogEntry).GetLeaving)).
 		Int("cold", countOf(next, (*wire.CatalogEntry).GetCold)).Msg("backend servers changed")
--- a/generation/fetch.go
+++ b/generation/fetch.go
@@ -26,8 +26,7 @@
 	ctx, cancel := context.WithTimeout(s.run, fetchTimeout)
 	defer cancel()
 	return s.caller.Call(ctx, address, func(ctx context.Context, c wire.DRPCPeerClient) error {
-		held := s.versions()
-		out, err := c.Fetch(ctx, &wire.FetchRequest{Generation: held.Generation, Catalog: held.Catalog, Halls: held.Halls})
+		out, err := c.Fetch(ctx, s.fetchRequest())
 		if err != nil {
 			return err
 		}
@@ -64,6 +63,16 @@
 	}
 }
 
+// fetchRequest returns the request for all that is newer than the state in force.
+func (s *Service) fetchRequest() *wire.FetchRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.heldVersions()
+	return &wire.FetchRequest{
+		Generation: held.Generation, Catalog: held.Catalog, Halls: held.Halls, Full: s.catalog.held.GetMixed(),
+	}
+}
+
 // Fetch implements the Fetch call of wire.Peer: it returns the state that is newer than the caller's.
 func (s *Service) Fetch(_ context.Context, in *wire.FetchRequest) (*wire.FetchResponse, error) {
 	s.mu.Lock()
@@ -76,7 +85,9 @@
 		out.Halls = s.halls.held
 	}
 	if s.catalog.held.GetRevision() > in.Catalog {
-		out.Change = s.catalog.history.since(in.Catalog, len(s.catalog.held.Entries))
+		if !in.Full {
+			out.Change = s.catalog.history.since(in.Catalog, len(s.catalog.held.Entries))
+		}
 		if out.Change == nil {
 			out.Catalog = s.catalog.held
 		}
--- a/generation/history.go
+++ b/generation/history.go
@@ -21,11 +21,16 @@
 // these, instead of some hundred bytes per backend server at each change of one of them.
 type history struct{ changes []*wire.CatalogChange }
 
-// add appends the change from one catalog to the next.
+// add appends the change from one catalog to the next. Mixed catalogs of the same revision differ, so that a change from or
+// to one applies to no other router's, and the changes before it lead to none that is in force.
 func (h *history) add(before, after *wire.Catalog) {
 	if before == nil {
 		return
 	}
+	if before.Mixed || after.Mixed {
+		h.changes = nil
+		return
+	}
 	h.changes = append(h.changes, changeBetween(before, after))
 	if n := len(h.changes) - maxHistory; n > 0 {
 		h.changes = slices.Delete(h.changes, 0, n)
