generation: an older catalog of another router doesn't replace newer content

A router that had seen a backend server leave could take it back from another router, with no later change to correct that.

Cause: changes that leave the catalog as it is don't raise its revision, as each rise is fetched by all routers. A backend server that comes and goes between two answers of a watch is such a change. The catalog of a router that has seen only the coming has a higher revision then, and was taken over: what this router had in force was taken for as old as its revision, though it had seen all changes up to a later one.

Fix: if another router's catalog is no newer than what this router has listed and watched itself, it brings its own into force again, at the revision up to which it has seen all changes. That is higher, so that the other router follows.

Evidence: generation TestOlderCatalogIsNotTakenOver fails before.

--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -161,6 +161,16 @@
 	s.publishCatalog()
 }
 
+// ownCatalog returns the catalog as this router has listed and watched it, at the revision up to which it has received
+// all changes. That may be higher than the revision in force, as changes that leave the catalog as it is don't raise that
+// one. It is 0 if the router has only a stale list, or keeps entries from before a restore. The caller holds the lock.
+func (s *Service) ownCatalog() *wire.Catalog {
+	if s.catalog.mixed || len(s.catalog.settling.kept) > 0 {
+		return &wire.Catalog{}
+	}
+	return &wire.Catalog{Revision: s.catalog.watchedTo, Entries: s.catalog.settling.overlay(s.catalog.entries)}
+}
+
 // publishCatalog brings the listed and watched entries into force. The caller holds the lock.
 func (s *Service) publishCatalog() {
 	settling := &s.catalog.settling
@@ -213,6 +223,9 @@
 	if next.Revision <= s.catalog.held.GetRevision() {
 		return
 	}
+	if own := s.ownCatalog(); next.Revision <= own.Revision {
+		next = own
+	}
 	s.catalog.era = eraOf(next.Revision)
 	s.replaceCatalog(next)
 	if s.catalog.held != next { // it has the same entries; with their revision it isn't fetched again
--- a/generation/catalogmodel_test.go
+++ b/generation/catalogmodel_test.go
@@ -200,3 +200,20 @@
 	r.fetch(t, 0, 1)
 	is.True(r.routers[0].catalog.held.Entries[0].Leaving)
 }
+
+// TestOlderCatalogIsNotTakenOver guards against the catalog of another router replacing newer content of this one, where
+// changes that leave the catalog as it is have not raised its revision: a backend server that came and went would be back.
+func TestOlderCatalogIsNotTakenOver(t *testing.T) {
+	is := is.New(t)
+	r := &catalogRun{routers: []*Service{newTestService(), newTestService()}}
+	r.model.put("a", nil)
+	r.listNow(0)
+	r.model.put("b", &config.Discovered{Incarnation: model.Incarnation{Name: "b"}, Pool: "engines", Address: "10.0.0.1:1", Slots: 2})
+	r.listNow(1)
+	r.model.put("b", nil)
+	r.watch(0)
+	r.fetch(t, 0, 1)
+	is.Equal(len(r.routers[0].catalog.held.Entries), 0)
+	r.fetch(t, 1, 0)
+	is.Equal(len(r.routers[1].catalog.held.Entries), 0) // the other one follows
+}
