--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -34,6 +34,7 @@
 	calls             map[string]int
 	staleItems        map[string]entry // result of stale reads, nil for the current items
 	staleFirstPage    bool             // only the first pages of stale lists are stale
+	betweenPages      func()           // called before each further page of a list is read, nil for nothing
 	era               int              // incremented when the store is restored from a backup
 }
 
@@ -106,6 +107,23 @@
 	s.staleFirstPage = true
 }
 
+// BetweenPages calls a function before each further page of a list is read.
+func (s *Store) BetweenPages(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.betweenPages = change
+}
+
+// notifyPage calls the function set by BetweenPages before a further page of a list.
+func (s *Store) notifyPage(after string) {
+	s.mu.Lock()
+	change := s.betweenPages
+	s.mu.Unlock()
+	if change != nil && after != "" {
+		change()
+	}
+}
+
 // itemsFor returns the items that a read sees. The caller must hold s.mu.
 func (s *Store) itemsFor(r *http.Request) map[string]entry {
 	q := r.URL.Query()
@@ -246,6 +264,7 @@
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("since_rev")
+	s.notifyPage(after)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items := s.itemsFor(r)
