e2e: hundreds of odd entries at once, and of every writer

Guards with real processes against what an operator reported of systems like this one: odd entries among those of the backend servers that end routers or make them stop following the list. 480 of twelve forms, together larger than a router's memory limit, before and after the valid ones and over several pages, and the same under the operators' keys and those that routers write. Two routers that run follow a server that comes and one that drains within two seconds; one that starts with all of that there becomes ready and does so as well; none ends or goes over its limit.

The stand-in of the store ends a page at 1 MB, as the store does, and its pages can be larger.

--- /dev/null
+++ b/e2e/odd_entries_test.go
@@ -0,0 +1,129 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
+)
+
+const (
+	// oddCopies is the number of keys with each odd value.
+	oddCopies = 40
+	// oddMemoryMB is the memory limit of the routers, in MB; all odd values together are larger.
+	oddMemoryMB = 120
+	// oddPage is the number of items of a page of the store's lists.
+	oddPage = 100
+	// followTime is how long routers may take to follow a change of the backend servers.
+	followTime = 2 * time.Second
+)
+
+// oddEntries are values that another writer leaves among those of the backend servers, by what is odd about them.
+var oddEntries = map[string]string{
+	"nested arrays":     strings.Repeat("[", 100_000),
+	"nested objects":    strings.Repeat(`{"a":`, 60_000),
+	"nested in a field": `{"stage":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + `,"service":"entries","address":"127.0.0.1:9","zone":"z","slots":0,"state":"ready"}`,
+	"a long text":       `{"service":"` + strings.Repeat("x", 300_000) + `"}`,
+	"slots too large":   `{"service":"entries","address":"127.0.0.1:9","zone":"z","slots":1e999,"state":"ready"}`,
+	"slots of 2^63":     `{"service":"entries","address":"127.0.0.1:9","zone":"z","slots":9223372036854775808,"state":"ready"}`,
+	"cold too long":     `{"service":"entries","address":"127.0.0.1:9","zone":"z","slots":1,"state":"ready","cold_remaining_ms":1e400}`,
+	"port out of range": `{"service":"entries","address":"127.0.0.1:65536","zone":"z","slots":1,"state":"ready"}`,
+	"negative port":     `{"service":"entries","address":"127.0.0.1:-1","zone":"z","slots":1,"state":"ready"}`,
+	"null":              `null`,
+	"nothing":           ``,
+	"no UTF-8":          "{\"service\":\"\xff\xfe\"}",
+}
+
+// oddPrefixes precede the keys that odd values are left under.
+var oddPrefixes = []string{"servers/", "op/", "op/evacuate/", "tamarindstep/routers/", "tamarindstep/streams/"}
+
+// leaveOddEntries leaves all odd values, before and after the valid keys of the backend servers.
+func (p *platform) leaveOddEntries() {
+	n := 0
+	for _, value := range oddEntries {
+		for i := range oddCopies {
+			n++
+			p.store.Put(fmt.Sprintf("servers/%s%d", []string{"a-odd-", "z-odd-"}[i%2], n), []byte(value))
+		}
+		for _, prefix := range oddPrefixes[1:] {
+			n++
+			p.store.Put(fmt.Sprintf("%sodd-%d", prefix, n), []byte(value))
+		}
+	}
+	p.store.PutRaw("servers/m-odd", "no base64!")
+	for _, key := range []string{"tamarindstep/held", "tamarindstep/tries", "tamarindstep/lineages"} {
+		p.store.Put(key, []byte(oddEntries["nested arrays"]))
+	}
+}
+
+// checkFollows checks that a router follows a backend server that drains and one that comes.
+func (p *platform) checkFollows(t *testing.T, r *router, drained, came *users.Backend) {
+	t.Helper()
+	is := is.New(t)
+	from := time.Now()
+	for served := 0; served < 10; {
+		q := p.request("POST", "/look/1")
+		got := users.Call(r.callers, q)
+		if got.Err != nil || got.Status != 200 {
+			t.Fatalf("%s answers %d %q, %v: %s", r.name, got.Status, got.Body, got.Err, linesOf("", r.logFile))
+		}
+		if p.ranAt(came, q.ID) {
+			served++
+		}
+		is.True(time.Since(from) < followTime)
+	}
+	for range 20 {
+		q := p.request("POST", "/look/1")
+		is.Equal(users.Call(r.callers, q).Status, 200)
+		is.True(!p.ranAt(drained, q.ID))
+	}
+}
+
+// ranAt reports whether a backend server has run a request.
+func (p *platform) ranAt(b *users.Backend, id string) bool {
+	for _, run := range b.Runs() {
+		if run.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPlatformOddEntriesAreIgnored guards against odd entries among those of the backend servers, of the operators and of
+// the routers ending a router, keeping one from starting, or making it stop following the backend servers: hundreds at
+// once, over several pages, together larger than a router's memory limit.
+func TestPlatformOddEntriesAreIgnored(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t, 2, "--memory-mb", fmt.Sprint(oddMemoryMB))
+	p.store.SetPageItems(oddPage)
+	time.Sleep(2 * time.Second) // until the routers watch the list
+	p.leaveOddEntries()
+
+	came := p.backend("service-that-comes", "entries")
+	p.services[0].Announce("draining")
+	time.Sleep(followTime)
+	p.checkFollow(t, p.services[0], came)
+
+	p.routers = append(p.routers, p.start(2)) // one that starts with them there
+	p.awaitReady(p.routers[2])
+	p.checkFollow(t, p.services[0], came)
+}
+
+// checkFollow checks all routers: that they run, within their memory, and follow the changes of the backend servers.
+func (p *platform) checkFollow(t *testing.T, drained, came *users.Backend) {
+	t.Helper()
+	is := is.New(t)
+	for _, r := range p.routers {
+		p.checkFollows(t, r, drained, came)
+		is.True(peakMemory(t, r) < oddMemoryMB<<10)
+		select {
+		case err := <-r.exited:
+			t.Fatalf("%s ended: %v", r.name, err)
+		default:
+		}
+	}
+}
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -34,6 +34,7 @@
 	calls             map[string]int
 	staleItems        map[string]entry // result of stale reads, nil for the current items
 	staleFirstPage    bool             // only the first pages of stale lists are stale
+	pageItems         int              // number of items of a page of a list
 	betweenPages      func()           // called before each further page of a list is read, nil for nothing
 	era               int              // incremented when the store is restored from a backup
 }
@@ -56,7 +57,7 @@
 func NewStore() *Store {
 	s := &Store{
 		items: map[string]entry{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
-		calls: map[string]int{},
+		calls: map[string]int{}, pageItems: listPageSize,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.get)
@@ -107,6 +108,13 @@
 	s.staleFirstPage = true
 }
 
+// SetPageItems sets the number of items of a page of a list.
+func (s *Store) SetPageItems(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageItems = n
+}
+
 // BetweenPages calls a function before each further page of a list is read.
 func (s *Store) BetweenPages(change func()) {
 	s.mu.Lock()
@@ -259,8 +267,12 @@
 	writeJSON(w, http.StatusOK, e)
 }
 
-// listPageSize is the number of items of a page.
-const listPageSize = 3
+const (
+	// listPageSize is the default number of items of a page.
+	listPageSize = 3
+	// pageBytes is the size of the values from which on a page isn't continued, in bytes.
+	pageBytes = 1 << 20
+)
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("since_rev")
@@ -273,15 +285,17 @@
 		More  bool    `json:"more"`
 		At    int64   `json:"at"`
 	}{At: s.revision}
+	size := 0
 	for _, key := range slices.Sorted(maps.Keys(items)) {
 		if key <= after || !strings.HasPrefix(key, prefix) {
 			continue
 		}
-		if len(out.Items) == listPageSize {
+		if len(out.Items) == s.pageItems || size > pageBytes {
 			out.More = true
 			break
 		}
 		out.Items = append(out.Items, items[key])
+		size += len(items[key].Value)
 	}
 	writeJSON(w, http.StatusOK, out)
 }
