gateway: an answer without a request identifier shows nothing

A caller of a request that can't be repeated got 503 "not run" though it had run, or 404 with the body of something else.

Cause: bytes that a backend server sends after a whole answer, and that arrive as the next request begins on their connection, are read as its answer. An answer that names another request is skipped, and a success has to name this one, but a failure without an identifier was relayed, and "not executed" without one was believed: the request was refused as not run, or sent again.

Fix: each answer of a backend server names its request. One that doesn't is no answer to it: the request may have run, so it is sent again only if it may be repeated, and is otherwise answered with 502.

Evidence: e2e TestPlatformSurplusBytesAreNoAnswer, nine forms of surplus bytes. Before, an unsafe request that ran once was answered with 503 (not executed, and misdirected, without an identifier) and 404 in each of five sends; now with 502.

The stand-in of backend servers names the request in its 421, as they do.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -111,7 +111,8 @@
 // errNotRunStatus is the error for such a status if the request may have run.
 var errNotRunStatus = errors.New("status says that the request wasn't run, though it may have run")
 
-// errNoRequestID is the error for a successful response without a request identifier.
+// errNoRequestID is the error for a response without a request identifier: it may be anything that was sent after the
+// response to an earlier request on the connection, and doesn't show that this request was not run.
 var errNoRequestID = errors.New("response has no request identifier")
 
 // maxNotSent is the maximum number of backend servers that are tried without being able to send to them.
@@ -142,7 +143,7 @@
 func (a *attempt) receive(d scheduler.Decision, response *exchange.Response) bool {
 	defer response.Close()
 	meta := a.service.settings.Dialect.Response(&response.Header)
-	if meta.ID == "" && response.StatusCode() < fasthttp.StatusBadRequest {
+	if meta.ID == "" {
 		return a.handleFailure(d, errNoRequestID)
 	}
 	a.recordNotice(d, meta)
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -31,6 +31,7 @@
 	Reject             bool          // every request is rejected without being run
 	Status             int           // of a plain answer, 0 for 200
 	ExtraAnswer        bool          // the answer to another request precedes the answer
+	Surplus            string        // bytes that belong to no request and precede the answer, "" for none
 	AnswerBeforeBody   bool          // the answer is sent before the body is read
 	OmitRequestID      bool          // the answer has no request identifier
 	CrashOnBody        string        // the body of requests that make the server crash, "" for none
@@ -238,7 +239,7 @@
 	}
 	if expected := req.Header.Get("Tamarindstep-Expected-Instance"); expected != b.Name {
 		b.recordRejection()
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nTamarindstep-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", b.Name, x.leavingHeader())
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nTamarindstep-Request-Id: %s\r\nTamarindstep-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", req.Header.Get("Tamarindstep-Request-Id"), b.Name, x.leavingHeader())
 		return err == nil
 	}
 	b.recordArrival()
@@ -258,6 +259,7 @@
 	if x.Drop {
 		return false
 	}
+	_, _ = io.WriteString(c, x.Surplus)
 	if x.ExtraAnswer {
 		_, _ = io.WriteString(c, responseHead(200, "another", "")+Behaviour{Leaving: x.ExtraAnswerLeaving}.leavingHeader()+"Content-Length: 5\r\n\r\nother")
 	}
