gateway: a stopping router answers every request that it has read

In a planned stop, in calm, requests that came late in the grace were passed on and cut at its end without an answer, among them ones that may run only once; and uploads in flight at the signal were cut 2.5 s after it, with 5 s left.

Cause, three parts. Whether the router stops was looked at with the header only: a body that took longer, a request that waited and a retry were sent however late. At the end of the time for a stop the connections were closed with requests in flight. And a request counted as in flight only once its body had been read, so that a stop with nothing but uploads ended as soon as new requests were refused.

Fix: - core/drain decides, at each send, whether a request still fits into what is left of the stop. Expected is the mean of what requests of its route have taken, or for one that may run only once the longest of the last minute. One of a route with no such record is sent while requests are accepted, as before. What isn't sent is refused as not run, with where to go as any refusal of a stopping router. - At the end of the time for a stop what is left is answered: 503 if nothing of it was sent, also in the middle of an upload, else 502 "router-stopped". A response that has begun is broken off, counted as "router-stopped". - A stop waits for requests that are being read as well.

Evidence: e2e TestPlatformPlannedStopAnswersEveryRequest, eleven requests around one signal. Before, 4 of 8 got no answer: work beyond the end, long work that began late, an upload whole 3.5 s after the signal (all passed on, may run only once), and an upload of 20 s. Now all are answered: short work is served until the end, an upload whole after 3 s is served where its work is known to be short, and long work that is known isn't begun.

Cost: one more decision a send while the router stops, and a record a answered request otherwise.

--- a/e2e/platform_harness_test.go
+++ b/e2e/platform_harness_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	storeProxies []*users.StoreEndpoint // between each router and the store
 	version      int
 	accounts     map[string]string
+	more         []users.Route // beside the usual ones
 	idle         time.Duration // idle limit of connections in the configuration
 	last         atomic.Int64  // number of the last request
 	flags        []string      // of the routers, in addition to the usual ones
@@ -88,7 +90,7 @@
 // configure puts the next version of the configuration into the store.
 func (p *platform) configure() {
 	p.version += 3
-	p.store.Put(users.ConfigurationKey, users.Configuration(p.version, routes, p.accounts, p.idle))
+	p.store.Put(users.ConfigurationKey, users.Configuration(p.version, append(slices.Clone(routes), p.more...), p.accounts, p.idle))
 }
 
 func (p *platform) start(i int) *router {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,6 +46,7 @@
 	deadline            time.Duration
 	ctx                 context.Context // done when the caller has left or the deadline has passed
 	expiredInSuspension atomic.Bool     // its deadline passed while the VM was suspended
+	cut                 atomic.Bool     // it was in flight at the end of the time for a stop
 	scheduled           *scheduler.Request
 	sentAt              time.Time     // of the last send
 	answeredAt          time.Time     // when the first part of its answer was received, zero for none yet
@@ -133,7 +134,7 @@
 	switch {
 	case inForce == nil || !s.generation.Ready():
 		return noConfig
-	case s.refusing.Load():
+	case s.stop.refusing.Load():
 		return stopping
 	}
 	path := a.req.Header.RequestURI()
@@ -198,6 +199,11 @@
 		if !ok {
 			return
 		}
+		if a.stopRefuses() {
+			a.finish(core.NotSent, 0)
+			a.giveUp(stopping)
+			return
+		}
 		if a.send(d) {
 			return
 		}
@@ -337,10 +343,21 @@
 		a.countOutcome("caller-left")
 		return
 	}
-	if a.mayHaveRun {
-		r = timedOut
+	a.giveUp(a.endRefusal(r))
+}
+
+// endRefusal returns the refusal of a request whose time is over, given that of one that was never sent.
+func (a *attempt) endRefusal(unsent *refusal) *refusal {
+	switch {
+	case a.cut.Load() && a.mayHaveRun:
+		return routerStopped
+	case a.cut.Load():
+		return stopping
+	case a.mayHaveRun:
+		return timedOut
+	default:
+		return unsent
 	}
-	a.giveUp(r)
 }
 
 // left returns the time until the deadline.
@@ -348,7 +365,7 @@
 
 // callerLeft reports whether the request ended because its caller left, and not because its deadline passed.
 func (a *attempt) callerLeft() bool {
-	return errors.Is(a.ctx.Err(), context.Canceled) && !a.expiredInSuspension.Load()
+	return errors.Is(a.ctx.Err(), context.Canceled) && !a.expiredInSuspension.Load() && !a.cut.Load()
 }
 
 // mayRetry reports whether the request may be sent to another backend server.
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -17,6 +17,8 @@
 var (
 	// errNoRoom is the error for a body of unknown length for the rest of which there is no memory.
 	errNoRoom = errors.New("no memory for the rest of the body")
+	// errStopping is the error for a body that isn't read because the router stops.
+	errStopping = errors.New("the router stops")
 	// errTooLarge is the error for a body of unknown length that turns out to be too large.
 	errTooLarge = errors.New("body too large")
 )
@@ -28,9 +30,14 @@
 	if length > limits.BodyBytes {
 		return bodyTooLarge, nil
 	}
+	a.conn.reading.Store(true)
+	defer a.conn.reading.Store(false)
 	if err := a.conn.expectBody(a.req); err != nil {
 		return nil, err
 	}
+	if a.service.stop.cutting.Load() {
+		return nil, errStopping
+	}
 	if !known {
 		a.conn.limitEncoded(limits.BodyBytes)
 		defer a.conn.endEncoded()
--- a/gateway/breach.go
+++ b/gateway/breach.go
@@ -17,6 +17,8 @@
 		return telemetry.BreakCallerStalled
 	case errors.Is(cause, errCallerStopped) || a.callerLeft():
 		return telemetry.BreakCallerLeft
+	case a.cut.Load():
+		return telemetry.BreakStop
 	case a.ctx.Err() != nil:
 		return telemetry.BreakTimeout
 	case isOverLimit(cause):
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -25,6 +25,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	busy   atomic.Bool // a request is being read or served
+	// reading is whether the body of a request is being read.
+	reading atomic.Bool
 	// detached is set if another function closes the connection.
 	detached bool
 	writes   writeStats
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/tamarindstep/tamarindstep/back"
 	"github.com/tamarindstep/tamarindstep/blame"
 	"github.com/tamarindstep/tamarindstep/core/admission"
+	"github.com/tamarindstep/tamarindstep/core/drain"
 	"github.com/tamarindstep/tamarindstep/core/holding"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/generation"
@@ -39,14 +40,6 @@
 // ServiceName is the name under which the service is registered with the kernel.
 const ServiceName = "gateway"
 
-const (
-	// drainPoll is the interval at which a draining router checks whether all requests have ended.
-	drainPoll = 20 * time.Millisecond
-	// drainGrace is how long a draining router accepts requests on open and new connections, because callers keep
-	// sending until they learn that it is draining.
-	drainGrace = 2500 * time.Millisecond
-)
-
 // Settings configures a Service.
 type Settings struct {
 	Listen   string // IP address and port
@@ -89,7 +82,7 @@
 	screener  *screener          // nil if the listener does not support it
 	stopWork  context.CancelFunc // stops reporting work
 	draining  atomic.Bool
-	refusing  atomic.Bool // new requests are refused
+	stop      stop
 	open      atomic.Int64
 	connected atomic.Int64 // open caller connections, without rejected ones
 	lingering atomic.Int64 // rejected connections that are still open
@@ -105,7 +98,7 @@
 
 // New returns a Service with the given settings.
 func New(settings Settings, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedLog: newLogLimiter(), clock: clock.System, inFlight: newInFlight(), admitter: newAdmitter(settings.Processor, metrics.Front), memory: newMemory(settings.MemoryLimit, log, metrics.Front), stopWork: func() {}}
+	return &Service{settings: settings, log: log, metrics: metrics, conns: map[*callerConn]struct{}{}, shedLog: newLogLimiter(), clock: clock.System, inFlight: newInFlight(), admitter: newAdmitter(settings.Processor, metrics.Front), memory: newMemory(settings.MemoryLimit, log, metrics.Front), stopWork: func() {}, stop: stop{durations: drain.NewDurations()}}
 }
 
 // Name implements kernel.Service.
@@ -235,7 +228,7 @@
 	}()
 	for s.serveOne(c) {
 		c.busy.Store(false)
-		if s.refusing.Load() {
+		if s.stop.refusing.Load() {
 			return
 		}
 	}
@@ -262,6 +255,10 @@
 		if !a.shed {
 			refused, err = a.readBody(limits)
 		}
+		if err != nil && s.stop.cutting.Load() {
+			a.refused, a.keepAlive = stopping, false
+			return a.refuseUnread()
+		}
 		if a.shed {
 			return a.refuseUnread()
 		}
@@ -278,43 +275,3 @@
 	defer s.open.Add(-1)
 	return a.handle()
 }
-
-// BeginDrain makes each response from now on tell its caller to close the connection.
-func (s *Service) BeginDrain() { s.draining.Store(true) }
-
-// Drain ends service gracefully: responses tell callers to close their connections, and after drainGrace new requests
-// are refused. It returns once no request is being served or ctx is done.
-func (s *Service) Drain(ctx context.Context) {
-	s.BeginDrain()
-	grace := time.NewTimer(drainGrace)
-	defer grace.Stop()
-	select {
-	case <-ctx.Done():
-	case <-grace.C:
-	}
-	s.refusing.Store(true)
-	if err := s.closeListener(); err != nil {
-		s.log.Warn().Err(err).Msg("closing the listener for callers failed")
-	}
-	s.closeConns(true)
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for s.open.Load() > 0 && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-			s.closeConns(true)
-		}
-	}
-}
-
-// closeConns closes the callers' connections, or only the idle ones.
-func (s *Service) closeConns(idleOnly bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if !idleOnly || !c.busy.Load() {
-			_ = c.Close()
-		}
-	}
-}
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// inFlight tracks the requests being served, to cancel those whose deadline passed while the VM was suspended. Their
-// timers don't advance during suspension: without this they would be sent after the resume and run for callers that
+// inFlight tracks the requests being served, to cancel those that are left at the end of a stop, and those whose deadline
+// passed while the VM was suspended. Their timers don't advance during suspension: without this they would be sent after the resume and run for callers that
 // have given up, for as long as the suspension lasted.
 type inFlight struct {
 	mu     sync.Mutex
@@ -38,3 +38,13 @@
 		}
 	}
 }
+
+// cancelAll cancels all requests, as the router stops.
+func (f *inFlight) cancelAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a, cancel := range f.cancel {
+		a.cut.Store(true)
+		cancel()
+	}
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -44,6 +44,7 @@
 	notAdmitted     = &refusal{fasthttp.StatusServiceUnavailable, "not-admitted", false}
 	noAttemptsLeft  = &refusal{fasthttp.StatusServiceUnavailable, "no-attempts-left", false}
 	backendBrokeOff = &refusal{fasthttp.StatusBadGateway, "backend-broke-off", false}
+	routerStopped   = &refusal{fasthttp.StatusBadGateway, "router-stopped", false}
 	timedOut        = &refusal{fasthttp.StatusGatewayTimeout, "timed-out", false}
 )
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,8 +38,8 @@
 	// received is the number of bytes received in the last exchange, with heads and all else that isn't body.
 	received int
 
-	framing     exchange.Framing // of the last response
-	untilClose  bool             // the end of what is relayed is marked only by closing the caller's connection
+	framing    exchange.Framing // of the last response
+	untilClose bool             // the end of what is relayed is marked only by closing the caller's connection
 	// server is the state of the backend server after the last response ended with its connection, "" if its end was marked.
 	server back.Liveness
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -166,6 +166,7 @@
 	if err == nil {
 		a.finish(a.relay.ending(response.StatusCode()), a.relay.outputTokens())
 		a.recordAnswer(d, response.StatusCode())
+		a.service.observe(a)
 		a.relay.addTo(a.log("done")).Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
 		a.countOutcome("done")
 		return true
@@ -207,6 +208,8 @@
 	switch {
 	case a.relay.begun:
 		a.abort(a.breakCauseOf(nil))
+	case a.mayHaveRun && r == routerStopped:
+		a.refuse(r, 0)
 	case a.mayHaveRun:
 		a.refuse(backendBrokeOff, 0)
 	default:
@@ -241,8 +244,8 @@
 		a.abort(why)
 		return true
 	}
-	if a.ctx.Err() != nil { // the deadline has passed
-		a.refuse(timedOut, 0)
+	if a.ctx.Err() != nil { // the deadline has passed, or the router stops
+		a.refuse(a.endRefusal(tooLate), 0)
 		return true
 	}
 	a.refuse(backendBrokeOff, 0)
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -182,6 +182,32 @@
 	return c.Write(end)
 }
 
+// A slow upload has uploadParts parts of uploadPart bytes.
+const (
+	uploadParts = 20
+	uploadPart  = 100
+)
+
+// UploadSlowly sends a request whose body is sent in parts over a time, and reads the answer meanwhile. It closes the
+// connection then, which ends the sending.
+func (c *Caller) UploadSlowly(r Request, over time.Duration) Answer {
+	_ = c.conn.SetReadDeadline(time.Now().Add(callTimeout))
+	part := strings.Repeat(".", uploadPart)
+	go func() {
+		if c.Write(r.head()+"Content-Length: "+strconv.Itoa(uploadParts*uploadPart)+"\r\n\r\n") != nil {
+			return
+		}
+		for range uploadParts {
+			time.Sleep(over / uploadParts)
+			if c.Write(part) != nil {
+				return
+			}
+		}
+	}()
+	defer c.Close()
+	return c.Read()
+}
+
 // head returns the head of a request up to the length of its body.
 func (r Request) head() string {
 	left := r.TimeLeft
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -73,6 +73,7 @@
 	BreakBackend       BreakCause = "backend"        // the backend server interrupted the answer, and no other could continue it
 	BreakLimit         BreakCause = "over-limit"     // the backend server sent more than is accepted, or no response
 	BreakTimeout       BreakCause = "time-over"      // the request's timeout expired
+	BreakStop          BreakCause = "router-stopped" // the router's time for a stop ended
 )
 
 // Scheduler contains the metrics of the scheduler.
