front: requests in flight at the end of a stop are answered

Cause: Drain returned at the end of its time with requests in flight, and the shutdown of the HTTP server then waited for their handlers, which wait for their backend servers without a limit of their own.

Fix: at the end of that time the exchanges with backend servers are ended. Their requests are answered as broken off, with an unknown outcome; one that may be repeated isn't sent again then. Streams that have begun are broken off.

Evidence: e2e TestPlannedStopAnswersRequestsAtItsEnd fails before (exit code 1 after 13 s in the test, no answer) and passes now.

--- a/e2e/guarantees_test.go
+++ b/e2e/guarantees_test.go
@@ -202,6 +202,24 @@
 	is.NoErr(<-f.routers[0].exited) // exit code 0
 }
 
+// TestPlannedStopAnswersRequestsAtItsEnd guards against a request that is in flight at the end of the time for a stop being
+// cut without an answer: its caller is told that it may have run.
+func TestPlannedStopAnswersRequestsAtItsEnd(t *testing.T) {
+	t.Setenv("TAMARINDSTEP_DRAIN_SECONDS", "2")
+	is := check(t)
+	f := newFleet(t, 1)
+	f.service.SetFaults(standin.Faults{DelayMS: 20_000})
+	answered := make(chan answer, 1)
+	go func() { answered <- f.call(f.routers[0], "/services/entries/waivers", "{}", "X-Request-Id", "at-the-end") }()
+	f.await("the run", func() bool { return f.runs("at-the-end") > 0 })
+	f.signal(f.routers[0], syscall.SIGTERM)
+	got := <-answered
+	is.NoErr(got.err)
+	is.Equal(got.status, 502)
+	is.Equal(got.outcome, "unknown")
+	is.NoErr(<-f.routers[0].exited) // exit code 0
+}
+
 // TestRollingReplacement guards against requests that fail while all routers are replaced one by one under load. As behind
 // a load balancer, a caller tries the next router if one refuses a request as not run or doesn't accept the connection.
 func TestRollingReplacement(t *testing.T) {
--- a/front/front.go
+++ b/front/front.go
@@ -64,12 +64,19 @@
 	open     atomic.Int64
 	draining atomic.Bool
 	stopped  chan struct{}
+
+	sends context.Context // done when the requests in flight are cut, at the end of the time for a stop
+	cut   context.CancelFunc
 }
 
 // New returns a Service that listens on an IP address and port. writeTimeout is how long the write of a response may
 // make no progress.
 func New(listen string, writeTimeout time.Duration, fingerprints fingerprint.Hasher, log zerolog.Logger, metrics *telemetry.Metrics) *Service {
-	return &Service{listen: listen, writeTimeout: writeTimeout, fingerprints: fingerprints, log: log, metrics: metrics, stopped: make(chan struct{})}
+	sends, cut := context.WithCancel(context.Background())
+	return &Service{
+		listen: listen, writeTimeout: writeTimeout, fingerprints: fingerprints, log: log, metrics: metrics, stopped: make(chan struct{}),
+		sends: sends, cut: cut,
+	}
 }
 
 // Name implements kernel.Service.
@@ -177,14 +184,26 @@
 func (s *Service) BeginDrain() { s.draining.Store(true) }
 
 // Drain refuses new requests and waits until those being served have ended. New connections are still accepted until the
-// load balancer has seen that the router isn't ready; their requests are refused as not run.
+// load balancer has seen that the router isn't ready; their requests are refused as not run. When ctx is done, requests
+// that were sent are answered without a statement about whether they have run, and streams are broken off.
 func (s *Service) Drain(ctx context.Context) {
 	s.BeginDrain()
 	s.awaitOpen(ctx)
 	time.Sleep(handoverPause)
 	s.awaitOpen(ctx)
+	if s.open.Load() == 0 {
+		return
+	}
+	s.log.Warn().Int64("open", s.open.Load()).Msg("requests still in flight at the end of the time for a stop are cut")
+	s.cut()
+	answered, cancel := context.WithTimeout(context.Background(), cutTime)
+	defer cancel()
+	s.awaitOpen(answered)
 }
 
+// cutTime is the time limit for answering the requests that are still in flight at the end of a stop.
+const cutTime = 250 * time.Millisecond
+
 // handoverPause is how long a router keeps serving after its last request, so that the other routers have received its
 // notice of leaving.
 const handoverPause = 300 * time.Millisecond
--- a/front/serve.go
+++ b/front/serve.go
@@ -204,7 +204,7 @@
 	a.sentAt = time.Now()
 	a.lastSend = blame.Attempt{Backend: d.Backend, Address: c.AddressOf(d.Backend), At: a.sentAt}
 	accepts := func() bool { return s.notices.Accepts(d.Backend) }
-	response, err := s.back.Send(context.WithoutCancel(ctx), c.AddressOf(d.Backend), req, accepts)
+	response, err := s.back.Send(s.sends, c.AddressOf(d.Backend), req, accepts)
 	stop()
 	if exchange.NotSent(err) {
 		span.SetStatus(codes.Error, err.Error())
@@ -226,7 +226,7 @@
 func (a *attempt) handleFailure(cause error) bool {
 	a.scheduled.Finish(0, core.Broken)
 	a.blame.Interrupted(a.lastSend)
-	if a.call.repeatable() && a.sends < maxSends {
+	if a.call.repeatable() && a.sends < maxSends && a.service.sends.Err() == nil {
 		a.submit()
 		return false
 	}
