gateway: half of an answer of a crashed server isn't relayed as a whole one

Callers of a request that may run only once got 200 with the seal and 396 of 792 bytes, and an orderly end of their connection: a whole answer, by its form.

Cause: the router had found that the backend server had ended, and broke the answer off only where it could be asked for again. Otherwise it passed it on with its end unmarked, though it had written nothing yet (short answers), or could still reset the connection (long ones, and streams that can't be resumed).

Fix: an answer whose end isn't marked is whole only if its backend server is alive after that end. In all other cases it has failed: it is asked for again, answered with 502, or broken off. The choice is one place, checkUnmarkedEnd.

Weighed: a server that answers whole and ends within milliseconds, as at the end of a planned stop, looks the same. Its caller is told of a whole answer that it wasn't.

Tests changed, as strict as before: TestServerErrorDoesNotClearRequest calls recordAnswer without the decision, which it doesn't use any more.

--- a/e2e/guarantees_test.go
+++ b/e2e/guarantees_test.go
@@ -210,7 +210,9 @@
 	f := newFleet(t, 1)
 	f.service.SetFaults(standin.Faults{DelayMS: 20_000})
 	answered := make(chan answer, 1)
-	go func() { answered <- f.call(f.routers[0], "/services/entries/waivers", "{}", "X-Request-Id", "at-the-end") }()
+	go func() {
+		answered <- f.call(f.routers[0], "/services/entries/waivers", "{}", "X-Request-Id", "at-the-end")
+	}()
 	f.await("the run", func() bool { return f.runs("at-the-end") > 0 })
 	f.signal(f.routers[0], syscall.SIGTERM)
 	got := <-answered
--- a/gateway/joined_test.go
+++ b/gateway/joined_test.go
@@ -27,6 +27,7 @@
 	listener net.Listener
 	answer   string
 	crashes  bool // it closes its listener before it ends the first answer
+	hangs    bool // it doesn't respond after the first answer
 }
 
 func newServer(t *testing.T, answer string, crashes bool) *server {
@@ -54,6 +55,9 @@
 			_ = s.listener.Close()
 		}
 		_ = c.Close()
+		if s.hangs {
+			return
+		}
 	}
 }
 
--- a/gateway/proof_test.go
+++ b/gateway/proof_test.go
@@ -10,7 +10,6 @@
 	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/fingerprint"
 	"github.com/tamarindstep/tamarindstep/model"
-	"github.com/tamarindstep/tamarindstep/scheduler"
 )
 
 // eventRecorder is a scheduler for which every account has suspects.
@@ -28,7 +27,7 @@
 	a := &attempt{blame: tracker.Track(7, func() fingerprint.Request { return fingerprint.Request{Account: "league"} })}
 	for status, cleared := range map[int]int{500: 0, 502: 0, 504: 0, 200: 1, 404: 1} {
 		recorder.events = nil
-		a.recordAnswer(scheduler.Decision{}, status)
+		a.recordAnswer(status)
 		is.Equal(len(recorder.events), cleared)
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -99,7 +99,7 @@
 	if err := r.checkUnmarkedEnd(a); err != nil {
 		return err
 	}
-	a.finish(r.ending(response.StatusCode()), r.outputTokens()) // a slow caller must not keep the backend server busy
+	a.finish(ending(response.StatusCode()), r.outputTokens()) // a slow caller must not keep the backend server busy
 	r.begun = true
 	r.writeHead(a, response, r.lengthOr(size))
 	if a.req.Header.IsHead() {
@@ -181,7 +181,9 @@
 			return err
 		}
 		if err == io.EOF {
-			_ = r.checkUnmarkedEnd(a) // too much has been relayed to ask another backend server
+			if err := r.checkUnmarkedEnd(a); err != nil {
+				return err
+			}
 			return r.writeEnd(a)
 		}
 	}
@@ -307,30 +309,25 @@
 // errUnconfirmedEnd is the error for a response whose end isn't marked, of a backend server that isn't known to be alive.
 var errUnconfirmedEnd = errors.New("response ended with its connection, and its backend server has ended or doesn't respond")
 
-// checkUnmarkedEnd returns an error if a response whose end isn't marked is to be asked for again. The kernel closes the
+// checkUnmarkedEnd returns an error if a response whose end isn't marked may be truncated. The kernel closes the
 // connections of a process that crashes in order, often between two events, so that the response is whole only if its
-// backend server is alive after its end. Where it can't be asked for again, it is relayed with its end unmarked, or is
-// broken off if the head written before, of another backend server's response, promises to mark it.
+// backend server is alive after its end. Otherwise it is asked for again where that is allowed. Where it isn't, the caller
+// gets a failure, or a response that is visibly truncated: of a whole one it may be told that it wasn't, but never the
+// reverse.
 func (r *relay) checkUnmarkedEnd(a *attempt) error {
 	if r.framing != exchange.UntilClose {
 		return nil
 	}
 	r.server = a.service.back.Liveness(a.sentTo)
-	if !r.maybeCut() || !a.mayResend() && !r.marksEnd() {
-		return nil
+	if r.server != back.Alive {
+		return errUnconfirmedEnd
 	}
-	return errUnconfirmedEnd
+	return nil
 }
 
-// maybeCut reports whether the last response may be truncated, though its connection ended in order.
-func (r *relay) maybeCut() bool { return r.server != "" && r.server != back.Alive }
-
-// marksEnd reports whether a head has been written after which the end of the body is marked.
-func (r *relay) marksEnd() bool { return r.begun && !r.untilClose }
-
 // ending returns how a complete answer with a status ends its request.
-func (r *relay) ending(status int) core.Ending {
-	if r.maybeCut() || status >= fasthttp.StatusBadRequest {
+func ending(status int) core.Ending {
+	if status >= fasthttp.StatusBadRequest {
 		return core.Inconclusive
 	}
 	return core.Done
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -164,8 +164,8 @@
 	a.relay.received = response.Received()
 	a.countBytes(telemetry.HallAnswers, a.hallOf(d.Backend), a.relay.bytes-before)
 	if err == nil {
-		a.finish(a.relay.ending(response.StatusCode()), a.relay.outputTokens())
-		a.recordAnswer(d, response.StatusCode())
+		a.finish(ending(response.StatusCode()), a.relay.outputTokens())
+		a.recordAnswer(response.StatusCode())
 		a.service.observe(a)
 		a.relay.addTo(a.log("done")).Int("status", response.StatusCode()).Int("send", a.sends).Dur("begun_ms", a.firstPartAfter).Msg("request answered")
 		a.countOutcome("done")
@@ -175,13 +175,10 @@
 	return a.handleFailure(d, err)
 }
 
-// recordAnswer records that the request got a whole answer, or that its backend server ended if the answer may be
-// truncated. A failure of the backend server may have come before it ran the request, and shows nothing.
-func (a *attempt) recordAnswer(d scheduler.Decision, status int) {
-	switch {
-	case a.relay.maybeCut():
-		a.serverEnded(d, nil)
-	case status < fasthttp.StatusInternalServerError:
+// recordAnswer records that the request got a whole answer. A failure of the backend server may have come before it ran
+// the request, and shows nothing.
+func (a *attempt) recordAnswer(status int) {
+	if status < fasthttp.StatusInternalServerError {
 		a.blame.Answered()
 	}
 }
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,7 +35,12 @@
 // relayAnswer relays an answer of a backend server to a caller.
 func relayAnswer(t *testing.T, method string, through config.HostOptions, answer string) relayed {
 	t.Helper()
-	from := newServer(t, answer, false)
+	return relayAnswerOf(t, newServer(t, answer, false), method, through)
+}
+
+// relayAnswerOf relays the answer of a backend server to a caller, and breaks it off if that fails after it has begun.
+func relayAnswerOf(t *testing.T, from *server, method string, through config.HostOptions) relayed {
+	t.Helper()
 	response := from.ask(t, method)
 	metrics := telemetry.NewMetrics()
 	s := New(Settings{}, zerolog.Nop(), metrics)
@@ -182,3 +188,31 @@
 		}
 	}
 }
+
+// TestUnmarkedEndOfCrashedServerIsNotRelayed guards against an answer that ended with its connection being relayed as a
+// whole one though its server has crashed, or doesn't respond: where it can't be asked for again, its caller gets none of
+// it, or a broken-off one.
+func TestUnmarkedEndOfCrashedServerIsNotRelayed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"
+	for name, test := range map[string]struct {
+		through config.HostOptions
+		answer  string
+		begun   bool // the answer is relayed as it arrives
+	}{
+		"short answer": {config.HostOptions{}, head + "half of an answer", false},
+		"long answer":  {config.HostOptions{}, head + strings.Repeat("x", 2*maxBuffer), true},
+		"stream":       {unresumableStream, eventStreamHead + "\r\n" + eventLF, true},
+	} {
+		for _, crashes := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, crashes: %v", name, crashes), func(t *testing.T) {
+				is := is.New(t)
+				from := newServer(t, test.answer, crashes)
+				from.hangs = !crashes
+				got := relayAnswerOf(t, from, "POST", test.through)
+				is.True(got.relay != nil)
+				is.True(!got.framed)
+				is.Equal(got.close, test.begun) // whether a head has been written
+			})
+		}
+	}
+}
