daemon: SIGHUP doesn't end a process that starts or stops

Cause: SIGHUP was caught once all services had started. Before, the router waits for the peer key in the store, for as long as that takes, with the signal's default action in force. The same while it leaves the list of routers, after it had stopped catching the signal, and for the first milliseconds of each start.

Fix: Main catches it first of all, for as long as the process runs, and Run logs it from before the store is asked for the first time.

Evidence: e2e TestPlatformSignalsInEveryPhase sends SIGHUP three times to a router that has just been executed, waits for the store, serves, and stops with a request in flight, and stops and continues each.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
@@ -65,6 +64,7 @@
 
 // Main runs the daemon and returns the exit code.
 func Main() int {
+	catchReloads()
 	if err := NewCommand().ExecuteContext(context.Background()); err != nil {
 		return 1
 	}
@@ -93,6 +93,8 @@
 	}
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryFraction * bytesPerMB))
 	log := newLog(s, lines)
+	stopReloads := logReloads(log)
+	defer stopReloads()
 	r, err := build(ctx, s, log)
 	if err != nil {
 		return err
@@ -101,8 +103,6 @@
 		return err
 	}
 	defer r.close()
-	stopReloads := logReloads(log)
-	defer stopReloads()
 	log.Info().Str("callers", s.CallerListen).Str("peers", s.PeerListen).Msg("router started")
 	select {
 	case <-ctx.Done():
@@ -112,23 +112,6 @@
 	return r.stop()
 }
 
-// logReloads logs each SIGHUP, which is otherwise ignored. Settings are flags and environment
-// variables, which can't change while the process runs. Everything that can change is in the
-// configuration, whose changes are applied continuously.
-func logReloads(log zerolog.Logger) (stop func()) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go func() {
-		for range reloads {
-			log.Info().Msg("reload requested: settings can't change while the process runs, configuration changes are applied continuously")
-		}
-	}()
-	return func() {
-		signal.Stop(reloads)
-		close(reloads)
-	}
-}
-
 // stop waits for the running requests to finish, and then stops the services.
 func (r *router) stop() error {
 	r.log.Info().Msg("draining")
--- a/e2e/platform_harness_test.go
+++ b/e2e/platform_harness_test.go
@@ -35,6 +35,7 @@
 	last         atomic.Int64  // number of the last request
 	flags        []string      // of the routers, in addition to the usual ones
 	logFiles     []string      // of all routers started
+	noStore      bool          // routers that are started can't reach the store
 	lock         sync.Locker   // of routers, if they are replaced while callers use them; nil otherwise
 }
 
@@ -99,6 +100,9 @@
 		exited: make(chan error, 1),
 	}
 	proxy := p.store.NewEndpoint()
+	if p.noStore {
+		proxy.Disable()
+	}
 	p.storeProxies = append(p.storeProxies, proxy)
 	args := append([]string{
 		"--interface", "platform", "--name", r.name, "--data-hall", "hall-a", "--caller-listen", r.callers,
