daemon: a router that is told to stop while it starts ends with exit code 0

SIGTERM to a router that waits for the store as it starts ended it with exit code 1 and "context canceled", as if it had failed: supervisors count and report that.

Cause: the error with which the start was given up was returned as a failure.

Fix: if the context of the start is done and its error is the cause, the router logs that it stopped before it had started, and ends in order.

Evidence: e2e TestPlatformSignalsInEveryPhase, with SIGTERM, SIGTERM twice, SIGTERM and SIGHUP, and SIGINT: the four cases of a router that waits for the store fail before, the other phases pass before and after.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -97,10 +97,10 @@
 	defer stopReloads()
 	r, err := build(ctx, s, log)
 	if err != nil {
-		return err
+		return startError(ctx, err, log)
 	}
 	if err := r.kernel.Start(ctx); err != nil {
-		return err
+		return startError(ctx, err, log)
 	}
 	defer r.close()
 	log.Info().Str("callers", s.CallerListen).Str("peers", s.PeerListen).Msg("router started")
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,7 +17,7 @@
 //	phase                            | SIGHUP  | SIGTERM, SIGINT              | SIGTERM again | SIGSTOP, SIGCONT
 //	---------------------------------|---------|------------------------------|---------------|-----------------
 //	before Main                      | nothing | ends the process             | -             | goes on
-//	waits for the store, or joins    | logged  | exit code 1                  | nothing       | goes on
+//	waits for the store, or joins    | logged  | exit code 0, nothing to stop | nothing       | goes on
 //	serves                           | logged  | planned stop, exit code 0    | nothing       | goes on
 //	planned stop                     | logged  | nothing                      | nothing       | goes on
 //	leaves the list of routers       | nothing | nothing                      | nothing       | goes on
@@ -40,3 +42,12 @@
 		close(reloads)
 	}
 }
+
+// startError returns the error of a router that didn't start, nil if it was told to stop meanwhile.
+func startError(ctx context.Context, err error, log zerolog.Logger) error {
+	if ctx.Err() == nil || !errors.Is(err, ctx.Err()) {
+		return err
+	}
+	log.Info().Msg("stopped before it had started")
+	return nil
+}
--- a/e2e/signals_test.go
+++ b/e2e/signals_test.go
@@ -36,7 +36,11 @@
 
 var signalKinds = []signalKind{
 	{"SIGHUP", []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP}, false},
+	{"SIGTERM", []syscall.Signal{syscall.SIGTERM}, true},
+	{"SIGTERM twice", []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}, true},
+	{"SIGTERM and SIGHUP", []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}, true},
 	{"SIGSTOP and SIGCONT", []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT}, false},
+	{"SIGINT", []syscall.Signal{syscall.SIGINT}, true},
 }
 
 const (
