--- a/generation/catalog.go
+++ b/generation/catalog.go
@@ -65,6 +65,9 @@
 	all, at, err := s.catalog.discovery.List(callCtx, stale)
 	if err != nil {
 		s.metrics.StoreFailures.WithLabelValues("list").Inc()
+		if ctx.Err() == nil {
+			s.log.Warn().Err(err).Bool("stale", stale).Msg("list of backend servers failed")
+		}
 		return err
 	}
 	s.mu.Lock()
