--- a/e2e/odd_entries_test.go
+++ b/e2e/odd_entries_test.go
@@ -14,7 +14,7 @@
 const (
 	// oddCopies is the number of keys with each odd value.
 	oddCopies = 40
-	// oddMemoryMB is the memory limit of the routers, in MB; all odd values together are larger.
+	// oddMemoryMB is the memory limit of the routers, in MB.
 	oddMemoryMB = 120
 	// oddPage is the number of items of a page of the store's lists.
 	oddPage = 100
@@ -95,7 +95,7 @@
 
 // TestPlatformOddEntriesAreIgnored guards against odd entries among those of the backend servers, of the operators and of
 // the routers ending a router, keeping one from starting, or making it stop following the backend servers: hundreds at
-// once, over several pages, together larger than a router's memory limit.
+// once, over several pages, 29 MB in all, which is more than a response of the store may have.
 func TestPlatformOddEntriesAreIgnored(t *testing.T) {
 	t.Parallel()
 	p := newPlatform(t, 2, "--memory-mb", fmt.Sprint(oddMemoryMB))
