--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/tamarindstep/tamarindstep/ctl"
 	_ "github.com/tamarindstep/tamarindstep/daemon" // makes the cached results of go test depend on the router
 	"github.com/tamarindstep/tamarindstep/internal/standin"
+	_ "github.com/tamarindstep/tamarindstep/internal/standincmd" // the same for the stand-ins
 	"github.com/tamarindstep/tamarindstep/status"
 	"github.com/tamarindstep/tamarindstep/vmlist"
 )
@@ -30,7 +31,8 @@
 // maxWait is the longest time to wait for a condition. It is generous on purpose: no test asserts a shorter time.
 const maxWait = 60 * time.Second
 
-var binary string
+// binary and standinBinary are the router and the stand-ins.
+var binary, standinBinary string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "e2e")
@@ -38,7 +40,8 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "tamarindstepd")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/tamarindstepd")
+	standinBinary = filepath.Join(dir, "tamarind-standin")
+	build := exec.Command("go", "build", "-o", dir, "../cmd/tamarindstepd", "../cmd/tamarind-standin")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -25,6 +25,8 @@
 	FalseEnd           bool          // an aborted stream ends with its last chunk
 	CrashOnAbort       bool          // the server crashes as it aborts an answer
 	NoLength           bool          // the answer has neither a length nor chunks and ends with its connection
+	Framings           []Form        // how the ends of its answers are marked, in turn; nil for the usual form
+	HalfPause          time.Duration // between the halves of a plain answer, 0 to send it at once
 	LineEnd            string        // of the lines of events, "" for LF
 	Reset              bool          // the connection is reset instead of closed
 	Drop               bool          // the connection is closed without an answer once the request is read
@@ -42,6 +44,7 @@
 	ExtraAnswerLeaving bool          // the surplus answer reports a shutdown, while its own answers don't
 	RetryAfter         string        // every request is rejected with this Retry-After value, in seconds; "" for none
 	Endless            Endless       // what is sent without end until the caller closes the connection, "" for nothing
+	form               Form          // of a plain answer, set for each run from Framings
 	EndlessPause       time.Duration // between the bytes of Endless, 0 to send as fast as they are read
 }
 
@@ -61,7 +64,8 @@
 	ColdFor              time.Duration // announced remaining duration of the cold start
 	Version              string        // announced version of its software, which its events name if it isn't DefaultVersion
 
-	startedMS int64 // announced start, in Unix milliseconds; 0 if not announced
+	onRun     func(Run) // called with each run, nil for nothing
+	startedMS int64     // announced start, in Unix milliseconds; 0 if not announced
 	listener  net.Listener
 	store     *Store
 	wg        sync.WaitGroup
@@ -112,7 +116,8 @@
 type announcement struct {
 	name, pool, dataHall string
 	version              string
-	startedMS            int64 // 0 if the start isn't announced
+	startedMS            int64          // 0 if the start isn't announced
+	prepare              func(*Backend) // called before it accepts connections, nil for nothing
 }
 
 func newBackendAt(address string, store *Store, announced announcement) (*Backend, error) {
@@ -124,6 +129,9 @@
 		Name: announced.name, Pool: announced.pool, DataHall: announced.dataHall, startedMS: announced.startedMS,
 		Version: announced.version, listener: listener, store: store, conns: map[net.Conn]bool{}, closed: make(chan struct{}),
 	}
+	if announced.prepare != nil {
+		announced.prepare(b)
+	}
 	b.Announce("ready")
 	b.wg.Add(1)
 	go b.accept()
@@ -132,6 +140,13 @@
 
 // Announce writes the backend server's entry, with a state, to the store.
 func (b *Backend) Announce(state string) {
+	if b.store != nil {
+		b.store.Put("servers/"+b.Name, b.Entry(state))
+	}
+}
+
+// Entry returns the backend server's entry with a state.
+func (b *Backend) Entry(state string) []byte {
 	entry := map[string]any{
 		"service": b.Pool, "address": b.listener.Addr().String(), "zone": b.DataHall, "version": b.Version,
 		"slots": 8, "state": state, "cold_remaining_ms": b.ColdFor.Milliseconds(), "call_seq": 0,
@@ -140,7 +155,7 @@
 		entry["born"] = b.startedMS
 	}
 	value, _ := json.Marshal(entry)
-	b.store.Put("servers/"+b.Name, value)
+	return value
 }
 
 // SetBehaviour sets how the server answers.
@@ -247,6 +262,10 @@
 		return b.reject(c, req, x)
 	}
 	index, run := b.recordRun(req, body)
+	if b.onRun != nil {
+		b.onRun(run)
+	}
+	x.frame(index)
 	if x.CrashOnBody != "" && x.CrashOnBody == string(body) {
 		time.Sleep(x.CrashDelay)
 		b.crash()
@@ -276,6 +295,15 @@
 	return b.plain(c, x, id, shapeOf(req.URL.Query()))
 }
 
+// frame sets the form of the answer to the nth run.
+func (x *Behaviour) frame(run int) {
+	if len(x.Framings) == 0 {
+		return
+	}
+	x.form = x.Framings[run%len(x.Framings)]
+	x.NoLength = x.form == UntilClose
+}
+
 // Arrivals returns the number of requests addressed to the server that arrived in [from, until).
 func (b *Backend) Arrivals(from, until time.Time) int {
 	b.mu.Lock()
--- a/internal/standin/users/plain.go
+++ b/internal/standin/users/plain.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Form is how the end of a plain answer is marked.
@@ -78,6 +79,9 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
+	if len(x.Framings) > 0 {
+		shape.Form = x.form
+	}
 	if x.NoLength {
 		shape.Form = UntilClose
 	}
@@ -85,18 +89,30 @@
 	body := shape.Body()
 	switch shape.Form {
 	case UntilClose:
-		_, _ = io.WriteString(c, out+"\r\n"+body)
+		_ = b.writeHalves(c, out+"\r\n", body, x.HalfPause)
 		if x.Reset {
 			reset(c)
 		}
 		return false
 	case Chunked:
-		_, err := io.WriteString(c, out+"Transfer-Encoding: chunked\r\n\r\n"+encodeChunked(body))
-		return err == nil
+		return b.writeHalves(c, out+"Transfer-Encoding: chunked\r\n\r\n", encodeChunked(body), x.HalfPause) == nil
 	default:
-		_, err := io.WriteString(c, out+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
-		return err == nil
+		return b.writeHalves(c, out+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n", body, x.HalfPause) == nil
+	}
+}
+
+// writeHalves writes a head and a body, with a pause between the halves of the body.
+func (b *Backend) writeHalves(c net.Conn, head, body string, pause time.Duration) error {
+	if pause == 0 {
+		_, err := io.WriteString(c, head+body)
+		return err
+	}
+	if _, err := io.WriteString(c, head+body[:len(body)/2]); err != nil {
+		return err
 	}
+	b.sleep(pause)
+	_, err := io.WriteString(c, body[len(body)/2:])
+	return err
 }
 
 // encodeChunked returns a body in chunked encoding.
--- a/internal/standincmd/standincmd.go
+++ b/internal/standincmd/standincmd.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/signal"
 	"syscall"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/internal/standin"
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
 
 // NewCommand returns the command, with a subcommand for each stand-in.
@@ -20,7 +22,7 @@
 		Short:        "Small stand-ins for the platform and the backend servers",
 		SilenceUsage: true,
 	}
-	c.AddCommand(store(), vmlist(), engine(), service())
+	c.AddCommand(store(), vmlist(), engine(), service(), backend())
 	return c
 }
 
@@ -32,6 +34,37 @@
 	return 0
 }
 
+// framingWords are the forms of answers, by the words of the command line.
+var framingWords = map[string]users.Form{"sized": users.Sized, "chunked": users.Chunked, "open": users.UntilClose}
+
+// backend is a backend server of the users' platform. It announces itself by the first line of its output, which its
+// parent writes to the store.
+func backend() *cobra.Command {
+	c := &cobra.Command{Use: "backend", Short: "A backend server of the users' platform, as a process of its own", Args: cobra.NoArgs}
+	listen := c.Flags().String("listen", "127.0.0.1:0", "IP and port")
+	name := c.Flags().String("name", "backend-1", "its name in the store")
+	pool := c.Flags().String("pool", "engines", "the service that it serves")
+	hall := c.Flags().String("data-hall", "hall-a", "its data hall")
+	events := c.Flags().Int("events", 0, "events of its streams; 0 for plain answers")
+	gap := c.Flags().Duration("gap", 0, "time between two events, or before a plain answer")
+	half := c.Flags().Duration("half-pause", 0, "time between the halves of a plain answer")
+	framings := c.Flags().StringSlice("framings", nil, "how the ends of its answers are marked, in turn: sized, chunked, open")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		x := users.Behaviour{Events: *events, Gap: *gap, HalfPause: *half}
+		for _, word := range *framings {
+			form, ok := framingWords[word]
+			if !ok {
+				return fmt.Errorf("--framings: %q is neither sized, chunked nor open", word)
+			}
+			x.Framings = append(x.Framings, form)
+		}
+		return users.RunProcess(*listen, *name, *pool, *hall, x, cmd.OutOrStdout(), ctx.Done())
+	}
+	return c
+}
+
 // serve runs a handler until the process receives SIGTERM or SIGINT.
 func serve(cmd *cobra.Command, listen string, handler fasthttp.RequestHandler) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
