--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/back"
-	"github.com/tamarindstep/tamarindstep/core"
 	"github.com/tamarindstep/tamarindstep/internal/exchange"
 )
 
@@ -306,33 +305,6 @@
 	errNoEvents = errors.New("connection ended before the first event of a stream")
 )
 
-// errUnconfirmedEnd is the error for a response whose end isn't marked, of a backend server that isn't known to be alive.
-var errUnconfirmedEnd = errors.New("response ended with its connection, and its backend server has ended or doesn't respond")
-
-// checkUnmarkedEnd returns an error if a response whose end isn't marked may be truncated. The kernel closes the
-// connections of a process that crashes in order, often between two events, so that the response is whole only if its
-// backend server is alive after its end. Otherwise it is asked for again where that is allowed. Where it isn't, the caller
-// gets a failure, or a response that is visibly truncated: of a whole one it may be told that it wasn't, but never the
-// reverse.
-func (r *relay) checkUnmarkedEnd(a *attempt) error {
-	if r.framing != exchange.UntilClose {
-		return nil
-	}
-	r.server = a.service.back.Liveness(a.sentTo)
-	if r.server != back.Alive {
-		return errUnconfirmedEnd
-	}
-	return nil
-}
-
-// ending returns how a complete answer with a status ends its request.
-func ending(status int) core.Ending {
-	if status >= fasthttp.StatusBadRequest {
-		return core.Inconclusive
-	}
-	return core.Done
-}
-
 // lengthOr returns the length with which the last response is relayed, given that of one whose end is marked.
 func (r *relay) lengthOr(marked int) int {
 	if r.framing == exchange.UntilClose {
@@ -400,48 +372,3 @@
 	}
 	return errors.Join(errCallerStopped, err)
 }
-
-// The lengths of bodies that are written in chunks, and until the connection is closed.
-const (
-	chunked    = -1
-	untilClose = -2
-)
-
-// connectionHeaders are the hop-by-hop headers, which aren't relayed.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true,
-}
-
-// writeHead writes the head of the backend server's response.
-func (r *relay) writeHead(a *attempt, response *exchange.Response, length int) {
-	w := a.conn.writer
-	status := response.StatusCode()
-	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + fasthttp.StatusMessage(status) + "\r\n")
-	for name, value := range response.Header.All() {
-		if connectionHeaders[string(name)] {
-			continue
-		}
-		_, _ = w.Write(name)
-		_, _ = w.WriteString(": ")
-		_, _ = w.Write(value)
-		_, _ = w.WriteString("\r\n")
-	}
-	switch length {
-	case chunked:
-		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
-	case untilClose:
-		r.untilClose, a.keepAlive = true, false
-		a.conn.ResetOnClose(true) // until it is written, it must not look whole if this process ends
-	default:
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
-	}
-	if a.service.draining.Load() {
-		a.keepAlive = false
-	}
-	if !a.keepAlive {
-		_, _ = w.WriteString("Connection: close\r\n")
-	}
-	_, _ = w.WriteString("\r\n")
-}
