--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -257,6 +257,7 @@
 // TestPlatformHeldBackRequestsSurviveRestartOfAllRouters guards against the loss of held-back requests when all routers
 // are killed at once: new routers read them from the store, and one that starts later receives them from the others.
 func TestPlatformHeldBackRequestsSurviveRestartOfAllRouters(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	pool := p.startRestartingPool(users.Behaviour{CrashOnBody: crashBody, CrashDelay: 30 * time.Millisecond})
 	crashing := []repeatedRequest{{"POST", "/claim/lethal", crashBody, 300 * time.Millisecond}}
--- a/e2e/evacuate_test.go
+++ b/e2e/evacuate_test.go
@@ -56,6 +56,7 @@
 // TestPlatformEvacuatedHallGetsNothing guards against requests to an evacuated data hall from a router that can't reach
 // the store, or from one that starts with stale reads of it. The evacuation ends for both as well.
 func TestPlatformEvacuatedHallGetsNothing(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 3)
 	p.addSecondHall()
 	await(t, "all routers are listed", func() bool { return len(p.store.Keys("tamarindstep/routers/")) == 3 })
--- a/e2e/idle_test.go
+++ b/e2e/idle_test.go
@@ -22,6 +22,7 @@
 // TestPlatformLargeAnswerAfterIdleTime guards against an answer that is written with the write deadline of the previous
 // answer: connections that had been idle for longer were reset, although the answer was available.
 func TestPlatformLargeAnswerAfterIdleTime(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 1)
 	var callers sync.WaitGroup
 	for _, size := range []int{0, smallAnswer, 4096, largeAnswer, 300_000} {
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -309,6 +309,7 @@
 // one service reach the other's, or an answer breaks off: tenant-01316 and tenant-84576 have one hash. The second one starts
 // while the first one runs a request.
 func TestPlatformServersOfOneHashBothServe(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 2)
 	first := p.backend("tenant-01316", "engines")
 	for _, b := range append(append([]*users.Backend{}, p.engines...), p.services...) {
--- a/e2e/restore_test.go
+++ b/e2e/restore_test.go
@@ -26,6 +26,7 @@
 }
 
 func TestPlatformDrainingServersGetNothingAfterStoreRestore(t *testing.T) {
+	t.Parallel()
 	p, pool := newPool(t, 3)
 	revision := p.store.Revision()
 	p.addRevisions(60)
@@ -88,6 +89,7 @@
 }
 
 func TestPlatformRoutersFormOneFleetAfterStoreRestore(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ name, other string }{
 		{"the key is missing", ""}, {"another key is stored", "ANOTHERKEYTHATAROUTERMADE"},
 	} {
@@ -109,6 +111,7 @@
 }
 
 func TestPlatformEvacuationsSurviveStoreRestore(t *testing.T) {
+	t.Parallel()
 	t.Run("evacuated after the copy", func(t *testing.T) {
 		testEvacuationAfterRestore(t, true, func(p *platform) { p.store.Evacuate(hallA, "{}") }, func(p *platform) { p.store.EndEvacuation(hallA) })
 	})
