core/drain: routes that aren't used any more are forgotten

From 1,000 routes on, those that were last used two periods ago are removed. A stop without a deadline, which only tests have, cuts nothing.

Evidence: core/drain TestUnusedRoutesAreForgotten.

--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,3 +49,14 @@
 	d.Observe("a", 2*time.Minute, time.Second)
 	is.Equal(d.Expected("a", false), time.Second)
 }
+
+// TestUnusedRoutesAreForgotten guards against a record that grows with each route that a configuration has ever had.
+func TestUnusedRoutesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := NewDurations()
+	for i := range 10 * pruneSize {
+		d.Observe(fmt.Sprint("route-", i), time.Duration(i)*time.Second, time.Second)
+	}
+	is.True(len(d.routes) <= pruneSize)
+	is.Equal(d.Expected(fmt.Sprint("route-", 10*pruneSize-1), true), time.Second)
+}
--- a/core/drain/durations.go
+++ b/core/drain/durations.go
@@ -1,10 +1,16 @@
 package drain
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// period is how long the longest duration of a route is kept at least; it is kept for two periods at most.
 	period = 30 * time.Second
+	// pruneSize is the number of routes from which on those are removed that were last used before the last period:
+	// routes come and go with the configuration.
+	pruneSize = 1000
 	// meanWeight is the weight of a new duration in the mean.
 	meanWeight = 0.1
 )
@@ -29,6 +35,7 @@
 func (d *Durations) Observe(route string, now, took time.Duration) {
 	r := d.routes[route]
 	if r == nil {
+		d.prune(now)
 		r = &durations{mean: took, began: now}
 		d.routes[route] = r
 	}
@@ -39,6 +46,14 @@
 	r.longest = max(r.longest, took)
 }
 
+// prune removes routes that aren't used any more, if there are many.
+func (d *Durations) prune(now time.Duration) {
+	if len(d.routes) < pruneSize {
+		return
+	}
+	maps.DeleteFunc(d.routes, func(_ string, r *durations) bool { return now-r.began >= 2*period })
+}
+
 // Expected returns how long a request of a route is expected to take, 0 if none has been answered. For one that may be
 // repeated it is the mean. For one that may run only once it is the longest of the last minute, as to be cut leaves its
 // caller without a way to find out.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,7 @@
 func (s *Service) Drain(ctx context.Context) {
 	s.BeginDrain()
 	now := s.clock.Now()
+	s.stop.cutAt.Store(math.MaxInt64)
 	if deadline, ok := ctx.Deadline(); ok {
 		s.stop.cutAt.Store(int64(now + time.Until(deadline)))
 	}
