internal/grammar: a status line that isn't valid is no response

Callers of the platform's interface got an answer of status 000 as a success with status 200 and the backend server's seal, in each of four forms (with a length, in chunks, until the end of the connection, after a 103).

Cause: the parser of heads accepts any three digits, and its status 0 stands for "not set", which is read as 200. It also accepts 600 to 999, several blanks before the status, control bytes in the reason, and lines that end without CR.

Fix: package grammar checks each line of a head as it arrives, before anything is parsed or used of it: the status line by the grammar of RFC 9112, with a status from 100 to 599, and the end of each line. What doesn't match is an answer that failed after sending, as other bytes that are no response. All readers of package exchange have it: both interfaces, the stores, the VM list, health checks and probes.

Evidence: e2e TestPlatformBrokenAnswersReachNoCaller failed before with "status 000, /look/1: 200 "body"" in each of the four forms on /look and /claim; on /chat as 200 that was broken off; it passes now. exchange TestBrokenAnswersAreNoResponse and grammar TestStatusLine have the other forms.

--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -97,46 +97,6 @@
 	}
 }
 
-// readFinalHead reads heads up to one that isn't interim.
-func (a *Response) readFinalHead() error {
-	for range maxInterim + 1 {
-		if err := a.checkBeginning(); err != nil {
-			return err
-		}
-		if err := a.Header.Read(a.conn.reader); err != nil {
-			return headError(err)
-		}
-		switch status := a.StatusCode(); {
-		case status < fasthttp.StatusContinue || status == fasthttp.StatusSwitchingProtocols:
-			return ErrNoResponse
-		case status >= fasthttp.StatusOK:
-			return nil
-		}
-	}
-	return &LimitError{Part: PartInterim, Limit: maxInterim}
-}
-
-// headBeginning is what each head begins with.
-const headBeginning = "HTTP/1."
-
-// checkBeginning checks the first bytes of a head as they arrive: of bytes that arrive slowly the first one may show
-// that they aren't a response, long before the time limit does. Empty lines before a head are left to the parser.
-func (a *Response) checkBeginning() error {
-	for n := 1; n <= len(headBeginning); n++ {
-		begun, err := a.conn.reader.Peek(n)
-		if err != nil {
-			return err
-		}
-		if begun[0] == '\r' || begun[0] == '\n' {
-			return nil
-		}
-		if begun[n-1] != headBeginning[n-1] {
-			return ErrNoResponse
-		}
-	}
-	return nil
-}
-
 // skipBody discards the body of a response to an earlier request.
 func (a *Response) skipBody() error {
 	if a.undelimited() {
--- a/internal/exchange/limits.go
+++ b/internal/exchange/limits.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"net/http/httputil"
-
-	"github.com/valyala/fasthttp"
 )
 
 // Limits of what is read from a server. A server may send without end, so that whatever is read before its end is known
@@ -61,15 +59,6 @@
 // ErrNoResponse is the error for bytes that aren't the beginning of a response.
 var ErrNoResponse = errors.New("server sent bytes that are no response")
 
-// headError returns the error of reading a head, as a LimitError if the head is too large.
-func headError(err error) error {
-	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) {
-		return &LimitError{Part: PartHead, Limit: bufferSize}
-	}
-	return err
-}
-
 // chunkError returns the error of reading a chunk, as a LimitError if its size line is too long.
 func chunkError(err error) error {
 	if errors.Is(err, httputil.ErrLineTooLong) {
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -252,6 +252,9 @@
 	if x.OmitRequestID {
 		id = ""
 	}
+	if x.Broken != "" {
+		return b.broken(c, x, id)
+	}
 	if x.Endless != "" {
 		return b.endless(c, x, id, index)
 	}
