exchange: an end before the request is received isn't the end of an answer

A backend server answered a long upload at once with a 200 without a length, sent part of its body, and reset the connection, or closed it with bytes unread, while the upload was being written. The caller got that part as a whole answer.

Cause: the kernel reports a reset to one call only. Where the upload's write waits for room, that is the write; the read after it finds the end of the connection as if it had been closed in order. The server's process lives on, so that the probe of its liveness says nothing about this connection.

Fix: the end of a body whose end isn't marked is believed only if the connection wasn't reset (the kernel's state of it, which no call consumes), all that was written is acknowledged, and the request was written whole. A server that closes its connection after it has read the request acknowledges that at the latest with its end, so that nothing is waited for there; if only the writing goroutine hasn't run yet, its result is awaited. Bodies with a length or in chunks don't need any of this and are relayed as before.

--- a/e2e/broken_answers_test.go
+++ b/e2e/broken_answers_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
@@ -42,3 +44,53 @@
 	}
 	return true
 }
+
+const (
+	// longUploadParts is the number of parts of an upload that a connection's buffers can't hold.
+	longUploadParts = 12 << 20 / uploadPart
+	// earlyTries is the number of uploads of each form.
+	earlyTries = 2
+)
+
+// TestPlatformPartBeforeUploadEndsIsNotComplete guards against a part of an answer without a marked end being taken for a
+// whole one because its connection was reset, or closed with bytes unread, while the request was still being written: the
+// kernel reported the reset to the write only, and an end in order to the read.
+func TestPlatformPartBeforeUploadEndsIsNotComplete(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t, 1)
+	p.limits.BodyBytes = longUploadParts * uploadPart
+	p.configure()
+	await(t, "long uploads are allowed", func() bool { return p.uploadLong(p.request("POST", "/claim/1")).Status == 200 })
+	parts := map[string]string{"/claim/1": "part", "/look/1": "part", "/chat/1": users.Event(1), "/review/1": users.Event(1)}
+	for _, early := range []users.EarlyAnswer{
+		{Reset: true}, {Reset: true, Delay: 30 * time.Millisecond}, {}, {Delay: 30 * time.Millisecond},
+	} {
+		for path, part := range parts {
+			p.behave(append(p.engines, p.services...), users.Behaviour{})
+			await(t, "the servers are used again", func() bool { return p.allServed(brokenPaths) })
+			early.Part = part
+			p.behave(append(p.engines, p.services...), users.Behaviour{Early: &early})
+			ran := 0
+			for range earlyTries {
+				r := p.request("POST", path)
+				got := p.uploadLong(r)
+				ran += len(p.runsOf(r.ID))
+				if got.Err == nil && got.Status == 200 {
+					t.Errorf("%s, %+v: %q looks whole", path, early, got.Body)
+				}
+			}
+			if ran == 0 {
+				t.Errorf("%s, %+v: no request ran", path, early)
+			}
+		}
+	}
+}
+
+// uploadLong sends a request with a long body and a new connection.
+func (p *platform) uploadLong(r users.Request) users.Answer {
+	c, err := users.Dial(p.routers[0].callers)
+	if err != nil {
+		return users.Answer{Err: err}
+	}
+	return c.Upload(r, strings.Repeat("x", uploadPart), longUploadParts)
+}
--- a/e2e/callers_test.go
+++ b/e2e/callers_test.go
@@ -218,8 +218,8 @@
 
 // changeIdleLimit puts a configuration with another idle limit of connections into the store.
 func (s *soak) changeIdleLimit() {
-	s.idle = time.Duration(2+s.random.IntN(3)) * time.Second
-	s.faultLog.recordIdleLimit(s.idle)
+	s.limits.IdleTimeout = time.Duration(2+s.random.IntN(3)) * time.Second
+	s.faultLog.recordIdleLimit(s.limits.IdleTimeout)
 	s.configure()
 }
 
--- a/e2e/platform_harness_test.go
+++ b/e2e/platform_harness_test.go
@@ -31,7 +31,7 @@
 	version      int
 	accounts     map[string]string
 	more         []users.Route // beside the usual ones
-	idle         time.Duration // idle limit of connections in the configuration
+	limits       users.Limits  // in the configuration
 	last         atomic.Int64  // number of the last request
 	flags        []string      // of the routers, in addition to the usual ones
 	logFiles     []string      // of all routers started
@@ -63,7 +63,7 @@
 // usual ones, and waits until the routers are ready.
 func newPlatform(t testing.TB, routers int, flags ...string) *platform {
 	t.Helper()
-	p := &platform{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}, flags: flags, idle: users.DefaultIdleTimeout}
+	p := &platform{t: t, is: is.New(t), store: users.NewStore(), accounts: map[string]string{callerKey: "league"}, flags: flags, limits: users.Limits{IdleTimeout: users.DefaultIdleTimeout}}
 	t.Cleanup(p.store.Close)
 	p.configure()
 	for i := range 2 {
@@ -91,7 +91,7 @@
 // configure puts the next version of the configuration into the store.
 func (p *platform) configure() {
 	p.version += 3
-	p.store.Put(users.ConfigurationKey, users.Configuration(p.version, append(slices.Clone(routes), p.more...), p.accounts, p.idle))
+	p.store.Put(users.ConfigurationKey, users.Configuration(p.version, append(slices.Clone(routes), p.more...), p.accounts, p.limits))
 }
 
 func (p *platform) start(i int) *router {
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -424,7 +424,7 @@
 		Name: "new", Path: "/new/", Kind: "safe", Pool: "entries", Attempts: 1, Timeout: time.Second,
 	})
 	p.version++
-	p.store.Put(users.ConfigurationKey, users.Configuration(p.version, routes, p.accounts, p.idle))
+	p.store.Put(users.ConfigurationKey, users.Configuration(p.version, routes, p.accounts, p.limits))
 	await(t, "the change is in force", func() bool {
 		return users.Call(p.routers[0].callers, p.request("GET", "/new/1")).Status == 200
 	})
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -22,7 +22,9 @@
 	options Options
 	body    io.Reader // nil for no body
 	written chan error
-	early   bool // the head arrived before the request was written
+	// writeErr is the error of writing the request concurrently, once that has ended.
+	writeErr error
+	early    bool // the head arrived before the request was written
 	ended   bool
 	// bodyRead is the number of bytes of the body read so far.
 	bodyRead int
@@ -117,9 +119,9 @@
 func (a *Response) openBody(req *fasthttp.Request) error {
 	if a.written != nil {
 		select {
-		case err := <-a.written:
+		case a.writeErr = <-a.written:
 			a.written = nil
-			a.early = err != nil
+			a.early = a.writeErr != nil
 		default:
 			a.early = true
 		}
@@ -195,7 +197,8 @@
 	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
-// Read reads the body. It returns io.EOF only after the whole body has been read.
+// Read reads the body. It returns io.EOF only after the whole body has been read, as far as this side of the connection
+// can know if its end isn't marked.
 func (a *Response) Read(p []byte) (int, error) {
 	if a.body == nil || a.ended {
 		a.ended = true
@@ -205,6 +208,9 @@
 		return 0, err
 	}
 	n, err := a.body.Read(p)
+	if err == io.EOF && a.undelimited() {
+		err = a.unmarkedEnd()
+	}
 	a.bodyRead += n
 	if a.bodyRead > a.maxBody() {
 		return 0, a.bodyTooLarge()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -61,3 +61,21 @@
 	}
 	return state
 }
+
+// tcpClose is the state in which a reset leaves a connection, TCP_CLOSE in Linux.
+const tcpClose = 7
+
+// WasReset reports whether a connection is known to have been reset. The kernel reports a reset to one call only, which may
+// be a write; a read after it finds the end of the connection, as if it had been closed in order.
+func WasReset(c syscall.Conn) bool {
+	control, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	_ = control.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClose
+	})
+	return reset
+}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -113,7 +113,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		if missed := acks.update(n, c.unacknowledged()); missed >= checksPerTimeout {
+		if missed := acks.update(n, c.Unacknowledged()); missed >= checksPerTimeout {
 			c.stalled = true
 			return written, &Error{Written: written, For: c.timeout, From: c.LocalAddr(), To: c.RemoteAddr()}
 		}
@@ -144,10 +144,10 @@
 	return p.checks
 }
 
-// unacknowledged returns the number of sent bytes that the other side hasn't acknowledged, -1 if unknown. Bytes
+// Unacknowledged returns the number of sent bytes that the other side hasn't acknowledged, -1 if unknown. Bytes
 // accepted by the kernel don't suffice as a sign of progress: with a slow reader it accepts nothing for a long time,
 // because it frees its send buffer in large pieces.
-func (c *Conn) unacknowledged() int {
+func (c *Conn) Unacknowledged() int {
 	out := -1
 	control, err := c.SyscallConn()
 	if err != nil {
--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -211,6 +211,10 @@
 	if x.AnswerBeforeBody {
 		b.reject(c, req, x)
 	}
+	if x.Early != nil && req.ContentLength != 0 {
+		b.answerEarly(c, req, *x.Early)
+		return false
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return false
--- a/internal/standin/users/behaviour.go
+++ b/internal/standin/users/behaviour.go
@@ -23,6 +23,7 @@
 	ExtraAnswer        bool          // the answer to another request precedes the answer
 	Surplus            string        // bytes that belong to no request and precede the answer, "" for none
 	AnswerBeforeBody   bool          // the answer is sent before the body is read
+	Early              *EarlyAnswer  // the answer to requests with a body, nil for none
 	Broken             string        // the text of a broken answer, "" for none
 	OmitRequestID      bool          // the answer has no request identifier
 	CrashOnBody        string        // the body of requests that make the server crash, "" for none
--- a/internal/standin/users/broken.go
+++ b/internal/standin/users/broken.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // names stands, in the text of a broken answer, for the fields that name the request and carry the seal.
@@ -34,3 +35,31 @@
 	_, _ = io.WriteString(c, BrokenAnswer(x.Broken, id, "seal-"+b.Name))
 	return false
 }
+
+// EarlyAnswer is a part of an answer, whose end isn't marked, that is sent before the body of the request is read. Its
+// connection is then reset or closed with bytes unread.
+type EarlyAnswer struct {
+	Part  string
+	Delay time.Duration // until the connection is reset or closed
+	Reset bool          // the connection is reset
+}
+
+// earlyReceiveBuffer is the size of the receive buffer, in bytes, of a connection with an EarlyAnswer: the sender of a long
+// body waits then.
+const earlyReceiveBuffer = 4096
+
+// answerEarly sends an EarlyAnswer. The connection doesn't remain open.
+func (b *Backend) answerEarly(c net.Conn, req *http.Request, x EarlyAnswer) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetReadBuffer(earlyReceiveBuffer)
+	b.recordRun(req, nil)
+	_, _ = io.WriteString(c, responseHead(http.StatusOK, req.Header.Get("Tamarindstep-Request-Id"), "seal-"+b.Name)+"\r\n"+x.Part)
+	b.sleep(x.Delay)
+	if x.Reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/internal/standin/users/caller.go
+++ b/internal/standin/users/caller.go
@@ -33,14 +33,25 @@
 // Host is the host of all routes.
 const Host = "callers.example"
 
-// Configuration returns an operators' configuration. accounts maps keys to account names; idleTimeout is that of
-// callers' connections.
-func Configuration(version int, routes []Route, accounts map[string]string, idleTimeout time.Duration) []byte {
+// Limits are the limits for callers in a configuration.
+type Limits struct {
+	IdleTimeout time.Duration // of connections
+	BodyBytes   int           // of the largest body of a request, 0 for DefaultBodyBytes
+}
+
+// DefaultBodyBytes is the default size of the largest body of a request.
+const DefaultBodyBytes = 1 << 20
+
+// Configuration returns an operators' configuration. accounts maps keys to account names.
+func Configuration(version int, routes []Route, accounts map[string]string, limits Limits) []byte {
+	if limits.BodyBytes == 0 {
+		limits.BodyBytes = DefaultBodyBytes
+	}
 	out := map[string]any{
 		"version": version,
 		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000,
-			"idle_timeout_ms": idleTimeout.Milliseconds(), "tokens_per_s": 100000,
+			"max_header_bytes": 16384, "max_body_bytes": limits.BodyBytes, "header_timeout_ms": 3000,
+			"idle_timeout_ms": limits.IdleTimeout.Milliseconds(), "tokens_per_s": 100000,
 		},
 	}
 	pools := map[string]bool{}
