internal/grammar: a field whose name isn't a token is no part of a response

Callers of the platform's interface got answers with a blank in the name of a field as a success: the line was passed on ("X A: b"); a "Content-Length : 2" before six bytes gave two of them, a "Content Length: 2" all six; a "Transfer-Encoding : chunked" was decoded, and after a "Transfer Encoding: chunked" the chunks themselves were relayed as the body. A folded "Content-Length: 2" became part of the line before it.

Cause: the parser of heads tolerates blanks in a name and before the colon, and joins folded lines, so that a router may read a length that its backend server's own library doesn't, or the reverse.

Fix: each line of a head must be a field by the grammar of RFC 9112: a name that is a token, directly followed by a colon, and a value without control characters. Otherwise the answer has failed after sending.

Evidence: without the change e2e TestPlatformBrokenAnswersReachNoCaller fails for each of these seven forms (200 with the body or a part of it on /look and /claim), and exchange TestBrokenAnswersAreNoResponse for eight. Control bytes and tabs in names, and control bytes in values, were refused before.

--- a/internal/grammar/grammar.go
+++ b/internal/grammar/grammar.go
@@ -11,6 +11,7 @@
 const (
 	PartLineEnd    Part = "end of a line"
 	PartStatusLine Part = "status line"
+	PartField      Part = "field"
 )
 
 // Error is the error for a part of a response that doesn't match the grammar.
--- a/internal/grammar/head.go
+++ b/internal/grammar/head.go
@@ -20,5 +20,9 @@
 		h.status, err = parseStatusLine(text)
 		return false, err
 	}
-	return text == "", nil
+	if text == "" {
+		return true, nil
+	}
+	_, err = ParseField(text)
+	return false, err
 }
--- a/internal/standin/users/broken.go
+++ b/internal/standin/users/broken.go
@@ -22,6 +22,17 @@
 	"two blanks before the status":     "HTTP/1.1  200 OK\r\n" + names + "Content-Length: 4\r\n\r\nbody",
 	"a control byte in the reason":     "HTTP/1.1 200 O\x01K\r\n" + names + "Content-Length: 4\r\n\r\nbody",
 	"a line that ends without CR":      "HTTP/1.1 200 OK\r\n" + names + "X-A: b\nContent-Length: 4\r\n\r\nbody",
+	"a blank in a name":                "HTTP/1.1 200 OK\r\n" + names + "X A: b\r\nContent-Length: 4\r\n\r\nbody",
+	"a blank in a name of the first":   "HTTP/1.1 200 OK\r\nX A B: b\r\n" + names + "Content-Length: 4\r\n\r\nbody",
+	"a blank after a name":             "HTTP/1.1 200 OK\r\n" + names + "Content-Length: 4\r\nX-A : b\r\n\r\nbody",
+	"a control byte in a name":         "HTTP/1.1 200 OK\r\n" + names + "X\x01A: b\r\nContent-Length: 4\r\n\r\nbody",
+	"a tab in a name":                  "HTTP/1.1 200 OK\r\n" + names + "X\tA: b\r\nContent-Length: 4\r\n\r\nbody",
+	"a control byte in a value":        "HTTP/1.1 200 OK\r\n" + names + "X-A: \x7f\r\nContent-Length: 4\r\n\r\nbody",
+	"a blank after Content-Length":     "HTTP/1.1 200 OK\r\n" + names + "Content-Length : 2\r\n\r\nbodies",
+	"a blank in Content-Length":        "HTTP/1.1 200 OK\r\n" + names + "Content Length: 2\r\n\r\nbodies",
+	"a blank after Transfer-Encoding":  "HTTP/1.1 200 OK\r\n" + names + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"a blank in Transfer-Encoding":     "HTTP/1.1 200 OK\r\n" + names + "Transfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"a folded Content-Length":          "HTTP/1.1 200 OK\r\n" + names + "X-A: b\r\n Content-Length: 2\r\n\r\nbodies",
 }
 
 // BrokenAnswer returns the text of a broken answer to a request, with a seal.
