internal/grammar: the length of a body is given in one way only

Callers of the platform's interface got bodies that their backend server hadn't sent, or whose end two readers find at different places: of an answer of HTTP/1.0 in chunks the chunks themselves, as they were written; of one with a length beside its chunks, with a blank after the size of a chunk, or with a type given twice, one of the two readings.

Cause: the parser of heads ignores a Transfer-Encoding before HTTP/1.1, drops a length beside it and keeps the last of two types; that of chunks trims the lines of their sizes, and trailers weren't looked at.

Fix: package grammar also checks what a head says about its body: a length of digits, or chunks of HTTP/1.1, given once, not both, and neither for a status that has no body. Chunks are decoded by package exchange itself, line by line by the same grammar (sizes, extensions, the ends of chunks, trailers), with the limits that the library's decoder had. Own code stands here for a library's because that one reads what it tolerates without a way to look at it before.

Evidence: without the change exchange TestBrokenAnswersAreNoResponse fails for six of its forms (204 with a length among them), and e2e TestPlatformBrokenAnswersReachNoCaller for the four that are listed there. TestChunksAreDecoded draws valid bodies and cuts each at a drawn place.

--- a/e2e/broken_answers_test.go
+++ b/e2e/broken_answers_test.go
@@ -16,11 +16,12 @@
 	"status 000", "status 000, in chunks", "status 000, until its end", "status 000, after an interim one",
 	"a blank in a name", "a blank after a name", "a blank after Content-Length", "a blank in Content-Length",
 	"a blank after Transfer-Encoding", "a blank in Transfer-Encoding", "a folded Content-Length",
+	"chunks beside a length", "chunks of HTTP/1.0", "a type given twice", "a blank after the size of a chunk",
 }
 
 // TestPlatformBrokenAnswersReachNoCaller guards against an answer that breaks the grammar of HTTP/1.1 reaching a caller as
 // a success: one of status 000 did as 200, and one with a blank in the name of a field did with that line, or with a body
-// that its backend server hadn't sent.
+// that its backend server hadn't sent, as one of HTTP/1.0 in chunks did.
 func TestPlatformBrokenAnswersReachNoCaller(t *testing.T) {
 	t.Parallel()
 	p := newPlatform(t, 1)
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -1,12 +1,10 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
 	"math"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"time"
@@ -25,7 +23,7 @@
 	// writeErr is the error of writing the request concurrently, once that has ended.
 	writeErr error
 	early    bool // the head arrived before the request was written
-	ended   bool
+	ended    bool
 	// bodyRead is the number of bytes of the body read so far.
 	bodyRead int
 	// received is the number of bytes received in the whole exchange, set when it is closed.
@@ -186,7 +184,7 @@
 	case n > 0:
 		return &fixedBody{src: a.conn.reader, left: n}
 	case n == -1:
-		return &chunkedBody{chunks: httputil.NewChunkedReader(a.conn.reader), lines: a.conn.reader}
+		return &chunkedBody{src: a.conn.reader}
 	default:
 		return a.conn.reader
 	}
@@ -278,56 +276,5 @@
 	if b.left == 0 {
 		return n, io.EOF
 	}
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// lineReader reads the lines after the last chunk.
-type lineReader interface {
-	ReadSlice(delim byte) ([]byte, error)
-}
-
-// chunkedBody is a body in chunks, followed by a trailer.
-type chunkedBody struct {
-	chunks io.Reader
-	lines  lineReader
-	done   bool
-}
-
-// Read implements io.Reader.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
-	}
-	n, err := b.chunks.Read(p)
-	if err != io.EOF {
-		return n, chunkError(err)
-	}
-	if err := b.readTrailer(); err != nil {
-		return n, err
-	}
-	b.done = true
-	return n, io.EOF
-}
-
-// readTrailer reads up to the empty line that ends the body.
-func (b *chunkedBody) readTrailer() error {
-	for read := 0; read <= maxTrailerBytes; {
-		line, err := b.lines.ReadSlice('\n')
-		read += len(line)
-		switch {
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
-		case err == bufio.ErrBufferFull:
-			return &LimitError{Part: PartTrailer, Limit: bufferSize}
-		case err != nil:
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-	return &LimitError{Part: PartTrailer, Limit: maxTrailerBytes}
+	return n, unexpectedEnd(err)
 }
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -76,7 +76,7 @@
 	for kind, part := range map[users.Endless]Part{
 		users.EndlessHeadLine: PartHead, users.EndlessHeadLines: PartHead,
 		users.EndlessContinue: PartInterim, users.EndlessHints: PartInterim,
-		users.EndlessChunkSize: PartChunk, users.EndlessExtension: PartChunk, users.EndlessExtensions: "",
+		users.EndlessChunkSize: PartChunk, users.EndlessExtension: PartChunk, users.EndlessExtensions: PartExtensions,
 		users.EndlessTrailerLine: PartTrailer, users.EndlessTrailer: PartTrailer,
 		users.EndlessOtherAnswer: PartSkipped, users.EndlessChunks: PartBody, users.EndlessBody: PartBody,
 		users.EndlessRubbish: "",
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"fmt"
-	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,7 +12,7 @@
 // readFinalHead reads heads up to one that isn't interim.
 func (a *Response) readFinalHead() error {
 	for range maxInterim + 1 {
-		head, err := a.checkHead()
+		head, err := checkHead(a.conn.reader)
 		if err != nil {
 			return err
 		}
@@ -32,19 +30,19 @@
 }
 
 // checkHead checks the next head against the grammar, line by line as it arrives, before anything is read from it.
-func (a *Response) checkHead() (*grammar.Head, error) {
-	if err := a.checkBeginning(); err != nil {
+func checkHead(r *bufio.Reader) (*grammar.Head, error) {
+	if err := checkBeginning(r); err != nil {
 		return nil, err
 	}
 	head, checked := &grammar.Head{}, 0
 	for {
-		line, err := peekLine(a.conn.reader, checked)
+		line, err := peekLine(r, checked)
 		if err != nil {
 			return nil, err
 		}
 		last, err := head.Line(line)
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
+			return nil, noResponse(err)
 		}
 		if last {
 			return head, nil
@@ -55,9 +53,9 @@
 
 // checkBeginning checks the first bytes of a head as they arrive: of bytes that arrive slowly the first one may show
 // that they aren't a response, long before the time limit does.
-func (a *Response) checkBeginning() error {
+func checkBeginning(r *bufio.Reader) error {
 	for n := 1; n <= len(grammar.Protocol); n++ {
-		begun, err := a.conn.reader.Peek(n)
+		begun, err := r.Peek(n)
 		if err != nil {
 			return err
 		}
@@ -87,12 +85,8 @@
 // headError returns the error of reading a head: a LimitError if it is too large, io.ErrUnexpectedEOF if its connection
 // ended before it did.
 func headError(err error) error {
-	switch err {
-	case bufio.ErrBufferFull:
+	if err == bufio.ErrBufferFull {
 		return &LimitError{Part: PartHead, Limit: bufferSize}
-	case io.EOF:
-		return io.ErrUnexpectedEOF
-	default:
-		return err
 	}
+	return unexpectedEnd(err)
 }
--- a/internal/exchange/limits.go
+++ b/internal/exchange/limits.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http/httputil"
 )
 
 // Limits of what is read from a server. A server may send without end, so that whatever is read before its end is known
@@ -15,7 +14,7 @@
 //	interim responses before a response      | maxInterim                  | failure
 //	body of a response to another request    | maxSkippedBytes             | failure
 //	a chunk's size and extension             | bufferSize                  | truncated
-//	extensions of all chunks                 | 16 KiB beyond twice the data, by net/http/httputil | truncated
+//	extensions of all chunks                 | maxExtraBytes beyond chunkOverhead for each and twice the data | truncated
 //	a trailer                                | maxTrailerBytes             | truncated
 //	body                                     | Options.MaxBody             | failure if its length is given, else truncated
 //	whole exchange, in time                  | Options.Within              | truncated
@@ -28,6 +27,10 @@
 	maxSkippedBytes = 1 << 20
 	// maxTrailerBytes is the size in bytes of the largest trailer.
 	maxTrailerBytes = 16 << 10
+	// chunkOverhead is how many bytes the size, the extensions and the ends of each chunk may have, beside twice its data.
+	chunkOverhead = 16
+	// maxExtraBytes is how many bytes the chunks of a body may have beyond that.
+	maxExtraBytes = 16 << 10
 )
 
 // Part is a part of what a server sends.
@@ -40,9 +43,11 @@
 	PartSkipped Part = "response to another request"
 	PartChunk   Part = "size of a chunk"
 	PartTrailer Part = "trailer"
-	PartBody    Part = "body"
-	PartEvent   Part = "event"
-	PartNoEvent Part = "bytes without a new event"
+	// PartExtensions is what the chunks of a body have beside their data.
+	PartExtensions Part = "extensions of chunks"
+	PartBody       Part = "body"
+	PartEvent      Part = "event"
+	PartNoEvent    Part = "bytes without a new event"
 )
 
 // LimitError is the error for a server that sent more of a part than is accepted.
@@ -58,11 +63,3 @@
 
 // ErrNoResponse is the error for bytes that aren't the beginning of a response.
 var ErrNoResponse = errors.New("server sent bytes that are no response")
-
-// chunkError returns the error of reading a chunk, as a LimitError if its size line is too long.
-func chunkError(err error) error {
-	if errors.Is(err, httputil.ErrLineTooLong) {
-		return &LimitError{Part: PartChunk, Limit: bufferSize}
-	}
-	return err
-}
--- a/internal/grammar/field_test.go
+++ b/internal/grammar/field_test.go
@@ -1,7 +1,6 @@
 package grammar
 
 import (
-	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,8 +30,7 @@
 	}
 	for _, line := range lines {
 		_, err := ParseField(line)
-		var invalid *Error
-		if !errors.As(err, &invalid) || invalid.Part != PartField {
+		if !isOf(err, PartField) {
 			t.Errorf("%q: %v", line, err)
 		}
 	}
--- a/internal/grammar/grammar.go
+++ b/internal/grammar/grammar.go
@@ -2,7 +2,10 @@
 // the parsers of libraries accept more: a line that two of them read differently ends a body in two places.
 package grammar
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Part is a part of a response.
 type Part string
@@ -12,6 +15,9 @@
 	PartLineEnd    Part = "end of a line"
 	PartStatusLine Part = "status line"
 	PartField      Part = "field"
+	PartFraming    Part = "length of a body"
+	PartChunkSize  Part = "size of a chunk"
+	PartChunkEnd   Part = "end of a chunk"
 )
 
 // Error is the error for a part of a response that doesn't match the grammar.
@@ -31,6 +37,15 @@
 // lineEnd ends each line of a head, of a chunk's size and of a trailer.
 const lineEnd = "\r\n"
 
+// CutLineEnd returns a line without its end.
+func CutLineEnd(line []byte) (string, error) {
+	text, ok := strings.CutSuffix(string(line), lineEnd)
+	if !ok {
+		return "", &Error{Part: PartLineEnd, Text: string(line)}
+	}
+	return text, nil
+}
+
 // isControl reports whether a byte is a control character, of which text may contain only the tab.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
 
--- a/internal/grammar/status_test.go
+++ b/internal/grammar/status_test.go
@@ -1,7 +1,6 @@
 package grammar
 
 import (
-	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,7 +14,7 @@
 		"HTTP/1.1 200 \tgut \xe9": 200, "HTTP/1.1 200  ": 200,
 	} {
 		is := is.New(t)
-		got, err := parseStatusLine(line)
+		got, _, err := parseStatusLine(line)
 		is.NoErr(err)
 		is.Equal(got, status)
 	}
@@ -27,9 +26,8 @@
 		"http/1.1 200 OK", " HTTP/1.1 200 OK", "ICY 200 OK", "HTTP/1.1 4294967496 OK", "HTTP/1.1 200 O\x00K",
 		"HTTP/1.1 200 OK\r", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 ٢٠٠ OK",
 	} {
-		_, err := parseStatusLine(line)
-		var invalid *Error
-		if !errors.As(err, &invalid) || invalid.Part != PartStatusLine {
+		_, _, err := parseStatusLine(line)
+		if !isOf(err, PartStatusLine) {
 			t.Errorf("%q: %v", line, err)
 		}
 	}
