gateway: an answer names one request and has one seal, or isn't relayed

An answer whose head named another request after its own reached that request's caller as a success; so did one with a second seal (both were passed on), and one without a seal.

Cause: of a repeated header the first value is read and all are relayed; seals weren't looked at.

Fix: a response names a request only if it has exactly one identifier. One with two seals, or a success without any, can't be the answer of one backend server: the send has failed, and the request may have run. It is sent again where that is allowed, and answered with 502 otherwise.

--- a/e2e/broken_answers_test.go
+++ b/e2e/broken_answers_test.go
@@ -25,18 +25,34 @@
 func TestPlatformBrokenAnswersReachNoCaller(t *testing.T) {
 	t.Parallel()
 	p := newPlatform(t, 1)
-	servers := append(p.engines, p.services...)
 	for _, name := range relayedOnce {
-		p.behave(servers, users.Behaviour{})
-		await(t, "the servers are used again", func() bool { return p.allServed(brokenPaths) })
-		p.behave(servers, users.Behaviour{Broken: users.BrokenAnswers[name]})
-		for _, path := range brokenPaths {
-			r := p.request("POST", path)
-			got := users.Call(p.routers[0].callers, r)
-			runs := len(p.runsOf(r.ID))
-			if got.Err != nil || got.Seal != "" || got.Status != 502 && (got.Status != 503 || runs > 0) {
-				t.Errorf("%s, %s: %d %q, seal %q, %d runs, %v", name, path, got.Status, got.Body, got.Seal, runs, got.Err)
-			}
+		p.checkNotRelayed(t, name, users.BrokenAnswers[name])
+	}
+}
+
+// TestPlatformAmbiguousAnswersReachNoCaller guards against a success that names a second request, or has two seals or none,
+// reaching a caller.
+func TestPlatformAmbiguousAnswersReachNoCaller(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t, 1)
+	for name, text := range users.AmbiguousAnswers {
+		p.checkNotRelayed(t, name, text)
+	}
+}
+
+// checkNotRelayed checks that an answer of all servers isn't relayed, and that no request that ran is refused as not run.
+func (p *platform) checkNotRelayed(t *testing.T, name, text string) {
+	t.Helper()
+	servers := append(p.engines, p.services...)
+	p.behave(servers, users.Behaviour{})
+	await(t, "the servers are used again", func() bool { return p.allServed(brokenPaths) })
+	p.behave(servers, users.Behaviour{Broken: text})
+	for _, path := range brokenPaths {
+		r := p.request("POST", path)
+		got := users.Call(p.routers[0].callers, r)
+		runs := len(p.runsOf(r.ID))
+		if got.Err != nil || got.Seal != "" || got.Status != 502 && (got.Status != 503 || runs > 0) {
+			t.Errorf("%s, %s: %d %q, seal %q, %d runs, %v", name, path, got.Status, got.Body, got.Seal, runs, got.Err)
 		}
 	}
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -44,7 +44,9 @@
 
 // ResponseMeta is the metadata of a backend server's response.
 type ResponseMeta struct {
-	ID string // of the request that it answers
+	ID string // of the request that it answers, "" unless it names exactly one
+	// Invalid says why the response can't be that of one backend server, nil if it can.
+	Invalid error
 	// NotRun reports that the request was not run.
 	NotRun bool
 	// Notice is the backend server's notice about its own state.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -111,9 +111,12 @@
 // errNotRunStatus is the error for such a status if the request may have run.
 var errNotRunStatus = errors.New("status says that the request wasn't run, though it may have run")
 
-// errNoRequestID is the error for a response without a request identifier: it may be anything that was sent after the
+// errNoRequestID is the error for a response that doesn't name exactly one request: it may be anything that was sent after the
 // response to an earlier request on the connection, and doesn't show that this request was not run.
-var errNoRequestID = errors.New("response has no request identifier")
+var errNoRequestID = errors.New("response doesn't name one request")
+
+// errInvalidResponse is the error for a response that can't be that of one backend server.
+var errInvalidResponse = errors.New("response is not that of one backend server")
 
 // maxNotSent is the maximum number of backend servers that are tried without being able to send to them.
 const maxNotSent = 3
@@ -146,6 +149,9 @@
 	if meta.ID == "" {
 		return a.handleFailure(d, errNoRequestID)
 	}
+	if meta.Invalid != nil {
+		return a.handleFailure(d, errors.Join(errInvalidResponse, meta.Invalid))
+	}
 	a.recordNotice(d, meta)
 	if meta.NotRun {
 		return a.handleNotRun(d, response.StatusCode())
@@ -273,8 +279,10 @@
 	if a.ctx.Err() != nil { // the router ended the send, and its answer must not wait for a server that hangs
 		return false
 	}
-	if errors.Is(cause, errCallerStopped) || errors.Is(cause, errNoRequestID) || errors.Is(cause, errNotRunStatus) {
-		return false
+	for _, other := range []error{errCallerStopped, errNoRequestID, errInvalidResponse, errNotRunStatus} {
+		if errors.Is(cause, other) {
+			return false
+		}
 	}
 	return a.blame.Interrupted(blame.Attempt{
 		Backend: d.Backend, Address: a.sentTo, At: a.sentAt, Begun: !a.answeredAt.IsZero(),
--- a/internal/standin/users/broken.go
+++ b/internal/standin/users/broken.go
@@ -8,8 +8,11 @@
 	"time"
 )
 
-// names stands, in the text of a broken answer, for the fields that name the request and carry the seal.
-const names = "{names}"
+// The marks in the text of a broken answer.
+const (
+	names  = "{names}" // stands for the fields that name the request and carry the seal
+	idMark = "{id}"    // stands for the identifier of the request
+)
 
 // BrokenAnswers are answers that break the grammar of HTTP/1.1, by what is broken about them. Each of them ends with its
 // connection.
@@ -43,10 +46,18 @@
 	"a blank in a name of a trailer":      "HTTP/1.1 200 OK\r\n" + names + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX A: b\r\n\r\n",
 }
 
+// AmbiguousAnswers are answers whose heads name two requests, or don't have one seal, by what is wrong with them.
+var AmbiguousAnswers = map[string]string{
+	"another request first": "HTTP/1.1 200 OK\r\nTamarindstep-Request-Id: another\r\n" + names + "Content-Length: 4\r\n\r\nbody",
+	"another request last":  "HTTP/1.1 200 OK\r\n" + names + "Tamarindstep-Request-Id: another\r\nContent-Length: 4\r\n\r\nbody",
+	"two seals":             "HTTP/1.1 200 OK\r\n" + names + "Tamarindstep-Response-Seal: another\r\nContent-Length: 4\r\n\r\nbody",
+	"no seal":               "HTTP/1.1 200 OK\r\nTamarindstep-Request-Id: " + idMark + "\r\nContent-Length: 4\r\n\r\nbody",
+}
+
 // BrokenAnswer returns the text of a broken answer to a request, with a seal.
 func BrokenAnswer(text, id, seal string) string {
 	fields := strings.TrimPrefix(responseHead(http.StatusOK, id, seal), responseHead(http.StatusOK, "", ""))
-	return strings.ReplaceAll(text, names, fields)
+	return strings.NewReplacer(names, fields, idMark, id).Replace(text)
 }
 
 // broken answers a request with a broken answer, and closes the connection.
