e2e: broken answers and cut heads on the product's own interface

An answer whose connection ends within its head: read as a failure at each of its bytes, closed in order or reset, on as well (own interface and platform's, TestPlatformCutHeadsReachNoCaller, exchange TestCutHeadIsNoResponse). The tests stay; nothing was changed for it.

--- a/e2e/broken_answers_test.go
+++ b/e2e/broken_answers_test.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// TestPlatformCutHeadsReachNoCaller guards against an answer whose connection is closed within its head reaching a caller
+// as a success.
+func TestPlatformCutHeadsReachNoCaller(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t, 1)
+	for _, name := range []string{"a head without its last line", "a head that ends within a line", "a head that ends within a length", "a head that ends within its status"} {
+		p.checkNotRelayed(t, name, users.BrokenAnswers[name])
+	}
+}
+
 // TestPlatformAmbiguousAnswersReachNoCaller guards against a success that names a second request, or has two seals or none,
 // reaching a caller.
 func TestPlatformAmbiguousAnswersReachNoCaller(t *testing.T) {
--- a/internal/exchange/broken_test.go
+++ b/internal/exchange/broken_test.go
@@ -1,8 +1,17 @@
 package exchange
 
 import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
 
@@ -17,3 +26,35 @@
 		})
 	}
 }
+
+// TestCutHeadIsNoResponse guards against a head that its server didn't finish being read as a response without a body, or
+// with what is missing of it in another meaning, wherever it ends and however its connection does.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX: a\r\nContent-Length: 40\r\n\r\n"
+	for n := range len(head) {
+		for _, reset := range []bool{false, true} {
+			_, err := upload(t, 0, func(c *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(c, head[:n])
+				if reset {
+					_ = c.SetLinger(0)
+				}
+			})
+			if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("%q, reset %v: %v", head[:n], reset, err)
+			}
+		}
+	}
+}
+
+// TestReadStopsAtEndOfHead checks that only the head is read, however its bytes arrive.
+func TestReadStopsAtEndOfHead(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nX: a\r\n\r\n"
+	reader := bufio.NewReaderSize(io.MultiReader(strings.NewReader(head[:20]), strings.NewReader(head[20:]+"body")), bufferSize)
+	checked, err := checkHead(reader)
+	is.NoErr(err)
+	is.Equal(checked.Status(), 200)
+	rest, err := io.ReadAll(reader)
+	is.NoErr(err)
+	is.Equal(string(rest), head+"body")
+}
--- a/internal/standin/users/broken.go
+++ b/internal/standin/users/broken.go
@@ -44,6 +44,10 @@
 	"a blank after the size of a chunk":   "HTTP/1.1 200 OK\r\n" + names + "Transfer-Encoding: chunked\r\n\r\n4 \r\nbody\r\n0\r\n\r\n",
 	"a chunk longer than its size":        "HTTP/1.1 200 OK\r\n" + names + "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n",
 	"a blank in a name of a trailer":      "HTTP/1.1 200 OK\r\n" + names + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX A: b\r\n\r\n",
+	"a head without its last line":        "HTTP/1.1 200 OK\r\n" + names + "Content-Length: 4\r\n",
+	"a head that ends within a line":      "HTTP/1.1 200 OK\r\n" + names + "Content-Length: 4",
+	"a head that ends within a length":    "HTTP/1.1 200 OK\r\n" + names + "Content-Len",
+	"a head that ends within its status":  "HTTP/1.1 20",
 }
 
 // AmbiguousAnswers are answers whose heads name two requests, or don't have one seal, by what is wrong with them.
