ctl: responses of routers are read as those of all others

The command line took a broken response of a router for a success: status 000 as 200, a response with a blank in a field's name, with a length beside its chunks, or without a length although its connection may have broken off. An operator was told that a configuration is in force of which nothing is known.

Cause: it was the one reader of HTTP answers with a client of its own.

Fix: it calls routers through package exchange, whose checks it gets. A response that isn't valid is reported as lost: the operation may or may not have taken effect. A request is sent once there as well.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -1,9 +1,9 @@
 package ctl
 
 import (
+	"context"
 	"encoding/json"
-	"errors"
-	"net"
+	"io"
 	"strconv"
 	"time"
 
@@ -11,9 +11,17 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindstep/tamarindstep/admin"
+	"github.com/tamarindstep/tamarindstep/internal/exchange"
 )
 
-const callTimeout = 15 * time.Second
+const (
+	dialTimeout = 3 * time.Second
+	// callTimeout is the time limit of each wait for a router, and callLimit that of a whole call.
+	callTimeout = 15 * time.Second
+	callLimit   = 2 * callTimeout
+	// maxResponse is the size of the largest response, in bytes.
+	maxResponse = 16 << 20
+)
 
 // The errors of the command line, each with its own exit code.
 var (
@@ -35,14 +43,11 @@
 type client struct {
 	address string
 	token   string
-	http    fasthttp.Client
+	router  *exchange.Client
 }
 
 func newClient(address, token string) *client {
-	return &client{address: address, token: token, http: fasthttp.Client{
-		ReadTimeout: callTimeout, WriteTimeout: callTimeout,
-		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 16 << 20,
-	}}
+	return &client{address: address, token: token, router: exchange.NewClient(address, dialTimeout)}
 }
 
 // response is the response of a router.
@@ -56,25 +61,38 @@
 func (c *client) call(method, path string, body []byte, headers ...string) (*response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.address + path)
+	req.SetRequestURI(path)
+	req.Header.SetHost(c.address)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
 	req.SetBody(body)
-	if err := c.http.Do(req, resp); err != nil {
-		if !isDialError(err) {
-			return nil, Lost.Wrap(err, "router %s doesn't answer", c.address)
-		}
+	got, err := c.exchange(req)
+	switch {
+	case exchange.NotSent(err):
 		return nil, Unreached.Wrap(err, "router %s doesn't answer", c.address)
+	case err != nil:
+		return nil, Lost.Wrap(err, "router %s doesn't answer", c.address)
+	default:
+		return got, nil
+	}
+}
+
+// exchange sends a request, once, and reads the whole response.
+func (c *client) exchange(req *fasthttp.Request) (*response, error) {
+	resp, err := c.router.Do(context.Background(), req, exchange.Options{Timeout: callTimeout, Within: callLimit, MaxBody: maxResponse})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp)
+	if err != nil {
+		return nil, err
 	}
 	generation, _ := strconv.ParseUint(string(resp.Header.Peek(admin.GenerationHeader)), 10, 64)
-	return &response{
-		status: resp.StatusCode(), generation: generation, body: append([]byte(nil), resp.Body()...),
-	}, nil
+	return &response{status: resp.StatusCode(), generation: generation, body: body}, nil
 }
 
 // decode decodes the body of a successful response into out, or returns the error it contains.
@@ -105,9 +123,3 @@
 	}
 	return Refused.New("%s: %s", e.Code, e.Message)
 }
-
-// isDialError reports whether a call failed before a connection was established.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &op) && op.Op == "dial"
-}
--- a/internal/standin/users/broken.go
+++ b/internal/standin/users/broken.go
@@ -1,9 +1,11 @@
 package users
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -58,6 +60,44 @@
 	"no seal":               "HTTP/1.1 200 OK\r\nTamarindstep-Request-Id: " + idMark + "\r\nContent-Length: 4\r\n\r\nbody",
 }
 
+// BrokenAround returns answers with a given body that break the grammar of HTTP/1.1 only in their heads or in how the body
+// is marked, by what is broken about them: whoever reads no more than the body takes them for a success.
+func BrokenAround(body string) map[string]string {
+	sized := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	return map[string]string{
+		"status 000":             "HTTP/1.1 000 OK\r\n" + sized + "\r\n" + body,
+		"a blank in a name":      "HTTP/1.1 200 OK\r\nX A: b\r\n" + sized + "\r\n" + body,
+		"a folded line":          "HTTP/1.1 200 OK\r\nX-A: a\r\n b\r\n" + sized + "\r\n" + body,
+		"chunks beside a length": "HTTP/1.1 200 OK\r\n" + sized + "Transfer-Encoding: chunked\r\n\r\n" + encodeChunked(body),
+		"a cut head":             "HTTP/1.1 200 OK\r\n" + sized,
+		"no length":              "HTTP/1.1 200 OK\r\n\r\n" + body,
+	}
+}
+
+// ServeText answers each request on a loopback address with a text, and closes the connection. It ends with stop.
+func ServeText(text string) (address string, stop func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), func() { _ = listener.Close() }, nil
+}
+
 // BrokenAnswer returns the text of a broken answer to a request, with a seal.
 func BrokenAnswer(text, id, seal string) string {
 	fields := strings.TrimPrefix(responseHead(http.StatusOK, id, seal), responseHead(http.StatusOK, "", ""))
