--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -41,3 +41,18 @@
 		t.Fatal("the poll doesn't end")
 	}
 }
+
+// TestBrokenHealthIsFailure guards against a broken answer to a health check counting as good health.
+func TestBrokenHealthIsFailure(t *testing.T) {
+	for name, text := range users.BrokenAround("well") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, stop, err := users.ServeText(text)
+			is.NoErr(err)
+			defer stop()
+			client := exchange.NewClient(address, loadTimeout)
+			defer client.Close()
+			is.True(pollBackend(t.Context(), client, false).Failed)
+		})
+	}
+}
--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -101,3 +101,39 @@
 	is.True(err != nil)
 	is.True(time.Since(began) < time.Second)
 }
+
+// TestBrokenAnswerOfPeerIsNoAnswer guards against bytes of another router that are no answer being taken for an empty one.
+func TestBrokenAnswerOfPeerIsNoAnswer(t *testing.T) {
+	const key = "one key for both"
+	for name, text := range map[string]string{
+		"nothing": "", "a byte": "\x00", "another protocol": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"bytes of ones": "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff", "zero bytes": "\x00\x00\x00\x00\x00\x00\x00\x00",
+		"a frame that ends early": "\x05\x01\x01\x20name",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := startPeer(t, is, "a", key)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { is.NoErr(listener.Close()) }()
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if handshake(c, []byte(key), roleAcceptor, roleDialer) == nil {
+					_, _ = c.Write([]byte(text))
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			err = a.Call(ctx, listener.Addr().String(), func(ctx context.Context, c wire.DRPCPeerClient) error {
+				_, err := c.Status(ctx, &wire.StatusRequest{})
+				return err
+			})
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
