standin: the answer to a request by cases, its body read apart

The function that answers a request had grown beyond the linter's 60 lines with broken and early answers. Reading the body is a function of its own, and the kinds of answers are cases of one switch. Nothing changes for tests.

--- a/internal/standin/users/backend.go
+++ b/internal/standin/users/backend.go
@@ -199,6 +199,20 @@
 	}
 }
 
+// readBody reads the body of a request, before or after which it may be answered. It returns false if the connection doesn't
+// remain open.
+func (b *Backend) readBody(c net.Conn, req *http.Request, x Behaviour) ([]byte, bool) {
+	if x.AnswerBeforeBody {
+		b.reject(c, req, x)
+	}
+	if x.Early != nil && req.ContentLength != 0 {
+		b.answerEarly(c, req, *x.Early)
+		return nil, false
+	}
+	body, err := io.ReadAll(req.Body)
+	return body, err == nil
+}
+
 // serveOne handles one request, and reports whether the connection remains open.
 func (b *Backend) serveOne(c net.Conn, reader *bufio.Reader) bool {
 	req, err := http.ReadRequest(reader)
@@ -208,15 +222,8 @@
 	b.mu.Lock()
 	x := b.behaviour
 	b.mu.Unlock()
-	if x.AnswerBeforeBody {
-		b.reject(c, req, x)
-	}
-	if x.Early != nil && req.ContentLength != 0 {
-		b.answerEarly(c, req, *x.Early)
-		return false
-	}
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
+	body, ok := b.readBody(c, req, x)
+	if !ok {
 		return false
 	}
 	if x.AnswerBeforeBody {
@@ -256,16 +263,16 @@
 	if x.OmitRequestID {
 		id = ""
 	}
-	if x.Broken != "" {
+	switch {
+	case x.Broken != "":
 		return b.broken(c, x, id)
-	}
-	if x.Endless != "" {
+	case x.Endless != "":
 		return b.endless(c, x, id, index)
-	}
-	if x.Events > 0 {
+	case x.Events > 0:
 		return b.stream(c, x, id, index)
+	default:
+		return b.plain(c, x, id, shapeOf(req.URL.Query()))
 	}
-	return b.plain(c, x, id, shapeOf(req.URL.Query()))
 }
 
 // Arrivals returns the number of requests addressed to the server that arrived in [from, until).
