internal/grammar: fields that must not be repeated without a map

Heads are checked for each answer: the three names are compared without lower-case copies or a map. Nothing else changes; FuzzHead passes.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -130,21 +130,12 @@
 // clientOf returns a client of a server that answers with a text and closes the connection.
 func clientOf(t *testing.T, text string) *Client {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, stop, err := users.ServeText(text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = io.WriteString(c, text)
-		_ = c.Close()
-	}()
-	client := NewClient(listener.Addr().String(), time.Second)
+	t.Cleanup(stop)
+	client := NewClient(address, time.Second)
 	t.Cleanup(client.Close)
 	return client
 }
--- a/internal/grammar/framing.go
+++ b/internal/grammar/framing.go
@@ -2,11 +2,10 @@
 
 import "strings"
 
-// The statuses whose responses never have a body, although their head may have its length (304).
+// Responses with a status below minFinalStatus, or statusNoContent, have no body and don't give its length.
 const (
-	minFinalStatus    = 200
-	statusNoContent   = 204
-	statusNotModified = 304
+	minFinalStatus  = 200
+	statusNoContent = 204
 )
 
 // Length is what a head says about the length of a body.
@@ -15,41 +14,48 @@
 	Chunked bool
 }
 
-// framing collects the fields that may appear once only, of which two determine where a body ends.
+// single is a field that must not be repeated.
+type single int
+
+// The fields that must not be repeated: those that say how long a body is and of which type.
+const (
+	contentLength single = iota
+	transferEncoding
+	contentType
+	singles // their number
+)
+
+var singleNames = [singles]string{"Content-Length", "Transfer-Encoding", "Content-Type"}
+
+// framing collects the fields that must not be repeated, of which two determine where a body ends.
 type framing struct {
-	seen   map[string]bool // by lower-case name
-	length Length
+	seen  [singles]bool
+	bytes int64 // the length given
 }
 
-// once are the fields that must not be repeated: the length and the type of a body.
-var once = map[string]bool{"content-length": true, "transfer-encoding": true, "content-type": true}
-
 // add takes the next field of the head.
 func (f *framing) add(field Field) error {
-	name := strings.ToLower(field.Name)
-	if !once[name] {
-		return nil
-	}
-	if f.seen == nil {
-		f.seen, f.length.Bytes = map[string]bool{}, -1
-	}
-	invalid := &Error{Part: PartFraming, Text: field.Name + ": " + field.Value}
-	if f.seen[name] {
-		return invalid
+	for i, name := range singleNames {
+		if strings.EqualFold(field.Name, name) {
+			return f.addSingle(single(i), field)
+		}
 	}
-	f.seen[name] = true
-	switch name {
-	case "content-length":
+	return nil
+}
+
+// addSingle takes a field that must not be repeated.
+func (f *framing) addSingle(which single, field Field) error {
+	valid := !f.seen[which]
+	f.seen[which] = true
+	switch which {
+	case contentLength:
 		bytes, ok := parseNumber(field.Value, 10)
-		if !ok {
-			return invalid
-		}
-		f.length.Bytes = bytes
-	case "transfer-encoding":
-		if !strings.EqualFold(field.Value, "chunked") {
-			return invalid
-		}
-		f.length.Chunked = true
+		f.bytes, valid = bytes, valid && ok
+	case transferEncoding:
+		valid = valid && strings.EqualFold(field.Value, "chunked")
+	}
+	if !valid {
+		return &Error{Part: PartFraming, Text: field.Name + ": " + field.Value}
 	}
 	return nil
 }
@@ -57,17 +63,16 @@
 // of returns the length of the body. It must be given in one way at most, not in chunks before HTTP/1.1, and not for a
 // status that has no body.
 func (f *framing) of(status int, minorVersion byte) (Length, error) {
-	if f.seen == nil {
-		return Length{Bytes: -1}, nil
-	}
-	given := f.length
+	sized, chunked := f.seen[contentLength], f.seen[transferEncoding]
 	none := status < minFinalStatus || status == statusNoContent
 	switch {
-	case given.Chunked && (given.Bytes >= 0 || minorVersion == '0' || none):
+	case chunked && (sized || minorVersion == '0' || none):
 		return Length{}, &Error{Part: PartFraming, Text: "chunks"}
-	case given.Bytes > 0 && none:
+	case f.bytes > 0 && none:
 		return Length{}, &Error{Part: PartFraming, Text: "a length without a body"}
+	case sized:
+		return Length{Bytes: f.bytes}, nil
 	default:
-		return given, nil
+		return Length{Bytes: -1, Chunked: chunked}, nil
 	}
 }
