exchange, e2e: broken answers on used connections, uploads in chunks

Cases that the tests of broken answers didn't have: one on a connection that has carried a valid answer, an upload that its caller sends in chunks, and a check that a request reached a server for each form. All hold; nothing but a comment changes in the product.

--- a/e2e/broken_answers_test.go
+++ b/e2e/broken_answers_test.go
@@ -57,14 +57,19 @@
 	p.behave(servers, users.Behaviour{})
 	await(t, "the servers are used again", func() bool { return p.allServed(brokenPaths) })
 	p.behave(servers, users.Behaviour{Broken: text})
+	ran := 0
 	for _, path := range brokenPaths {
 		r := p.request("POST", path)
 		got := users.Call(p.routers[0].callers, r)
 		runs := len(p.runsOf(r.ID))
+		ran += runs
 		if got.Err != nil || got.Seal != "" || got.Status != 502 && (got.Status != 503 || runs > 0) {
 			t.Errorf("%s, %s: %d %q, seal %q, %d runs, %v", name, path, got.Status, got.Body, got.Seal, runs, got.Err)
 		}
 	}
+	if ran == 0 {
+		t.Errorf("%s: no request ran", name)
+	}
 }
 
 // allServed reports whether a request on each path is answered.
@@ -80,7 +85,7 @@
 const (
 	// longUploadParts is the number of parts of an upload that a connection's buffers can't hold.
 	longUploadParts = 12 << 20 / uploadPart
-	// earlyTries is the number of uploads of each form.
+	// earlyTries is the number of uploads of each form, one of them in chunks.
 	earlyTries = 2
 )
 
@@ -103,8 +108,9 @@
 			early.Part = part
 			p.behave(append(p.engines, p.services...), users.Behaviour{Early: &early})
 			ran := 0
-			for range earlyTries {
+			for try := range earlyTries {
 				r := p.request("POST", path)
+				r.Chunked = try > 0
 				got := p.uploadLong(r)
 				ran += len(p.runsOf(r.ID))
 				if got.Err == nil && got.Status == 200 {
--- a/internal/exchange/broken_test.go
+++ b/internal/exchange/broken_test.go
@@ -1,12 +1,16 @@
 package exchange
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"syscall"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
@@ -41,3 +45,34 @@
 		}
 	}
 }
+
+// TestBrokenAnswerOnReusedConnectionIsNoResponse guards against a broken answer being read as a response because one before
+// it, on the same connection, was valid.
+func TestBrokenAnswerOnReusedConnectionIsNoResponse(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody"} {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+		}
+	}()
+	client := NewClient(listener.Addr().String(), time.Second)
+	defer client.Close()
+	body, err := readAll(t, client, Options{Timeout: patience})
+	is.NoErr(err)
+	is.Equal(body, "body")
+	_, err = readAll(t, client, Options{Timeout: patience})
+	is.True(errors.Is(err, ErrNoResponse))
+	is.Equal(client.opened.Load(), int64(1))
+}
--- a/internal/exchange/limits.go
+++ b/internal/exchange/limits.go
@@ -61,5 +61,6 @@
 	return fmt.Sprintf("server sent more than is accepted: %s above %d", e.Part, e.Limit)
 }
 
-// ErrNoResponse is the error for bytes that aren't the beginning of a response.
+// ErrNoResponse is the error for bytes that aren't a response by the grammar of HTTP/1.1, with a *grammar.Error where a
+// part of one isn't valid.
 var ErrNoResponse = errors.New("server sent bytes that are no response")
