--- a/e2e/broken_answers_test.go
+++ b/e2e/broken_answers_test.go
@@ -11,8 +11,8 @@
 // brokenPaths are paths of one route of each kind.
 var brokenPaths = []string{"/look/1", "/claim/1", "/chat/1", "/review/1"}
 
-// relayedOnce are the broken answers that reached callers as a success.
-var relayedOnce = []string{
+// toleratedAnswers are the broken answers that lenient parsers take for a success.
+var toleratedAnswers = []string{
 	"status 000", "status 000, in chunks", "status 000, until its end", "status 000, after an interim one",
 	"a blank in a name", "a blank after a name", "a blank after Content-Length", "a blank in Content-Length",
 	"a blank after Transfer-Encoding", "a blank in Transfer-Encoding", "a folded Content-Length",
@@ -25,7 +25,7 @@
 func TestPlatformBrokenAnswersReachNoCaller(t *testing.T) {
 	t.Parallel()
 	p := newPlatform(t, 1)
-	for _, name := range relayedOnce {
+	for _, name := range toleratedAnswers {
 		p.checkNotRelayed(t, name, users.BrokenAnswers[name])
 	}
 }
--- a/e2e/own_broken_test.go
+++ b/e2e/own_broken_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -41,38 +40,20 @@
 // an empty success.
 func serveRaw(t *testing.T, answers []rawAnswer) (address string) {
 	t.Helper()
-	is := is.New(t)
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	is.NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.AcceptTCP()
-			if err != nil {
-				return
-			}
-			go answerRaw(c, answers)
+	address, stop, err := users.Serve(func(c *net.TCPConn, req *http.Request) {
+		n, err := strconv.Atoi(path.Base(req.URL.Path))
+		if err != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			return
 		}
-	}()
-	return listener.Addr().String()
-}
-
-// answerRaw answers one request and closes the connection.
-func answerRaw(c *net.TCPConn, answers []rawAnswer) {
-	defer func() { _ = c.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	n, err := strconv.Atoi(path.Base(req.URL.Path))
-	if err != nil {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		return
-	}
-	_, _ = io.WriteString(c, answers[n].text)
-	if answers[n].reset {
-		_ = c.SetLinger(0)
-	}
+		_, _ = io.WriteString(c, answers[n].text)
+		if answers[n].reset {
+			_ = c.SetLinger(0)
+		}
+	})
+	is.New(t).NoErr(err)
+	t.Cleanup(stop)
+	return address
 }
 
 // TestBrokenAnswersReachNoCaller guards against an answer that breaks the grammar of HTTP/1.1, or whose head its backend
--- a/e2e/own_endless_test.go
+++ b/e2e/own_endless_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -39,24 +38,10 @@
 // serveEndless answers each request on a loopback address with bytes without end.
 func serveEndless(t *testing.T, kind users.Endless) (address string) {
 	t.Helper()
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-				users.WriteEndless(c, kind, "id", "seal", 0)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	address, stop, err := users.Serve(func(c *net.TCPConn, _ *http.Request) { users.WriteEndless(c, kind, "id", "seal", 0) })
+	is.New(t).NoErr(err)
+	t.Cleanup(stop)
+	return address
 }
 
 // endlessConfiguration returns a configuration with a pool and a route for each kind, and the usual ones.
--- a/internal/exchange/chunks.go
+++ b/internal/exchange/chunks.go
@@ -13,7 +13,7 @@
 type chunkedBody struct {
 	src   *bufio.Reader
 	left  int64 // bytes of the current chunk that haven't been read
-	inner bool  // a chunk has been read, whose end hasn't
+	begun bool  // a chunk has begun, whose end hasn't been read
 	extra int64 // bytes beside the data, less what is allowed for the data
 	done  bool
 }
@@ -58,7 +58,7 @@
 
 // next reads the end of the current chunk and the size of the next one, or the trailer after the last.
 func (b *chunkedBody) next() error {
-	if b.inner {
+	if b.begun {
 		if err := b.readEnd(); err != nil {
 			return err
 		}
@@ -71,7 +71,7 @@
 	if err != nil {
 		return noResponse(err)
 	}
-	b.left, b.inner = size, size > 0
+	b.left, b.begun = size, size > 0
 	if size > 0 {
 		return b.count(line)
 	}
--- a/internal/exchange/unmarkedend.go
+++ b/internal/exchange/unmarkedend.go
@@ -9,7 +9,7 @@
 )
 
 var (
-	// errReset is the error for a connection that was reset, which a write or nothing at all was told of.
+	// errReset is the error for a connection whose reset was reported to another call than the read.
 	errReset = errors.New("connection was reset")
 	// errRequestNotReceived is the error for a connection that ended before the server had received the whole request.
 	errRequestNotReceived = errors.New("connection ended before the server had received the whole request")
--- a/internal/exchange/unmarkedend_test.go
+++ b/internal/exchange/unmarkedend_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindstep/tamarindstep/internal/standin/users"
 )
 
 // unmarkedHead is the head of a response whose end isn't marked.
@@ -23,22 +24,10 @@
 func upload(t *testing.T, size int, answer func(c *net.TCPConn, req *http.Request)) (string, error) {
 	t.Helper()
 	is := is.New(t)
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	address, stop, err := users.Serve(answer)
 	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	go func() {
-		c, err := listener.AcceptTCP()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err == nil {
-			answer(c, req)
-		}
-	}()
-	client := NewClient(listener.Addr().String(), time.Second)
+	defer stop()
+	client := NewClient(address, time.Second)
 	defer client.Close()
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(fasthttp.MethodPost)
--- a/internal/standin/users/broken.go
+++ b/internal/standin/users/broken.go
@@ -74,23 +74,23 @@
 	}
 }
 
-// ServeText answers each request on a loopback address with a text, and closes the connection. It ends with stop.
-func ServeText(text string) (address string, stop func(), err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Serve passes each request on a loopback address, whose body may not have been read, to a function, and closes its
+// connection after that. It ends with stop.
+func Serve(answer func(*net.TCPConn, *http.Request)) (address string, stop func(), err error) {
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return "", nil, err
 	}
 	go func() {
 		for {
-			c, err := listener.Accept()
+			c, err := listener.AcceptTCP()
 			if err != nil {
 				return
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
 				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.Copy(io.Discard, req.Body)
-					_, _ = io.WriteString(c, text)
+					answer(c, req)
 				}
 			}()
 		}
@@ -98,6 +98,14 @@
 	return listener.Addr().String(), func() { _ = listener.Close() }, nil
 }
 
+// ServeText answers each request on a loopback address with a text, and closes the connection. It ends with stop.
+func ServeText(text string) (address string, stop func(), err error) {
+	return Serve(func(c *net.TCPConn, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, text)
+	})
+}
+
 // BrokenAnswer returns the text of a broken answer to a request, with a seal.
 func BrokenAnswer(text, id, seal string) string {
 	fields := strings.TrimPrefix(responseHead(http.StatusOK, id, seal), responseHead(http.StatusOK, "", ""))
